config: read published documents with a line for each fault

encoding/json stops at the first fault and names no line. hujson keeps offsets, so each section walks its own object, asks for its fields and reports what is left.

Changelog-added: published configuration with customers, tiers, policies, models, endpoints, services and limits.

--- /dev/null
+++ b/config/customer.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+)
+
+// Customer is one payer: its keys, tier, class and limits.
+type Customer struct {
+	Name        string
+	Tier        string
+	Class       string
+	KeySHA256   []string
+	Weight      float64
+	MaxStreams  int
+	MaxWaiting  int
+	TokenRate   float64
+	RetryBudget float64
+	line        int
+}
+
+func parseCustomer(o *object) Customer {
+	c := Customer{
+		Class:       "standard",
+		Weight:      1,
+		MaxStreams:  256,
+		MaxWaiting:  512,
+		RetryBudget: 0.1,
+		line:        o.r.line(o.at),
+	}
+	o.name(&c.Name)
+	o.text("tier", &c.Tier)
+	o.text("class", &c.Class)
+	at := o.at
+	o.texts("key_sha256", &c.KeySHA256)
+	o.real("weight", &c.Weight, 0.01, 1000)
+	o.whole("max_streams", &c.MaxStreams, 1, 1000000)
+	o.whole("max_waiting", &c.MaxWaiting, 0, 1000000)
+	o.real("tokens_per_second", &c.TokenRate, 0, 1e9)
+	o.real("retry_budget", &c.RetryBudget, 0, 1)
+	if len(c.KeySHA256) == 0 {
+		o.r.fault(at, "customer "+c.Name+" has no key", `add "key_sha256" with the SHA-256 of each key, in hex`)
+	}
+	for _, key := range c.KeySHA256 {
+		if raw, err := hex.DecodeString(key); err != nil || len(raw) != sha256.Size {
+			o.r.fault(at, "customer "+c.Name+" has a key that is no SHA-256", "write 64 hex digits: printf KEY | sha256sum")
+		}
+	}
+	return c
+}
+
+// KeyMatches reports whether a key is this customer's, in constant time.
+func (c *Customer) KeyMatches(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	given := []byte(hex.EncodeToString(sum[:]))
+	found := 0
+	for _, known := range c.KeySHA256 {
+		found |= subtle.ConstantTimeCompare(given, []byte(known))
+	}
+	return found == 1
+}
+
+// Authenticate finds the customer that a key belongs to, or nil; it looks at
+// every customer so that its time tells nothing of the key.
+func (d *Document) Authenticate(key string) *Customer {
+	var match *Customer
+	for i := range d.Customers {
+		if d.Customers[i].KeyMatches(key) {
+			match = &d.Customers[i]
+		}
+	}
+	return match
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"github.com/tailscale/hujson"
+)
+
+// Version orders configuration documents; the higher one is the newer.
+type Version uint64
+
+// Document is one published configuration.
+type Document struct {
+	Version   Version
+	Customers []Customer
+	Tiers     []Tier
+	Policies  []Policy
+	Models    []Model
+	Endpoints []Endpoint
+	Services  []Service
+	Limits    Limits
+	source    []byte
+}
+
+// Parse reads one document and reports all of its faults; the document is nil
+// when a fault forbids its use.
+func Parse(file string, source []byte) (*Document, Faults) {
+	r := &reader{
+		file:   file,
+		source: source,
+	}
+	value, err := hujson.Parse(source)
+	if err != nil {
+		r.fault(errorOffset(source), "not JSON: "+err.Error(), "correct the syntax at this line")
+		return nil, r.faults
+	}
+	if !value.IsStandard() {
+		r.fault(0, "comments or trailing commas", "remove them: the document is standard JSON")
+	}
+	d := r.document(&value)
+	r.check(d)
+	if r.faults.Fatal() {
+		return nil, r.faults
+	}
+	return d, r.faults
+}
+
+func errorOffset(source []byte) int {
+	for end := len(source); end > 0; end-- {
+		if source[end-1] == '\n' || source[end-1] == ' ' {
+			continue
+		}
+		return end
+	}
+	return 0
+}
+
+func (r *reader) document(v *hujson.Value) *Document {
+	o := r.object(v, "the document")
+	d := &Document{
+		Limits: defaultLimits(),
+		source: r.source,
+	}
+	scalar(o, "version", &d.Version, "write a whole number above every earlier version")
+	if d.Version == 0 {
+		r.fault(0, "the document has no version", `add "version", a whole number above every earlier one`)
+	}
+	d.Customers = list(o, "customers", "customer", parseCustomer)
+	d.Tiers = list(o, "tiers", "tier", parseTier)
+	d.Policies = list(o, "policies", "policy", parsePolicy)
+	d.Models = list(o, "models", "model", parseModel)
+	d.Endpoints = list(o, "endpoints", "endpoint", parseEndpoint)
+	d.Services = list(o, "services", "service", parseService)
+	if limits := o.take("limits"); limits != nil {
+		inner := r.object(limits, "limits")
+		parseLimits(inner, &d.Limits)
+		inner.done()
+	}
+	o.done()
+	return d
+}
+
+// Source gives the bytes that the document was read from.
+func (d *Document) Source() []byte { return d.source }
+
+// Model finds a model by name, or nil.
+func (d *Document) Model(name string) *Model {
+	return find(d.Models, func(m *Model) bool { return m.Name == name })
+}
+
+// Tier finds a tier by name, or nil.
+func (d *Document) Tier(name string) *Tier {
+	return find(d.Tiers, func(t *Tier) bool { return t.Name == name })
+}
+
+// Policy finds a policy by name, or nil.
+func (d *Document) Policy(name string) *Policy {
+	return find(d.Policies, func(p *Policy) bool { return p.Name == name })
+}
+
+// Service finds a service by name, or nil.
+func (d *Document) Service(name string) *Service {
+	return find(d.Services, func(s *Service) bool { return s.Name == name })
+}
+
+// Endpoint finds an endpoint by name, or nil.
+func (d *Document) Endpoint(name string) *Endpoint {
+	return find(d.Endpoints, func(e *Endpoint) bool { return e.Name == name })
+}
+
+// Customer finds a customer by name, or nil.
+func (d *Document) Customer(name string) *Customer {
+	return find(d.Customers, func(c *Customer) bool { return c.Name == name })
+}
+
+func find[T any](all []T, match func(*T) bool) *T {
+	for i := range all {
+		if match(&all[i]) {
+			return &all[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/config/fault.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that is wrong in a document.
+type Fault struct {
+	File    string
+	Line    int
+	What    string
+	Remedy  string
+	Warning bool
+}
+
+// String gives file, line, what is wrong and the remedy.
+func (f Fault) String() string {
+	kind := "error"
+	if f.Warning {
+		kind = "warning"
+	}
+	return fmt.Sprintf("%s:%d: %s: %s; %s", f.File, f.Line, kind, f.What, f.Remedy)
+}
+
+// Faults is the error of a document that is not accepted.
+type Faults []Fault
+
+// Error lists every fault.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, one := range f {
+		lines = append(lines, one.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Fatal reports whether any fault forbids putting the document in force.
+func (f Faults) Fatal() bool {
+	for _, one := range f {
+		if !one.Warning {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/config/model.go
@@ -0,0 +1,21 @@
+package config
+
+// Model is one language model that callers may ask for.
+type Model struct {
+	Name         string
+	MaxTokens    int
+	ExpectTokens int
+	line         int
+}
+
+func parseModel(o *object) Model {
+	m := Model{
+		MaxTokens:    32768,
+		ExpectTokens: 256,
+		line:         o.r.line(o.at),
+	}
+	o.name(&m.Name)
+	o.whole("max_tokens", &m.MaxTokens, 1, 1000000)
+	o.whole("expect_tokens", &m.ExpectTokens, 1, 1000000)
+	return m
+}
--- /dev/null
+++ b/config/tier.go
@@ -0,0 +1,22 @@
+package config
+
+// Tier is one priority that customers pay for; rank 0 is served first.
+type Tier struct {
+	Name   string
+	Rank   int
+	Policy string
+	Risk   float64
+	line   int
+}
+
+func parseTier(o *object) Tier {
+	t := Tier{
+		Risk: 0.01,
+		line: o.r.line(o.at),
+	}
+	o.name(&t.Name)
+	o.whole("rank", &t.Rank, 0, 15)
+	o.text("policy", &t.Policy)
+	o.real("risk", &t.Risk, 0.00001, 0.5)
+	return t
+}
