--- /dev/null
+++ b/core/claim.go
@@ -0,0 +1,339 @@
+package core
+
+import (
+	"time"
+)
+
+// ClaimKey names one request that may run at most once.
+type ClaimKey struct {
+	Customer string
+	Key      string
+}
+
+// ClaimState is the state of one claim at its home.
+type ClaimState string
+
+// A claim is granted, then settled as run, not run or unknown.
+const (
+	ClaimGranted ClaimState = "granted"
+	ClaimRan     ClaimState = "ran"
+	ClaimNotRun  ClaimState = "not-run"
+	ClaimUnknown ClaimState = "unknown"
+)
+
+type claimTrigger string
+
+const (
+	claimGrant  claimTrigger = "grant"
+	claimFinish claimTrigger = "finish"
+	claimFree   claimTrigger = "free"
+	claimLose   claimTrigger = "lose"
+)
+
+var claimLifecycle = NewLifecycle(map[ClaimState]map[claimTrigger]ClaimState{
+	ClaimNotRun: {claimGrant: ClaimGranted},
+	ClaimGranted: {
+		claimFinish: ClaimRan,
+		claimFree:   ClaimNotRun,
+		claimLose:   ClaimUnknown,
+	},
+	ClaimUnknown: {claimFinish: ClaimRan},
+})
+
+// ClaimRecord is what a home knows of one key.
+type ClaimRecord struct {
+	Key      ClaimKey
+	State    ClaimState
+	Attempt  string
+	Asker    Box
+	Status   int
+	Response []byte
+	SettleAt time.Duration // age of the record since its last change
+	changed  time.Time
+}
+
+// ClaimVerdict is a home's answer to a claim.
+type ClaimVerdict string
+
+// The answers to a claim; only granted permits a send.
+const (
+	VerdictGranted  ClaimVerdict = "granted"
+	VerdictInFlight ClaimVerdict = "in-flight"
+	VerdictRan      ClaimVerdict = "ran"
+	VerdictUnknown  ClaimVerdict = "unknown"
+	VerdictNotHome  ClaimVerdict = "not-home"
+	VerdictNotYet   ClaimVerdict = "not-yet"
+)
+
+// ClaimRules are the bounds of the at-most-once records.
+//
+// Guard must exceed Fresh and GrantTTL by more than the platform's usual lag:
+// a home that lost touch stops granting within Fresh, and a grant it gave is
+// spent within GrantTTL, before its successor grants anything.
+type ClaimRules struct {
+	Guard     time.Duration
+	Fresh     time.Duration
+	GrantTTL  time.Duration
+	Retention time.Duration
+	BootSlack time.Duration
+}
+
+// DefaultClaimRules gives the bounds that the processes use.
+func DefaultClaimRules() ClaimRules {
+	return ClaimRules{
+		Guard:     10 * time.Minute,
+		Fresh:     time.Minute,
+		GrantTTL:  10 * time.Second,
+		Retention: time.Hour,
+		BootSlack: time.Minute,
+	}
+}
+
+// ListAdopted tells that a higher list version is in use on this box.
+type ListAdopted struct {
+	EventBase
+	List *List
+	At   time.Time
+}
+
+// ListConfirmed tells that the list in use was the newest at a moment.
+type ListConfirmed struct {
+	EventBase
+	Version uint64
+	At      time.Time
+}
+
+// ClaimAsked tells that an entry wants to run a key.
+type ClaimAsked struct {
+	EventBase
+	Key         ClaimKey
+	Attempt     string
+	Asker       Box
+	ListVersion uint64
+	HomeKnown   Incarnation
+}
+
+// ClaimSettled tells how a granted attempt ended.
+type ClaimSettled struct {
+	EventBase
+	Key      ClaimKey
+	Attempt  string
+	Outcome  Outcome
+	Status   int
+	Response []byte
+}
+
+// BoxLost tells that a life of a box has ended.
+type BoxLost struct {
+	EventBase
+	Box Box
+}
+
+// ClaimAnswered asks the shell to answer a claim.
+type ClaimAnswered struct {
+	CommandBase
+	Attempt  string
+	Verdict  ClaimVerdict
+	Status   int
+	Response []byte
+	ValidFor time.Duration
+	Home     Box
+}
+
+// ListWanted asks the shell to fetch a newer list.
+type ListWanted struct {
+	CommandBase
+	Version uint64
+}
+
+// Home keeps the claims whose keys belong to one box.
+type Home struct {
+	self      Box
+	rules     ClaimRules
+	started   time.Time
+	reading   Reading
+	take      takeover
+	records   map[ClaimKey]*ClaimRecord
+	retired   bool
+	guards    Guards
+	lastSweep time.Time
+}
+
+// NewHome starts with empty memory.
+func NewHome(self Box, rules ClaimRules, now time.Time, options ...Option) *Home {
+	return &Home{
+		self:    self,
+		rules:   rules,
+		started: now,
+		take:    newTakeover(),
+		records: make(map[ClaimKey]*ClaimRecord),
+		guards:  newGuards(options),
+	}
+}
+
+// Step applies one event.
+func (h *Home) Step(now time.Time, ev Event) []Command {
+	switch e := ev.(type) {
+	case ListAdopted:
+		return h.adopted(now, e)
+	case ListConfirmed:
+		h.confirmed(e)
+	case ClaimAsked:
+		return h.asked(now, e)
+	case ClaimSettled:
+		h.settled(now, e)
+	case BoxLost:
+		h.boxLost(now, e)
+	case HandoverAsked:
+		return h.handoverAsked(now, e)
+	case HandoverArrived:
+		h.handoverArrived(now, e)
+	case HandoverDue:
+		return h.handoverDue(now)
+	case Retire:
+		return h.retire(now)
+	}
+	return nil
+}
+
+// Len gives the number of records held.
+func (h *Home) Len() int { return len(h.records) }
+
+// Open counts the claims that were granted and not settled.
+func (h *Home) Open() int {
+	open := 0
+	for _, r := range h.records {
+		if r.State == ClaimGranted {
+			open++
+		}
+	}
+	return open
+}
+
+func (h *Home) confirmed(e ListConfirmed) {
+	if h.reading.List != nil && e.Version == h.reading.List.Version && e.At.After(h.reading.ConfirmedAt) {
+		h.reading.ConfirmedAt = e.At
+	}
+}
+
+func (h *Home) asked(now time.Time, e ClaimAsked) []Command {
+	if h.reading.List == nil {
+		return h.answer(e, VerdictNotYet, nil)
+	}
+	if e.ListVersion > h.reading.List.Version {
+		return append(h.answer(e, VerdictNotYet, nil), ListWanted{Version: e.ListVersion})
+	}
+	if e.HomeKnown != 0 && e.HomeKnown != h.self.Incarnation {
+		h.restartSeen(now, h.rules.Guard)
+	}
+	if r := h.records[e.Key]; r != nil && r.State != ClaimNotRun {
+		return h.answerKnown(e, r)
+	}
+	if h.retired || h.reading.List.Home(ClaimScope(e.Key), nil) != h.self.Name {
+		return h.answer(e, VerdictNotHome, nil)
+	}
+	if !h.reading.Fresh(now, h.rules.Fresh) && h.guards.on(GuardClaimFresh) {
+		return h.answer(e, VerdictNotYet, nil)
+	}
+	switch h.provable(now, e.Key) {
+	case proofMissing:
+		return h.answer(e, VerdictUnknown, nil)
+	case proofPending:
+		return h.answer(e, VerdictNotYet, nil)
+	}
+	return h.grant(now, e)
+}
+
+// ClaimScope is the text by which a key's home is found.
+func ClaimScope(key ClaimKey) string { return key.Customer + "\x00" + key.Key }
+
+func (h *Home) answerKnown(e ClaimAsked, r *ClaimRecord) []Command {
+	if !h.guards.on(GuardClaimRecord) {
+		return h.answer(e, VerdictGranted, nil)
+	}
+	switch r.State {
+	case ClaimRan:
+		return h.answer(e, VerdictRan, r)
+	case ClaimUnknown:
+		return h.answer(e, VerdictUnknown, nil)
+	}
+	if r.Attempt == e.Attempt {
+		return h.answer(e, VerdictGranted, nil) // its first answer was lost; an attempt sends once
+	}
+	return h.answer(e, VerdictInFlight, nil)
+}
+
+func (h *Home) grant(now time.Time, e ClaimAsked) []Command {
+	r := h.records[e.Key]
+	if r == nil {
+		r = &ClaimRecord{
+			Key:   e.Key,
+			State: ClaimNotRun,
+		}
+		h.records[e.Key] = r
+	}
+	_ = claimLifecycle.Fire(&r.State, claimGrant)
+	r.Attempt = e.Attempt
+	r.Asker = e.Asker
+	r.changed = now
+	return h.answer(e, VerdictGranted, nil)
+}
+
+func (h *Home) answer(e ClaimAsked, verdict ClaimVerdict, r *ClaimRecord) []Command {
+	a := ClaimAnswered{
+		Attempt: e.Attempt,
+		Verdict: verdict,
+		Home:    h.self,
+	}
+	if verdict == VerdictGranted {
+		a.ValidFor = h.rules.GrantTTL
+	}
+	if r != nil {
+		a.Status = r.Status
+		a.Response = r.Response
+	}
+	return []Command{a}
+}
+
+func (h *Home) settled(now time.Time, e ClaimSettled) {
+	r := h.records[e.Key]
+	if r == nil || r.Attempt != e.Attempt {
+		return
+	}
+	trigger := claimLose
+	switch e.Outcome {
+	case Ran:
+		trigger = claimFinish
+	case NotRun:
+		trigger = claimFree
+	}
+	if claimLifecycle.Fire(&r.State, trigger) != nil {
+		return
+	}
+	r.Status = e.Status
+	r.Response = e.Response
+	r.changed = now
+}
+
+// boxLost turns what a lost entry held into unknown: it may have sent.
+func (h *Home) boxLost(now time.Time, e BoxLost) {
+	for _, r := range h.records {
+		if r.State == ClaimGranted && r.Asker.Name == e.Box.Name && r.Asker.Incarnation <= e.Box.Incarnation {
+			_ = claimLifecycle.Fire(&r.State, claimLose)
+			r.changed = now
+		}
+	}
+}
+
+// sweep forgets records older than the retention time; a granted one stays.
+func (h *Home) sweep(now time.Time) {
+	if now.Sub(h.lastSweep) < h.rules.Retention/60 {
+		return
+	}
+	h.lastSweep = now
+	for key, r := range h.records {
+		if r.State != ClaimGranted && now.Sub(r.changed) > h.rules.Retention {
+			delete(h.records, key)
+		}
+	}
+}
--- /dev/null
+++ b/core/generation.go
@@ -0,0 +1,449 @@
+package core
+
+import (
+	"time"
+)
+
+// Origin identifies one generation in one life of one endpoint.
+type Origin struct {
+	Endpoint    string
+	Incarnation Incarnation
+	Generation  string
+}
+
+// GenerationState is the state of one caller's stream.
+type GenerationState string
+
+// A generation waits, is placed, streams, resumes after a cut, and ends.
+const (
+	GenerationWaiting   GenerationState = "waiting"
+	GenerationPlaced    GenerationState = "placed"
+	GenerationStreaming GenerationState = "streaming"
+	GenerationResuming  GenerationState = "resuming"
+	GenerationEnded     GenerationState = "ended"
+)
+
+type generationTrigger string
+
+const (
+	generationPlace  generationTrigger = "place"
+	generationToken  generationTrigger = "token"
+	generationCut    generationTrigger = "cut"
+	generationReturn generationTrigger = "return-to-queue"
+	generationEnd    generationTrigger = "end"
+)
+
+var generationLifecycle = NewLifecycle(map[GenerationState]map[generationTrigger]GenerationState{
+	GenerationWaiting: {
+		generationPlace: GenerationPlaced,
+		generationEnd:   GenerationEnded,
+	},
+	GenerationPlaced: {
+		generationToken:  GenerationStreaming,
+		generationReturn: GenerationWaiting,
+		generationEnd:    GenerationEnded,
+	},
+	GenerationStreaming: {
+		generationToken: GenerationStreaming,
+		generationCut:   GenerationResuming,
+		generationEnd:   GenerationEnded,
+	},
+	GenerationResuming: {
+		generationToken: GenerationStreaming,
+		generationCut:   GenerationResuming,
+		generationEnd:   GenerationEnded,
+	},
+})
+
+// EndCode is the stable code of a stream's end.
+type EndCode string
+
+// The codes of a stream's end; EndDone is the only one without an error.
+const (
+	EndDone          EndCode = ""
+	EndRefused       EndCode = "endpoint_refused"
+	EndLost          EndCode = "generation_lost"
+	EndNotRepeatable EndCode = "not_repeatable"
+	EndCancelled     EndCode = "cancelled"
+	EndRetriesSpent  EndCode = "retries_spent"
+)
+
+// DropReason says why a frame is not forwarded.
+type DropReason string
+
+// The reasons for which a frame is dropped.
+const (
+	DropNone      DropReason = ""
+	DropDuplicate DropReason = "duplicate"
+	DropGap       DropReason = "gap"
+	DropForeign   DropReason = "foreign"
+	DropLate      DropReason = "late"
+)
+
+// GenerationRules bounds retries and resumes of one stream.
+type GenerationRules struct {
+	Attempts     int
+	ResumeWindow time.Duration
+	ResumeDelay  time.Duration
+}
+
+// Generation assembles one caller's stream from one engine generation.
+type Generation struct {
+	State      GenerationState
+	Repeatable bool
+	Attempt    int
+	Origin     Origin
+	Next       uint64
+	BytesLeft  bool
+	MaybeRan   bool
+	Outcome    Outcome
+	Code       EndCode
+	cutAt      time.Time
+	lastEnd    uint64
+	rules      GenerationRules
+	guards     Guards
+}
+
+// NewGeneration starts a stream that waits for its first placement.
+func NewGeneration(repeatable bool, rules GenerationRules, options ...Option) *Generation {
+	return &Generation{
+		State:      GenerationWaiting,
+		Repeatable: repeatable,
+		rules:      rules,
+		guards:     newGuards(options),
+	}
+}
+
+// ContinueGeneration takes a stream over at an offset, on any box.
+func ContinueGeneration(origin Origin, next uint64, rules GenerationRules, options ...Option) *Generation {
+	g := NewGeneration(true, rules, options...)
+	g.State = GenerationResuming
+	g.Origin = origin
+	g.Next = next
+	g.Attempt = 1
+	g.BytesLeft = true
+	return g
+}
+
+// Placed tells that an endpoint was chosen for the next attempt.
+type Placed struct {
+	EventBase
+	Endpoint   string
+	Generation string
+}
+
+// Sending tells that the next write may let bytes of the request out.
+type Sending struct {
+	EventBase
+	Attempt int
+}
+
+// Refused tells that the endpoint refused the attempt before starting it.
+type Refused struct {
+	EventBase
+	Attempt int
+}
+
+// FrameArrived tells that a token or the end of a generation arrived.
+type FrameArrived struct {
+	EventBase
+	Attempt int
+	Origin  Origin
+	Offset  uint64
+	Final   bool
+}
+
+// LinkLost tells that an attempt's link broke or made no progress in time.
+type LinkLost struct {
+	EventBase
+	Attempt int
+}
+
+// GenerationGone tells that the endpoint no longer knows the generation.
+type GenerationGone struct {
+	EventBase
+	Attempt int
+}
+
+// CallerGone tells that the caller cancelled or left for good.
+type CallerGone struct{ EventBase }
+
+// CallerLeft tells that the caller's link is lost or that another box, or a
+// newer link, continues the stream.
+type CallerLeft struct{ EventBase }
+
+// SendAttempt asks the shell to send the request to the endpoint.
+type SendAttempt struct {
+	CommandBase
+	Attempt int
+	Origin  Origin
+}
+
+// ForwardToken asks the shell to hand the frame to the caller.
+type ForwardToken struct {
+	CommandBase
+	Offset uint64
+	Origin Origin
+}
+
+// DropFrame tells that a frame is not for the caller.
+type DropFrame struct {
+	CommandBase
+	Reason DropReason
+}
+
+// Resume asks the shell to read the same generation again from an offset.
+type Resume struct {
+	CommandBase
+	Attempt int
+	Origin  Origin
+	From    uint64
+	Delay   time.Duration
+}
+
+// PlaceAgain asks the shell to have the request placed once more.
+type PlaceAgain struct {
+	CommandBase
+	Avoid string
+}
+
+// CancelAttempt asks the shell to cancel a generation at its endpoint.
+type CancelAttempt struct {
+	CommandBase
+	Origin Origin
+}
+
+// ReleaseStream asks the shell to leave the generation to a caller that may come
+// back, and to cancel it after a while if nobody reads it.
+type ReleaseStream struct {
+	CommandBase
+	Origin Origin
+}
+
+// EndStream asks the shell to give the caller the final answer.
+type EndStream struct {
+	CommandBase
+	Outcome Outcome
+	Code    EndCode
+}
+
+// Step applies one event.
+func (g *Generation) Step(now time.Time, ev Event) []Command {
+	if g.State == GenerationEnded {
+		return nil
+	}
+	switch e := ev.(type) {
+	case Placed:
+		return g.placed(e)
+	case Sending:
+		g.BytesLeft = g.BytesLeft || e.Attempt == g.Attempt
+		return nil
+	case Refused:
+		return g.refused(e)
+	case FrameArrived:
+		return g.arrived(e)
+	case LinkLost:
+		return g.lost(now, e.Attempt)
+	case GenerationGone:
+		return g.gone(e)
+	case CallerGone:
+		return g.callerGone()
+	case CallerLeft:
+		return g.callerLeft()
+	}
+	return nil
+}
+
+func (g *Generation) placed(e Placed) []Command {
+	if generationLifecycle.Fire(&g.State, generationPlace) != nil {
+		return nil
+	}
+	g.Attempt++
+	g.BytesLeft = false
+	g.Origin = Origin{
+		Endpoint:   e.Endpoint,
+		Generation: e.Generation,
+	}
+	return []Command{SendAttempt{
+		Attempt: g.Attempt,
+		Origin:  g.Origin,
+	}}
+}
+
+// refused is the one way back from a byte that left: the endpoint itself says
+// that it did not start.
+func (g *Generation) refused(e Refused) []Command {
+	if e.Attempt != g.Attempt || g.State != GenerationPlaced {
+		return nil
+	}
+	g.BytesLeft = false
+	if g.Attempt >= g.rules.Attempts {
+		return g.end(g.unstarted(), EndRefused)
+	}
+	return g.again()
+}
+
+// unstarted is the outcome when no attempt is running now: an earlier one that
+// was given up on may still have run.
+func (g *Generation) unstarted() Outcome {
+	if g.MaybeRan && g.guards.on(GuardBytesLeft) {
+		return Unknown
+	}
+	return NotRun
+}
+
+func (g *Generation) again() []Command {
+	avoid := g.Origin.Endpoint
+	_ = generationLifecycle.Fire(&g.State, generationReturn)
+	return []Command{PlaceAgain{Avoid: avoid}}
+}
+
+// Accept judges one frame without building commands; it is the path that every
+// token takes.
+func (g *Generation) Accept(attempt int, origin Origin, offset uint64) DropReason {
+	if attempt != g.Attempt && g.guards.on(GuardAttempt) {
+		return DropLate
+	}
+	if !g.sameOrigin(origin) {
+		return DropForeign
+	}
+	if offset < g.Next && g.guards.on(GuardOffset) {
+		return DropDuplicate
+	}
+	if offset > g.Next && g.guards.on(GuardOffset) {
+		return DropGap
+	}
+	if g.State != GenerationStreaming {
+		g.Origin = origin
+		_ = generationLifecycle.Fire(&g.State, generationToken)
+	}
+	return DropNone
+}
+
+func (g *Generation) sameOrigin(origin Origin) bool {
+	if !g.guards.on(GuardIncarnation) {
+		return true
+	}
+	if origin.Endpoint != g.Origin.Endpoint || origin.Generation != g.Origin.Generation {
+		return false
+	}
+	return g.Origin.Incarnation == 0 || origin.Incarnation == g.Origin.Incarnation
+}
+
+// Forwarded counts the frame that Accept let through.
+func (g *Generation) Forwarded() { g.Next++ }
+
+func (g *Generation) arrived(e FrameArrived) []Command {
+	if e.Final && e.Attempt == g.Attempt && e.Offset+1 == g.Next && g.sameOrigin(e.Origin) {
+		return g.end(Ran, EndDone) // the caller had the end already and asked again
+	}
+	reason := g.Accept(e.Attempt, e.Origin, e.Offset)
+	if reason == DropGap {
+		return append([]Command{DropFrame{Reason: reason}}, g.resumeAt(0)...)
+	}
+	if reason != DropNone {
+		return []Command{DropFrame{Reason: reason}}
+	}
+	if e.Final {
+		return g.end(Ran, EndDone)
+	}
+	g.Forwarded()
+	return []Command{ForwardToken{
+		Offset: e.Offset,
+		Origin: e.Origin,
+	}}
+}
+
+func (g *Generation) lost(now time.Time, attempt int) []Command {
+	if attempt != g.Attempt {
+		return nil
+	}
+	if g.State == GenerationPlaced {
+		return g.lostBeforeToken()
+	}
+	if g.State == GenerationWaiting {
+		return nil
+	}
+	if g.cutAt.IsZero() || g.Next > g.lastEnd {
+		g.cutAt = now
+		g.lastEnd = g.Next
+	}
+	if now.Sub(g.cutAt) > g.rules.ResumeWindow {
+		return append([]Command{CancelAttempt{Origin: g.Origin}}, g.end(Ran, EndLost)...)
+	}
+	if !g.guards.on(GuardNoSplice) && g.Repeatable {
+		g.State = GenerationWaiting
+		return []Command{PlaceAgain{Avoid: g.Origin.Endpoint}}
+	}
+	return g.resumeAt(g.rules.ResumeDelay)
+}
+
+func (g *Generation) lostBeforeToken() []Command {
+	if !g.BytesLeft {
+		return g.again()
+	}
+	g.MaybeRan = true
+	cancel := CancelAttempt{Origin: g.Origin}
+	if !g.Repeatable {
+		if !g.guards.on(GuardBytesLeft) {
+			return append([]Command{cancel}, g.end(NotRun, EndLost)...)
+		}
+		return append([]Command{cancel}, g.end(Unknown, EndNotRepeatable)...)
+	}
+	if g.Attempt >= g.rules.Attempts {
+		return append([]Command{cancel}, g.end(Unknown, EndRetriesSpent)...)
+	}
+	return append([]Command{cancel}, g.again()...)
+}
+
+func (g *Generation) resumeAt(delay time.Duration) []Command {
+	_ = generationLifecycle.Fire(&g.State, generationCut)
+	g.Attempt++
+	return []Command{Resume{
+		Attempt: g.Attempt,
+		Origin:  g.Origin,
+		From:    g.Next,
+		Delay:   delay,
+	}}
+}
+
+func (g *Generation) gone(e GenerationGone) []Command {
+	if e.Attempt != g.Attempt {
+		return nil
+	}
+	if g.State == GenerationPlaced {
+		return g.lostBeforeToken()
+	}
+	if !g.guards.on(GuardWholeAnswer) {
+		return g.end(Ran, EndDone)
+	}
+	return g.end(Ran, EndLost)
+}
+
+func (g *Generation) callerGone() []Command {
+	if g.State == GenerationWaiting {
+		return g.end(g.unstarted(), EndCancelled)
+	}
+	outcome := Ran
+	if g.Next == 0 {
+		outcome = Unknown
+	}
+	return append([]Command{CancelAttempt{Origin: g.Origin}}, g.end(outcome, EndCancelled)...)
+}
+
+func (g *Generation) callerLeft() []Command {
+	if g.State != GenerationStreaming && g.State != GenerationResuming {
+		return g.callerGone()
+	}
+	return append([]Command{ReleaseStream{Origin: g.Origin}}, g.end(Ran, EndCancelled)...)
+}
+
+func (g *Generation) end(outcome Outcome, code EndCode) []Command {
+	_ = generationLifecycle.Fire(&g.State, generationEnd)
+	g.Outcome = outcome
+	g.Code = code
+	return []Command{EndStream{
+		Outcome: outcome,
+		Code:    code,
+	}}
+}
--- /dev/null
+++ b/core/guard.go
@@ -0,0 +1,56 @@
+package core
+
+// Guard names one rule that keeps a promise, so that a proof can switch it off
+// and show that the break is found. Processes never switch one off.
+type Guard string
+
+// The guards, by the promise that each keeps.
+const (
+	GuardOffset        Guard = "offset"         // tokens once and in order
+	GuardIncarnation   Guard = "incarnation"    // tokens of one generation
+	GuardNoSplice      Guard = "no-splice"      // no restart after the first token
+	GuardAttempt       Guard = "attempt"        // late and crossed answers dropped
+	GuardWholeAnswer   Guard = "whole-answer"   // a cut answer is not given as whole
+	GuardBytesLeft     Guard = "bytes-left"     // not-run only if no byte left
+	GuardClaimRecord   Guard = "claim-record"   // a key is granted once
+	GuardClaimTakeover Guard = "claim-takeover" // a new home waits for the old
+	GuardClaimFresh    Guard = "claim-fresh"    // a home with an old list stops
+	GuardClaimRestart  Guard = "claim-restart"  // a restarted home knows nothing
+	GuardGrantExpiry   Guard = "grant-expiry"   // an old grant is not used
+	GuardLeaseExpiry   Guard = "lease-expiry"   // no send on an expired lease
+	GuardLeaseLeaving  Guard = "lease-leaving"  // no renewal for the leaving
+	GuardLeaseTakeover Guard = "lease-takeover" // a new owner waits out the old
+	GuardVersionOrder  Guard = "version-order"  // never an older configuration
+	GuardVersionAsk    Guard = "version-ask"    // a starting box asks its peers
+	GuardDrain         Guard = "drain"          // a planned stop waits for streams
+	GuardFence         Guard = "fence"          // an older order is refused
+	GuardFenceWait     Guard = "fence-wait"     // a new owner waits before orders
+)
+
+// Guards is the set of rules that are switched off, empty in production.
+type Guards struct {
+	off map[Guard]bool
+}
+
+func (g Guards) on(one Guard) bool { return !g.off[one] }
+
+// Option changes how an aggregate is built.
+type Option func(*Guards)
+
+// WithoutGuard switches one rule off; only proofs use it.
+func WithoutGuard(one Guard) Option {
+	return func(g *Guards) {
+		if g.off == nil {
+			g.off = make(map[Guard]bool)
+		}
+		g.off[one] = true
+	}
+}
+
+func newGuards(options []Option) Guards {
+	var g Guards
+	for _, o := range options {
+		o(&g)
+	}
+	return g
+}
--- /dev/null
+++ b/core/member.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Incarnation numbers the lives of one named process; a later one is higher.
+type Incarnation uint64
+
+// Box is one life of one box.
+type Box struct {
+	Name        string
+	Incarnation Incarnation
+}
+
+// Member is one box as the platform lists it.
+type Member struct {
+	Name      string         `json:"name"`
+	Zone      string         `json:"zone"`
+	Region    string         `json:"region"`
+	Entry     netip.AddrPort `json:"entry"`
+	Scheduler netip.AddrPort `json:"scheduler"`
+	Watch     netip.AddrPort `json:"watch"`
+	Leaving   bool           `json:"leaving,omitempty"`
+}
+
+// EndpointStatus is one endpoint as the platform lists it.
+type EndpointStatus struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// List is one version of the platform's list of live and leaving boxes.
+type List struct {
+	Version   uint64           `json:"version"`
+	Age       time.Duration    `json:"age"`
+	Boxes     []Member         `json:"boxes"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// Member finds a box by name, or nil.
+func (l *List) Member(name string) *Member {
+	if l == nil {
+		return nil
+	}
+	for i := range l.Boxes {
+		if l.Boxes[i].Name == name {
+			return &l.Boxes[i]
+		}
+	}
+	return nil
+}
+
+// Leaving reports whether an endpoint is leaving or is not listed at all.
+func (l *List) Leaving(endpoint string) bool {
+	for i := range l.Endpoints {
+		if l.Endpoints[i].Name == endpoint {
+			return l.Endpoints[i].Leaving
+		}
+	}
+	return true
+}
+
+// Home gives the box that a key belongs to: the live box with the highest
+// rendezvous score. Boxes for which skip answers true are passed over.
+func (l *List) Home(key string, skip func(box string) bool) string {
+	best := ""
+	var high uint64
+	for i := range l.Boxes {
+		m := &l.Boxes[i]
+		if m.Leaving || skip != nil && skip(m.Name) {
+			continue
+		}
+		score := Score(key, m.Name)
+		if best == "" || score > high || score == high && m.Name < best {
+			best, high = m.Name, score
+		}
+	}
+	return best
+}
+
+// Score is the rendezvous weight of a box for a key.
+func Score(key, box string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(box)
+	return d.Sum64()
+}
+
+// Nearest gives the n names with the highest scores for a key, best first.
+func Nearest(key string, names []string, n int) []string {
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b string) int {
+		x, y := Score(key, a), Score(key, b)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// Reading is a list together with the moment at which it was last confirmed.
+type Reading struct {
+	List        *List
+	ConfirmedAt time.Time
+}
+
+// Fresh reports whether the reading was confirmed within the bound.
+func (r *Reading) Fresh(now time.Time, bound time.Duration) bool {
+	return r.List != nil && now.Sub(r.ConfirmedAt) <= bound
+}
