admission: plan memory by remaining lengths

A set of generations peaks at its future completions, so each carries its expected memory and variance at eight horizons; an owner sends every box what the others hold, so that chance evens out over all of them. Not measured yet.

--- /dev/null
+++ b/admission/endpoint.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// place is what one box knows of one endpoint.
+type place struct {
+	name     string
+	lease    core.Lease
+	others   Profile
+	otherRun int
+	growth   float64
+	step     time.Duration
+	own      Profile
+	running  map[string]*running
+	prefixes *prefixes
+}
+
+type running struct {
+	request   Request
+	endpoint  string
+	generated int
+	profile   Profile
+}
+
+func newPlace(name string) *place {
+	return &place{
+		name:     name,
+		running:  make(map[string]*running),
+		prefixes: newPrefixes(),
+	}
+}
+
+// load is the planned part of the endpoint's memory.
+func (p *place) load() float64 {
+	if p.lease.Tokens == 0 {
+		return 1
+	}
+	total := p.own
+	total.Add(&p.others)
+	return total.Peak(0) / float64(p.lease.Tokens)
+}
+
+// total is the planned memory of all boxes at a risk.
+func (p *place) total(with *Profile, z float64) float64 {
+	sum := p.own
+	sum.Add(&p.others)
+	sum.Add(with)
+	return sum.Peak(z)
+}
+
+func (p *place) count() int { return len(p.running) + p.otherRun }
+
+// fits reports whether a request with a profile may be sent now: memory and
+// batch, each less what is kept for higher ranks.
+func (p *place) fits(with *Profile, z, kept float64) bool {
+	room := float64(p.lease.Tokens) * (1 - kept)
+	slots := int(float64(p.lease.Slots) * (1 - kept))
+	if p.count() >= max(1, slots) {
+		return false
+	}
+	before := p.total(&Profile{}, z)
+	after := p.total(with, z)
+	if after > room {
+		return false
+	}
+	return after-before <= p.growth || len(p.running) == 0 && p.growth > 0
+}
+
+func (p *place) add(r *running) {
+	before := p.total(&Profile{}, 0)
+	p.running[r.request.ID] = r
+	p.own.Add(&r.profile)
+	p.growth -= max(1, p.total(&Profile{}, 0)-before)
+}
+
+func (p *place) drop(r *running) {
+	delete(p.running, r.request.ID)
+	p.own.Sub(&r.profile)
+}
+
+// refresh recomputes the own profile from how far each generation is.
+func (p *place) refresh(profile func(*running) Profile) {
+	p.own = Profile{}
+	for _, r := range p.running {
+		r.profile = profile(r)
+		p.own.Add(&r.profile)
+	}
+}
+
+// prefixLimit bounds how many prefixes are remembered for an endpoint.
+const prefixLimit = 4096
+
+// prefixes remembers which prompt prefixes an endpoint likely holds.
+type prefixes struct {
+	held  map[uint64]bool
+	order []uint64
+}
+
+func newPrefixes() *prefixes {
+	return &prefixes{held: make(map[uint64]bool)}
+}
+
+func (x *prefixes) add(prefix uint64) {
+	if x.held[prefix] {
+		return
+	}
+	if len(x.order) >= prefixLimit {
+		delete(x.held, x.order[0])
+		x.order = x.order[1:]
+	}
+	x.held[prefix] = true
+	x.order = append(x.order, prefix)
+}
+
+func (x *prefixes) drop(prefix uint64) { delete(x.held, prefix) }
--- /dev/null
+++ b/admission/pump.go
@@ -0,0 +1,142 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/policy"
+)
+
+// pump places the waiting requests that may run now, in their order. When a
+// request of one order can't be placed, no later order is tried, so that a
+// lower tier doesn't take the memory that a higher one waits for.
+func (m *Model) pump(now time.Time) []core.Command {
+	var commands []core.Command
+	for m.waiting.length > 0 {
+		placed, more := m.pumpOnce(now)
+		commands = append(commands, more...)
+		if !placed {
+			break
+		}
+	}
+	return commands
+}
+
+func (m *Model) pumpOnce(now time.Time) (bool, []core.Command) {
+	var commands []core.Command
+	blocked := math.Inf(1)
+	for i, head := range m.waiting.heads() {
+		if i >= m.rules.Tries || m.aged(now, head) > blocked {
+			break
+		}
+		acted, more := m.try(now, head)
+		commands = append(commands, more...)
+		if acted {
+			return true, commands
+		}
+		blocked = min(blocked, m.aged(now, head))
+	}
+	return false, commands
+}
+
+// aged is the order of a request less one rank for each aging time waited.
+func (m *Model) aged(now time.Time, r *Request) float64 {
+	if m.rules.Aging <= 0 {
+		return r.order
+	}
+	return r.order - math.Floor(now.Sub(r.ArrivedAt).Seconds()/m.rules.Aging.Seconds())
+}
+
+func (m *Model) try(now time.Time, r *Request) (bool, []core.Command) {
+	name, fits := m.choose(now, r)
+	verdict, commands := policy.Run, []core.Command(nil)
+	if m.rules.Program(r.Tier) != nil || !fits {
+		in := m.input(now, r)
+		in.Fits = fits
+		verdict, commands = m.verdict(r, in)
+	}
+	if verdict == policy.Refuse {
+		m.waiting.remove(r.ID, r.Customer)
+		return true, append(commands, m.refusal(r, RefusePolicy))
+	}
+	if verdict == policy.Wait || name == "" {
+		return false, commands
+	}
+	return true, append(commands, m.start(now, r, name, !fits))
+}
+
+func (m *Model) start(now time.Time, r *Request, name string, forced bool) core.Command {
+	m.waiting.remove(r.ID, r.Customer)
+	m.waiting.serve(r.Customer, float64(r.PromptTokens)/8, r.Weight)
+	p := m.places[name]
+	placed := &running{
+		request:  *r,
+		endpoint: name,
+	}
+	placed.profile = m.profile(placed)
+	m.running[r.ID] = placed
+	p.add(placed)
+	p.prefixes.add(r.Prefix)
+	m.rate.started(now)
+	return PlaceRequest{
+		ID:       r.ID,
+		Endpoint: name,
+		Until:    p.lease.Until,
+		Waited:   now.Sub(r.ArrivedAt),
+		Forced:   forced,
+	}
+}
+
+// choose gives the endpoint for a request, and whether the request fits there.
+// An endpoint that likely holds the prompt's prefix goes first while its load
+// is bounded; else the least loaded goes.
+func (m *Model) choose(now time.Time, r *Request) (string, bool) {
+	with := m.plan(r, 0)
+	z := deviations(r.Risk)
+	kept := m.rules.Reserve * float64(r.Rank)
+	mean := m.meanLoad(now)
+	best, affine, any := "", "", ""
+	bestLoad, anyLoad := math.Inf(1), math.Inf(1)
+	var candidates []string
+	for _, name := range m.names {
+		p := m.places[name]
+		if !p.lease.Usable(now) || name == r.Avoid && len(m.names) > 1 {
+			continue
+		}
+		load := p.load()
+		if load < anyLoad {
+			any, anyLoad = name, load
+		}
+		candidates = append(candidates, name)
+		if !p.fits(&with, z, kept) {
+			continue
+		}
+		if load < bestLoad {
+			best, bestLoad = name, load
+		}
+		if p.prefixes.held[r.Prefix] && load <= mean*m.rules.BoundedLoad {
+			affine = name
+		}
+	}
+	if m.rules.Choose != nil {
+		any = m.rules.Choose(candidates)
+	}
+	switch {
+	case m.rules.IgnoreFit:
+		return any, any != ""
+	case affine != "":
+		return affine, true
+	case best != "":
+		return best, true
+	}
+	return any, false
+}
+
+func (m *Model) refusal(r *Request, reason RefusalReason) core.Command {
+	return RefuseRequest{
+		ID:         r.ID,
+		Reason:     reason,
+		RetryAfter: m.retryAfter(r),
+	}
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Request is one request that wants a place.
+type Request struct {
+	ID           string
+	Customer     string
+	Class        string
+	Tier         string
+	Rank         int
+	Weight       float64
+	Risk         float64
+	PromptTokens int
+	MaxTokens    int
+	Prefix       uint64
+	ArrivedAt    time.Time
+	Avoid        string
+	order        float64
+}
+
+func (r *Request) key() LengthKey {
+	return LengthKey{
+		Customer: r.Customer,
+		Class:    r.Class,
+	}
+}
+
+// queue holds waiting requests: first by order, then by the tokens their
+// customer was served for its weight, then by arrival.
+type queue struct {
+	lines  map[string][]*Request
+	served map[string]float64
+	length int
+}
+
+func newQueue() queue {
+	return queue{
+		lines:  make(map[string][]*Request),
+		served: make(map[string]float64),
+	}
+}
+
+// push adds a request at its place within its customer's line.
+func (q *queue) push(r *Request) {
+	line := q.lines[r.Customer]
+	if len(line) == 0 {
+		q.served[r.Customer] = max(q.served[r.Customer], q.leastServed(r.Rank))
+	}
+	at := len(line)
+	for at > 0 && line[at-1].order > r.order {
+		at--
+	}
+	q.lines[r.Customer] = slices.Insert(line, at, r)
+	q.length++
+}
+
+// leastServed is the lowest served count of those who wait; one who returns
+// after a pause starts there and can't claim what it didn't ask for.
+func (q *queue) leastServed(rank int) float64 {
+	least, found := 0.0, false
+	for customer, line := range q.lines {
+		if len(line) == 0 || line[0].Rank != rank {
+			continue
+		}
+		if !found || q.served[customer] < least {
+			least, found = q.served[customer], true
+		}
+	}
+	return least
+}
+
+// heads gives the first request of each customer, best first.
+func (q *queue) heads() []*Request {
+	heads := make([]*Request, 0, len(q.lines))
+	for _, line := range q.lines {
+		heads = append(heads, line[0])
+	}
+	slices.SortFunc(heads, func(a, b *Request) int {
+		return cmp.Or(
+			cmp.Compare(a.order, b.order),
+			cmp.Compare(q.served[a.Customer], q.served[b.Customer]),
+			a.ArrivedAt.Compare(b.ArrivedAt),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return heads
+}
+
+func (q *queue) remove(id, customer string) *Request {
+	line := q.lines[customer]
+	at := slices.IndexFunc(line, func(r *Request) bool { return r.ID == id })
+	if at < 0 {
+		return nil
+	}
+	r := line[at]
+	line = slices.Delete(line, at, at+1)
+	q.length--
+	if len(line) == 0 {
+		delete(q.lines, customer)
+		return r
+	}
+	q.lines[customer] = line
+	return r
+}
+
+// serve counts tokens served to a customer for its weight.
+func (q *queue) serve(customer string, tokens, weight float64) {
+	q.served[customer] += tokens / max(weight, 0.01)
+}
+
+// ahead counts the waiting requests that go before an order.
+func (q *queue) ahead(order float64) int {
+	n := 0
+	for _, line := range q.lines {
+		for _, r := range line {
+			if r.order > order {
+				break
+			}
+			n++
+		}
+	}
+	return n
+}
+
+func (q *queue) waitingOf(customer string) int { return len(q.lines[customer]) }
--- /dev/null
+++ b/admission/shares.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// Wish is what one box uses of an endpoint and wants more of.
+type Wish struct {
+	Profile Profile
+	Running int
+	Waiting int
+}
+
+// Grant is what one box gets of an endpoint.
+type Grant struct {
+	Tokens       int
+	Slots        int
+	TTL          time.Duration
+	Others       Profile
+	OtherRunning int
+	Growth       int
+}
+
+// Shares divides one endpoint's memory among boxes. Each box learns what the
+// others are expected to hold, so that chance evens out over all of them, and
+// how much it may add until its next lease: a part of the free memory by
+// demand, with half of it spread evenly for what demand didn't foresee.
+type Shares struct {
+	Capacity int
+	Slots    int
+	hold     *core.Hold
+	boxes    map[string]*share
+	fit      StepFit
+	target   time.Duration
+	reported int
+}
+
+type share struct {
+	wish   Wish
+	growth int
+	seenAt time.Time
+}
+
+// forgetShare is after how many lease times a silent box's use is dropped.
+const forgetShare = 3
+
+// ownerRisk is the risk at which an owner plans an endpoint's peak.
+const ownerRisk = 0.01
+
+// NewShares divides an endpoint on whose hold it depends. Target is the longest
+// wanted time between tokens.
+func NewShares(hold *core.Hold, capacity, slots int, target time.Duration) *Shares {
+	return &Shares{
+		Capacity: capacity,
+		Slots:    slots,
+		hold:     hold,
+		boxes:    make(map[string]*share),
+		target:   target,
+	}
+}
+
+// Hold gives the owner's hold on the endpoint.
+func (s *Shares) Hold() *core.Hold { return s.hold }
+
+// Boxes counts the boxes that use the endpoint.
+func (s *Shares) Boxes() int { return len(s.boxes) }
+
+// Grant answers one box's wish.
+func (s *Shares) Grant(now time.Time, box string, w Wish) Grant {
+	tokens, ttl := s.hold.Grantable(now, s.Capacity)
+	s.forget(now, ttl)
+	mine := &share{
+		wish:   w,
+		seenAt: now,
+	}
+	s.boxes[box] = mine
+	if tokens == 0 {
+		return Grant{}
+	}
+	others, running := s.others(box)
+	total := others
+	total.Add(&w.Profile)
+	unexplained := max(0, float64(s.reported)-total.Mean[0])
+	free := float64(tokens) - total.Peak(deviations(ownerRisk)) - float64(s.promised(box)) - unexplained
+	mine.growth = max(0, int(free*s.part(box)))
+	return Grant{
+		Tokens:       tokens,
+		Slots:        s.slots(tokens),
+		TTL:          ttl,
+		Others:       others,
+		OtherRunning: running,
+		Growth:       mine.growth,
+	}
+}
+
+func (s *Shares) forget(now time.Time, ttl time.Duration) {
+	for name, one := range s.boxes {
+		if ttl > 0 && now.Sub(one.seenAt) > forgetShare*ttl {
+			delete(s.boxes, name)
+		}
+	}
+}
+
+func (s *Shares) others(box string) (Profile, int) {
+	var sum Profile
+	running := 0
+	for name, one := range s.boxes {
+		if name == box {
+			continue
+		}
+		sum.Add(&one.wish.Profile)
+		running += one.wish.Running
+	}
+	return sum, running
+}
+
+// promised is the growth that other boxes hold and may still use.
+func (s *Shares) promised(box string) int {
+	sum := 0
+	for name, one := range s.boxes {
+		if name != box {
+			sum += one.growth
+		}
+	}
+	return sum
+}
+
+// part is a box's part of the free memory.
+func (s *Shares) part(box string) float64 {
+	demand := 0
+	for _, one := range s.boxes {
+		demand += one.wish.Waiting
+	}
+	even := 1 / float64(len(s.boxes))
+	if demand == 0 {
+		return even
+	}
+	byDemand := float64(s.boxes[box].wish.Waiting) / float64(demand)
+	return (even + byDemand) / 2
+}
+
+func (s *Shares) slots(tokens int) int {
+	slots := s.Slots
+	if limit := s.fit.Limit(s.target); limit > 0 {
+		slots = min(slots, limit)
+	}
+	return max(1, slots*tokens/s.Capacity)
+}
+
+// Report is an endpoint's own report, which lags.
+type Report struct {
+	Batch int
+	Step  time.Duration
+	Used  int
+}
+
+// foreignPart is the part of the capacity above which memory that no lease
+// explains counts as another owner's.
+const foreignPart = 0.1
+
+// Observe learns from an endpoint's report, and tells the hold whether another
+// owner's leases seem to be in use.
+func (s *Shares) Observe(now time.Time, r Report) {
+	s.fit.Observe(r.Batch, r.Step)
+	s.reported = r.Used
+	foreign := float64(r.Used-s.Used()) > foreignPart*float64(s.Capacity)
+	s.hold.Step(now, core.ForeignUse{Seen: foreign})
+}
+
+// Used is the memory that all boxes report to hold now.
+func (s *Shares) Used() int {
+	sum := 0.0
+	for _, one := range s.boxes {
+		sum += one.wish.Profile.Mean[0]
+	}
+	return int(sum)
+}
