--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,3 @@
+// Package admin serves a process's operators: metrics, health, readiness and
+// status, on an address apart from the callers'.
+package admin
--- /dev/null
+++ b/trace/event.go
@@ -0,0 +1,136 @@
+package trace
+
+import (
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// HomeBegun starts a claims' home in a trace.
+type HomeBegun struct {
+	core.EventBase
+	Self  core.Box
+	Rules core.ClaimRules
+}
+
+// GenerationBegun starts a stream in a trace.
+type GenerationBegun struct {
+	core.EventBase
+	Repeatable bool
+	Rules      core.GenerationRules
+}
+
+// HoldBegun starts an owner's hold in a trace.
+type HoldBegun struct {
+	core.EventBase
+	Rules core.LeaseRules
+}
+
+// ModelBegun starts a model's admission in a trace.
+type ModelBegun struct {
+	core.EventBase
+	ExpectTokens int
+	MaxWait      time.Duration
+}
+
+// kinds are the events that a trace may hold, by name.
+var kinds = kindsOf(
+	HomeBegun{},
+	GenerationBegun{},
+	HoldBegun{},
+	ModelBegun{},
+	core.VersionOffered{},
+	core.VersionHeard{},
+	core.Placed{},
+	core.Sending{},
+	core.Refused{},
+	core.FrameArrived{},
+	core.LinkLost{},
+	core.GenerationGone{},
+	core.CallerGone{},
+	core.ListAdopted{},
+	core.ListConfirmed{},
+	core.ClaimAsked{},
+	core.ClaimSettled{},
+	core.BoxLost{},
+	core.HandoverAsked{},
+	core.HandoverArrived{},
+	core.HandoverDue{},
+	core.Retire{},
+	core.HoldTaken{},
+	core.HoldLost{},
+	core.EndpointLeaving{},
+	core.ForeignUse{},
+	admission.RequestArrived{},
+	admission.RequestWithdrawn{},
+	admission.LeaseArrived{},
+	admission.TokensMade{},
+	admission.GenerationEnded{},
+	admission.EndpointsChanged{},
+	admission.Ticked{},
+)
+
+func kindsOf(events ...core.Event) map[string]reflect.Type {
+	all := make(map[string]reflect.Type, len(events))
+	for _, ev := range events {
+		t := reflect.TypeOf(ev)
+		all[t.Name()] = t
+	}
+	return all
+}
+
+// epoch is the moment that a trace's times are written from.
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Epoch gives the moment at which a replay starts.
+func Epoch() time.Time { return epoch }
+
+// encode writes an event; its times count from the trace's start.
+func encode(ev core.Event, start time.Time) (string, json.RawMessage, error) {
+	shifted := shift(reflect.ValueOf(ev), epoch.Sub(start.Round(0)))
+	data, err := json.Marshal(shifted.Interface())
+	return reflect.TypeOf(ev).Name(), data, err
+}
+
+// decode reads an event by its name.
+func decode(name string, data json.RawMessage) (core.Event, error) {
+	t, known := kinds[name]
+	if !known {
+		return nil, errors.Errorf("unknown event %q; this release knows the events of docs/TRACES.md", name)
+	}
+	v := reflect.New(t)
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, v.Interface()); err != nil {
+			return nil, errors.Wrapf(err, "read the data of %s", name)
+		}
+	}
+	return v.Elem().Interface().(core.Event), nil
+}
+
+// shift copies an event with its times moved, so that they can be read in any
+// later run.
+func shift(v reflect.Value, by time.Duration) reflect.Value {
+	out := reflect.New(v.Type()).Elem()
+	out.Set(v)
+	for i := range out.NumField() {
+		f := out.Field(i)
+		if !f.CanSet() {
+			continue
+		}
+		if at, ok := f.Interface().(time.Time); ok && !at.IsZero() {
+			f.Set(reflect.ValueOf(at.Round(0).Add(by)))
+			continue
+		}
+		if f.Kind() == reflect.Struct {
+			if _, mark := f.Interface().(core.EventBase); !mark {
+				f.Set(shift(f, by))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/wire/conn.go
@@ -0,0 +1,215 @@
+package wire
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// maxMessage bounds one message; a configuration document may be a megabyte.
+const maxMessage = 4 << 20
+
+// writeTimeout bounds one write, so that a link that stalls without breaking
+// is given up.
+const writeTimeout = 5 * time.Second
+
+// Traffic counts what passed over connections.
+type Traffic struct {
+	SentMessages     atomic.Uint64
+	SentBytes        atomic.Uint64
+	ReceivedMessages atomic.Uint64
+	ReceivedBytes    atomic.Uint64
+	LateAnswers      atomic.Uint64
+}
+
+// RemoteError is a fault that the other side answered with.
+type RemoteError struct {
+	Fault string
+}
+
+// Error gives the other side's words.
+func (e *RemoteError) Error() string { return "the other process answered: " + e.Fault }
+
+// Conn is one connection between two processes.
+type Conn struct {
+	socket   *websocket.Conn
+	handlers *Handlers
+	mu       sync.Mutex
+	next     uint64
+	pending  map[uint64]chan envelope
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func newConn(socket *websocket.Conn, handlers *Handlers) *Conn {
+	socket.SetReadLimit(maxMessage)
+	return &Conn{
+		socket:   socket,
+		handlers: handlers,
+		pending:  make(map[uint64]chan envelope),
+		closed:   make(chan struct{}),
+	}
+}
+
+// Dial connects to another process and serves its requests in the background.
+func Dial(ctx context.Context, address netip.AddrPort, handlers *Handlers) (*Conn, error) {
+	socket, _, err := websocket.Dial(ctx, "ws://"+address.String()+Path, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to "+address.String())
+	}
+	c := newConn(socket, handlers)
+	go c.serve(context.WithoutCancel(ctx))
+	return c, nil
+}
+
+// Closed is closed when the connection has ended.
+func (c *Conn) Closed() <-chan struct{} { return c.closed }
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.closed)
+		_ = c.socket.CloseNow()
+	})
+}
+
+func (c *Conn) serve(ctx context.Context) {
+	defer c.Close()
+	for {
+		_, data, err := c.socket.Read(ctx)
+		if err != nil {
+			return
+		}
+		c.handlers.traffic.ReceivedMessages.Add(1)
+		c.handlers.traffic.ReceivedBytes.Add(uint64(len(data)))
+		e, err := open(data)
+		if err != nil {
+			return
+		}
+		c.handlers.onVers(c, e.Versions)
+		c.dispatch(ctx, e)
+	}
+}
+
+func (c *Conn) dispatch(ctx context.Context, e envelope) {
+	if e.Answer {
+		c.deliver(e)
+		return
+	}
+	if e.ID == 0 {
+		c.handle(ctx, e)
+		return
+	}
+	go c.handle(ctx, e)
+}
+
+func (c *Conn) deliver(e envelope) {
+	c.mu.Lock()
+	waiting := c.pending[e.ID]
+	delete(c.pending, e.ID)
+	c.mu.Unlock()
+	if waiting == nil {
+		c.handlers.traffic.LateAnswers.Add(1)
+		return
+	}
+	waiting <- e
+}
+
+func (c *Conn) handle(ctx context.Context, e envelope) {
+	handle := c.handlers.byKind[e.Kind]
+	if handle == nil {
+		c.fault(ctx, e.ID, "no handler for "+e.Kind+"; use one release on all boxes")
+		return
+	}
+	answer, err := handle(ctx, c, e.Body)
+	if e.ID == 0 {
+		return
+	}
+	if err != nil {
+		c.fault(ctx, e.ID, err.Error())
+		return
+	}
+	_ = c.write(ctx, envelope{
+		ID:     e.ID,
+		Answer: true,
+	}, answer)
+}
+
+func (c *Conn) fault(ctx context.Context, id uint64, text string) {
+	if id == 0 {
+		return
+	}
+	_ = c.write(ctx, envelope{
+		ID:     id,
+		Answer: true,
+		Fault:  text,
+	}, nil)
+}
+
+func (c *Conn) write(ctx context.Context, e envelope, body Message) error {
+	e.Versions = c.handlers.versions()
+	data, err := seal(e, body)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	c.handlers.traffic.SentMessages.Add(1)
+	c.handlers.traffic.SentBytes.Add(uint64(len(data)))
+	if err := c.socket.Write(ctx, websocket.MessageBinary, data); err != nil {
+		c.Close()
+		return errors.Wrap(err, "write to the other process")
+	}
+	return nil
+}
+
+// Push sends a message that gets no answer.
+func (c *Conn) Push(ctx context.Context, m Message) error {
+	return c.write(ctx, envelope{}, m)
+}
+
+func (c *Conn) register() (uint64, chan envelope) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	waiting := make(chan envelope, 1)
+	c.pending[c.next] = waiting
+	return c.next, waiting
+}
+
+func (c *Conn) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+}
+
+// Call sends a request and waits for its answer.
+func Call[A Message](ctx context.Context, c *Conn, q Message) (A, error) {
+	var answer A
+	id, waiting := c.register()
+	if err := c.write(ctx, envelope{ID: id}, q); err != nil {
+		c.forget(id)
+		return answer, err
+	}
+	select {
+	case e := <-waiting:
+		if e.Fault != "" {
+			return answer, &RemoteError{Fault: e.Fault}
+		}
+		return answer, errors.Wrap(cbor.Unmarshal(e.Body, &answer), "decode the answer to "+q.Kind())
+	case <-ctx.Done():
+		c.forget(id)
+		return answer, errors.Wrap(ctx.Err(), "no answer to "+q.Kind())
+	case <-c.closed:
+		c.forget(id)
+		return answer, errors.New("connection ended before the answer to " + q.Kind())
+	}
+}
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,191 @@
+package wire
+
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// Subscribe asks a watch for its snapshot and for every later one.
+type Subscribe struct{}
+
+// Kind names the message.
+func (Subscribe) Kind() string { return "subscribe" }
+
+// Snapshot is what a watch has in force.
+type Snapshot struct {
+	ConfigVersion uint64        `cbor:"1,keyasint"`
+	Config        []byte        `cbor:"2,keyasint,omitempty"`
+	List          *core.List    `cbor:"3,keyasint,omitempty"`
+	ListAge       time.Duration `cbor:"4,keyasint"` // since the list was confirmed
+	Suspected     []string      `cbor:"5,keyasint,omitempty"`
+	ListVersion   uint64        `cbor:"6,keyasint"`
+}
+
+// Kind names the message.
+func (Snapshot) Kind() string { return "snapshot" }
+
+// Heartbeat is what peers tell each other of their versions and of themselves.
+type Heartbeat struct {
+	From        core.Box      `cbor:"1,keyasint"`
+	ListAge     time.Duration `cbor:"2,keyasint"` // since the list was confirmed
+	Leaving     bool          `cbor:"3,keyasint,omitempty"`
+	Suspected   []string      `cbor:"4,keyasint,omitempty"`
+	ListVersion uint64        `cbor:"5,keyasint"`
+}
+
+// Kind names the message.
+func (Heartbeat) Kind() string { return "heartbeat" }
+
+// Fetch asks a peer for what it has in force, above given versions.
+type Fetch struct {
+	Config uint64 `cbor:"1,keyasint"`
+	List   uint64 `cbor:"2,keyasint"`
+}
+
+// Kind names the message.
+func (Fetch) Kind() string { return "fetch" }
+
+// LeaseAsk asks an owner for leases on its endpoints.
+type LeaseAsk struct {
+	Box    core.Box     `cbor:"1,keyasint"`
+	Wishes []LeaseWish  `cbor:"2,keyasint"`
+	Ended  []LengthSeen `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind names the message.
+func (LeaseAsk) Kind() string { return "lease-ask" }
+
+// LeaseWish is what an entry uses of one endpoint and what it wants.
+type LeaseWish struct {
+	Endpoint string    `cbor:"1,keyasint"`
+	Mean     []float32 `cbor:"2,keyasint"` // expected tokens held, by horizon
+	Variance []float32 `cbor:"3,keyasint"`
+	Running  int       `cbor:"4,keyasint"`
+	Waiting  int       `cbor:"5,keyasint"` // expected tokens of waiting requests
+	Model    string    `cbor:"6,keyasint"`
+}
+
+// LengthSeen tells the length of an ended generation, for the estimates.
+type LengthSeen struct {
+	Model    string `cbor:"1,keyasint"`
+	Customer string `cbor:"2,keyasint"`
+	Class    string `cbor:"3,keyasint"`
+	Tokens   int    `cbor:"4,keyasint"`
+}
+
+// LeaseGrants answers with one lease an endpoint.
+type LeaseGrants struct {
+	Grants []LeaseGrant `cbor:"1,keyasint"`
+}
+
+// Kind names the message.
+func (LeaseGrants) Kind() string { return "lease-grants" }
+
+// LeaseGrant is the right to send to one endpoint for a while.
+type LeaseGrant struct {
+	Endpoint      string        `cbor:"1,keyasint"`
+	TTL           time.Duration `cbor:"2,keyasint"`
+	Tokens        int           `cbor:"3,keyasint"` // memory that may be planned for
+	Slots         int           `cbor:"4,keyasint"`
+	OtherMean     []float32     `cbor:"5,keyasint,omitempty"` // what other boxes hold
+	OtherVariance []float32     `cbor:"6,keyasint,omitempty"`
+	OtherRunning  int           `cbor:"7,keyasint"`
+	Growth        int           `cbor:"8,keyasint"` // tokens that may be added on this lease
+	Incarnation   uint64        `cbor:"9,keyasint"`
+	Step          time.Duration `cbor:"10,keyasint"` // engine's last time between tokens
+	Hints         []CacheHint   `cbor:"11,keyasint,omitempty"`
+	Model         string        `cbor:"12,keyasint"`
+}
+
+// CacheHint tells that an endpoint kept or dropped a prompt prefix.
+type CacheHint struct {
+	Prefix  uint64 `cbor:"1,keyasint"`
+	Dropped bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// ClaimAsk asks a home for the right to run a key.
+type ClaimAsk struct {
+	Key         core.ClaimKey    `cbor:"1,keyasint"`
+	Attempt     string           `cbor:"2,keyasint"`
+	Asker       core.Box         `cbor:"3,keyasint"`
+	ListVersion uint64           `cbor:"4,keyasint"`
+	HomeKnown   core.Incarnation `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind names the message.
+func (ClaimAsk) Kind() string { return "claim-ask" }
+
+// ClaimAnswer is a home's verdict.
+type ClaimAnswer struct {
+	Verdict  core.ClaimVerdict `cbor:"1,keyasint"`
+	ValidFor time.Duration     `cbor:"2,keyasint"`
+	Status   int               `cbor:"3,keyasint,omitempty"`
+	Response []byte            `cbor:"4,keyasint,omitempty"`
+	Home     core.Box          `cbor:"5,keyasint"`
+}
+
+// Kind names the message.
+func (ClaimAnswer) Kind() string { return "claim-answer" }
+
+// ClaimSettle tells a home how a granted attempt ended.
+type ClaimSettle struct {
+	Key      core.ClaimKey `cbor:"1,keyasint"`
+	Attempt  string        `cbor:"2,keyasint"`
+	Outcome  core.Outcome  `cbor:"3,keyasint"`
+	Status   int           `cbor:"4,keyasint,omitempty"`
+	Response []byte        `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind names the message.
+func (ClaimSettle) Kind() string { return "claim-settle" }
+
+// Done is the answer that says only that a message was taken.
+type Done struct{}
+
+// Kind names the message.
+func (Done) Kind() string { return "done" }
+
+// HandoverAsk asks a home for what the asker takes over.
+type HandoverAsk struct {
+	From        core.Box `cbor:"1,keyasint"`
+	ListVersion uint64   `cbor:"2,keyasint"`
+}
+
+// Kind names the message.
+func (HandoverAsk) Kind() string { return "handover-ask" }
+
+// HandoverGive carries a handover; None says that there is none yet.
+type HandoverGive struct {
+	None     bool          `cbor:"1,keyasint,omitempty"`
+	Handover core.Handover `cbor:"2,keyasint"`
+}
+
+// Kind names the message.
+func (HandoverGive) Kind() string { return "handover-give" }
+
+// StatusAsk asks a scheduler for its part of a box's status.
+type StatusAsk struct{}
+
+// Kind names the message.
+func (StatusAsk) Kind() string { return "status-ask" }
+
+// SchedulerStatus is a scheduler's part of a box's status.
+type SchedulerStatus struct {
+	Holds  []HoldStatus `cbor:"1,keyasint" json:"holds"`
+	Claims int          `cbor:"2,keyasint" json:"claims"`
+	Drain  string       `cbor:"3,keyasint" json:"drain"`
+}
+
+// Kind names the message.
+func (SchedulerStatus) Kind() string { return "scheduler-status" }
+
+// HoldStatus is one endpoint that a scheduler owns.
+type HoldStatus struct {
+	Endpoint string `cbor:"1,keyasint" json:"endpoint"`
+	State    string `cbor:"2,keyasint" json:"state"`
+	Leaving  bool   `cbor:"3,keyasint" json:"leaving"`
+	Boxes    int    `cbor:"4,keyasint" json:"boxes"`
+	Used     int    `cbor:"5,keyasint" json:"used"`
+	Capacity int    `cbor:"6,keyasint" json:"capacity"`
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// Path is where a process accepts connections from the others.
+const Path = "/dillsaddle/1"
+
+// Server accepts connections from other processes.
+type Server struct {
+	http     *http.Server
+	handlers *Handlers
+	mu       sync.Mutex
+	conns    map[*Conn]bool
+}
+
+// Listen starts a server on an address.
+func Listen(address netip.AddrPort, handlers *Handlers) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on "+address.String()+"; free the port or change the address in the settings")
+	}
+	s := &Server{
+		handlers: handlers,
+		conns:    make(map[*Conn]bool),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(Path, s.accept)
+	s.http = &http.Server{Handler: mux}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return
+	}
+	c := newConn(socket, s.handlers)
+	s.track(c, true)
+	defer s.track(c, false)
+	c.serve(context.WithoutCancel(r.Context()))
+}
+
+func (s *Server) track(c *Conn, live bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if live {
+		s.conns[c] = true
+		return
+	}
+	delete(s.conns, c)
+}
+
+// Broadcast pushes a message to every connected process.
+func (s *Server) Broadcast(ctx context.Context, m Message) {
+	s.mu.Lock()
+	all := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		_ = c.Push(ctx, m)
+	}
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		go c.Close()
+	}
+}
