--- /dev/null
+++ b/engine/completions/stream.go
@@ -0,0 +1,179 @@
+package completions
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/engine"
+)
+
+// incarnationHeader names the life of the endpoint that answers.
+const incarnationHeader = "Engine-Incarnation"
+
+// slabSize is how much token data is kept in one allocation.
+const slabSize = 16 << 10
+
+var (
+	doneMark     = []byte("[DONE]")
+	finishedMark = []byte(`"finish_reason":`)
+	nullMark     = []byte("null")
+)
+
+// reader turns an endpoint's events into messages.
+type reader struct {
+	ctx      context.Context
+	endpoint string
+	sink     chan<- engine.Message
+	slab     []byte
+	origin   core.Origin
+	originID string
+	final    *engine.Finished
+	done     bool
+}
+
+// errEnough stops reading.
+var errEnough = errors.New("nothing more is wanted")
+
+func read(ctx context.Context, endpoint string, resp *protocol.Response, sink chan<- engine.Message) {
+	life, _ := strconv.ParseUint(string(resp.Header.Peek(incarnationHeader)), 10, 64)
+	r := &reader{
+		ctx:      ctx,
+		endpoint: endpoint,
+		sink:     sink,
+	}
+	if !r.send(engine.Opened{Incarnation: core.Incarnation(life)}) {
+		return
+	}
+	events, err := sse.NewReader(resp)
+	if err != nil {
+		r.send(engine.Lost{Cause: errors.Wrap(err, "endpoint answered no event stream")})
+		return
+	}
+	err = events.ForEach(ctx, r.event)
+	r.end(err)
+}
+
+func (r *reader) send(m engine.Message) bool {
+	select {
+	case r.sink <- m:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+func (r *reader) event(e *sse.Event) error {
+	if bytes.Equal(e.Data, doneMark) {
+		r.done = true
+		return errEnough
+	}
+	if e.ID == "" || !e.IsSetID() {
+		r.usage(e.Data)
+		return nil
+	}
+	offset, ok := r.identify(e.ID)
+	if !ok {
+		return errors.Errorf("endpoint sent an event id that can't be read: %.40q", e.ID)
+	}
+	data := r.keep(e.Data)
+	if isFinal(data) {
+		r.final = &engine.Finished{
+			Origin: r.origin,
+			Offset: offset,
+			Data:   data,
+		}
+		return nil
+	}
+	if !r.send(engine.Token{
+		Origin: r.origin,
+		Offset: offset,
+		Data:   data,
+	}) {
+		return errEnough
+	}
+	return nil
+}
+
+// isFinal reports whether an event gives a reason for the end. The mark can't
+// stand inside a text, where its quotes would be escaped.
+func isFinal(data []byte) bool {
+	_, after, found := bytes.Cut(data, finishedMark)
+	return found && !bytes.HasPrefix(bytes.TrimLeft(after, " "), nullMark)
+}
+
+// keep copies an event's data, which the library reuses, into a slab.
+func (r *reader) keep(data []byte) []byte {
+	if len(data) > cap(r.slab)-len(r.slab) {
+		r.slab = make([]byte, 0, max(slabSize, len(data)))
+	}
+	start := len(r.slab)
+	r.slab = append(r.slab, data...)
+	return r.slab[start:len(r.slab):len(r.slab)]
+}
+
+// identify reads "incarnation/generation/offset".
+func (r *reader) identify(id string) (uint64, bool) {
+	at := strings.LastIndexByte(id, '/')
+	if at < 0 {
+		return 0, false
+	}
+	offset, err := strconv.ParseUint(id[at+1:], 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	if id[:at] == r.originID {
+		return offset, true
+	}
+	life, generation, found := strings.Cut(id[:at], "/")
+	number, err := strconv.ParseUint(life, 10, 64)
+	if !found || err != nil {
+		return 0, false
+	}
+	r.originID = strings.Clone(id[:at])
+	r.origin = core.Origin{
+		Endpoint:    r.endpoint,
+		Incarnation: core.Incarnation(number),
+		Generation:  strings.Clone(generation),
+	}
+	return offset, true
+}
+
+type usageEvent struct {
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Preempted int `json:"preempted"`
+}
+
+func (r *reader) usage(data []byte) {
+	var u usageEvent
+	if r.final == nil || json.Unmarshal(data, &u) != nil || u.Usage == nil {
+		return
+	}
+	r.final.Usage = engine.Usage{
+		PromptTokens:     u.Usage.PromptTokens,
+		CompletionTokens: u.Usage.CompletionTokens,
+		Preempted:        u.Preempted,
+	}
+}
+
+func (r *reader) end(err error) {
+	if r.final != nil && r.done {
+		r.send(*r.final)
+		return
+	}
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	r.send(engine.Lost{Cause: err})
+}
--- /dev/null
+++ b/standin/settings.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+)
+
+// settings are the flags of the stand-in's program.
+type settings struct {
+	role    string
+	address string
+	config  string
+	list    string
+	name    string
+	models  string
+	engine  EngineRules
+}
+
+// Run starts one stand-in by its role and serves until the process ends.
+func Run(arguments []string) error {
+	hlog.SetLevel(hlog.LevelError)
+	s := &settings{engine: EngineRules{Batch: DefaultBatchRules()}}
+	fs := flag.NewFlagSet("dillsaddle-standin", flag.ContinueOnError)
+	fs.String("settings", "", "settings `FILE` in JSON")
+	fs.StringVar(&s.role, "role", "", "platform, engine or service")
+	fs.StringVar(&s.address, "address", "", "`address` to serve on")
+	fs.StringVar(&s.config, "config", "", "platform: configuration `FILE` to start with")
+	fs.StringVar(&s.list, "list", "", "platform: list `FILE` to start with")
+	fs.StringVar(&s.name, "name", "standin", "engine, service: `name`")
+	fs.StringVar(&s.models, "models", "", "engine: `names` of models with commas between them")
+	s.engineFlags(fs)
+	err := ff.Parse(fs, arguments, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.JSONParser))
+	if err != nil {
+		return err
+	}
+	h, err := s.build()
+	if err != nil {
+		return err
+	}
+	return h.Run()
+}
+
+func (s *settings) engineFlags(fs *flag.FlagSet) {
+	e := &s.engine
+	fs.IntVar(&e.Batch.MemoryTokens, "memory", e.Batch.MemoryTokens, "engine: memory in `tokens`")
+	fs.IntVar(&e.Batch.MaxBatch, "batch", e.Batch.MaxBatch, "engine: most `sequences` in a batch")
+	fs.DurationVar(&e.Batch.StepBase, "step", e.Batch.StepBase, "engine: `time` of a step alone")
+	fs.DurationVar(&e.Batch.StepPerSeq, "step-sequence", e.Batch.StepPerSeq, "engine: `time` of a step for each sequence")
+	fs.Float64Var(&e.Length.Median, "median", 60, "engine: median output length in `tokens`")
+	fs.Float64Var(&e.Length.Spread, "spread", 0.8, "engine: `spread` of the output length's logarithm")
+	fs.IntVar(&e.Length.Most, "longest", 20000, "engine: longest output in `tokens`")
+	fs.Uint64Var(&e.Seed, "seed", 1, "engine: `seed` of the output lengths")
+	fs.DurationVar(&e.LoadLag, "load-lag", 200*time.Millisecond, "engine: `lag` of the load report")
+	fs.BoolVar(&e.ChecksFences, "checks-fences", true, "engine: refuse an order with an older fence")
+	fs.DurationVar(&e.Linger, "linger", time.Minute, "engine: `time` for which an ended generation can be read")
+}
+
+func (s *settings) build() (*server.Hertz, error) {
+	address, err := netip.ParseAddrPort(s.address)
+	if err != nil {
+		return nil, errors.New(`flag -address must be "IP:port"`)
+	}
+	switch s.role {
+	case "platform":
+		return s.platform(address)
+	case "engine":
+		s.engine.Name = s.name
+		s.engine.Models = strings.Split(s.models, ",")
+		return NewEngine(s.engine).Serve(address), nil
+	case "service":
+		return NewService(s.name).Serve(address), nil
+	}
+	return nil, errors.New("flag -role must be platform, engine or service")
+}
+
+func (s *settings) platform(address netip.AddrPort) (*server.Hertz, error) {
+	config, err := os.ReadFile(s.config)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the file of -config")
+	}
+	list, err := os.ReadFile(s.list)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the file of -list")
+	}
+	p, err := NewPlatform(config, list)
+	if err != nil {
+		return nil, err
+	}
+	return p.Serve(address), nil
+}
