--- /dev/null
+++ b/cmd/dillsaddle-scheduler/main.go
@@ -0,0 +1,26 @@
+// Command dillsaddle-scheduler is the endpoints' side of a box.
+package main
+
+import (
+	"os"
+
+	"dillsaddle.example/dillsaddle/admin"
+	"dillsaddle.example/dillsaddle/engine/completions"
+	"dillsaddle.example/dillsaddle/process"
+	"dillsaddle.example/dillsaddle/scheduler"
+)
+
+func main() {
+	os.Exit(process.Main("dillsaddle-scheduler", func(p *process.Process) (process.Service, error) {
+		worker, err := completions.New()
+		if err != nil {
+			return nil, err
+		}
+		s, err := scheduler.Start(p.Box, p.Log, worker, p.Recorder)
+		if err != nil {
+			return nil, err
+		}
+		admin.Listen(p.Box.SchedulerAdmin, s.Ready, admin.WithStatus(s.Status))
+		return s, nil
+	}))
+}
--- /dev/null
+++ b/cmd/dillsaddle-watch/main.go
@@ -0,0 +1,21 @@
+// Command dillsaddle-watch is the platform's side of a box.
+package main
+
+import (
+	"os"
+
+	"dillsaddle.example/dillsaddle/admin"
+	"dillsaddle.example/dillsaddle/process"
+	"dillsaddle.example/dillsaddle/watch"
+)
+
+func main() {
+	os.Exit(process.Main("dillsaddle-watch", func(p *process.Process) (process.Service, error) {
+		w, err := watch.Start(p.Box, p.Log)
+		if err != nil {
+			return nil, err
+		}
+		admin.Listen(p.Box.WatchAdmin, w.Ready, admin.WithStatus(w.Status))
+		return w, nil
+	}))
+}
--- /dev/null
+++ b/scheduler/endpoint.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/config"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// targetStep is the longest time between tokens that the brief's limits allow.
+const targetStep = 30 * time.Millisecond
+
+// silentLoad is after how long without a load report an endpoint is taken for
+// dead and gets no lease.
+const silentLoad = 3 * time.Second
+
+// hintCount bounds the cache hints on one lease.
+const hintCount = 16
+
+// endpoint is one engine that this box may own; its lock is its own.
+type endpoint struct {
+	mu       sync.Mutex
+	settings config.Endpoint
+	shares   *admission.Shares
+	owner    bool
+	lastLoad engine.Load
+	loadAt   time.Time
+	cacheSeq int
+	hints    []engine.CacheEvent
+}
+
+func newEndpoint(c config.Endpoint) *endpoint {
+	hold := core.NewHold(c.Name, core.DefaultLeaseRules())
+	return &endpoint{
+		settings: c,
+		shares:   admission.NewShares(hold, c.MemoryTokens, c.BatchSlots, targetStep),
+	}
+}
+
+// own follows the list: it takes or loses the endpoint.
+func (e *endpoint) own(now time.Time, owner, planned bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if owner == e.owner {
+		return
+	}
+	e.owner = owner
+	if owner {
+		e.shares.Hold().Step(now, core.HoldTaken{Planned: planned})
+		return
+	}
+	e.shares.Hold().Step(now, core.HoldLost{})
+}
+
+func (e *endpoint) follow(now time.Time, c config.Endpoint, leaving bool, confirmed time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings = c
+	e.shares.Capacity = c.MemoryTokens
+	e.shares.Slots = c.BatchSlots
+	e.shares.Hold().Step(now, core.EndpointLeaving{Leaving: leaving})
+	e.shares.Hold().Step(now, core.ListConfirmed{At: confirmed})
+}
+
+func (e *endpoint) grant(now time.Time, box string, w wire.LeaseWish) (wire.LeaseGrant, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.owner || now.Sub(e.loadAt) > silentLoad {
+		return wire.LeaseGrant{}, false
+	}
+	g := e.shares.Grant(now, box+"/"+w.Model, admission.Wish{
+		Profile: admission.ProfileFrom(w.Mean, w.Variance),
+		Running: w.Running,
+		Waiting: w.Waiting,
+	})
+	mean, variance := g.Others.Floats()
+	out := wire.LeaseGrant{
+		Endpoint:      w.Endpoint,
+		TTL:           g.TTL,
+		Tokens:        g.Tokens,
+		Slots:         g.Slots,
+		OtherMean:     mean,
+		OtherVariance: variance,
+		OtherRunning:  g.OtherRunning,
+		Growth:        g.Growth,
+		Incarnation:   uint64(e.lastLoad.Incarnation),
+		Step:          e.lastLoad.Step,
+		Model:         w.Model,
+	}
+	for _, h := range e.hints {
+		out.Hints = append(out.Hints, wire.CacheHint{
+			Prefix:  h.Prefix,
+			Dropped: h.Dropped,
+		})
+	}
+	return out, true
+}
+
+func (e *endpoint) loaded(now time.Time, l engine.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l.Incarnation != e.lastLoad.Incarnation {
+		e.cacheSeq = 0
+	}
+	e.lastLoad = l
+	e.loadAt = now
+	e.shares.Observe(now, admission.Report{
+		Batch: l.Running,
+		Step:  l.Step,
+		Used:  l.UsedTokens,
+	})
+}
+
+func (e *endpoint) cached(events []engine.CacheEvent) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(events) == 0 {
+		e.hints = nil
+		return
+	}
+	e.cacheSeq = events[len(events)-1].Sequence
+	e.hints = events[max(0, len(events)-hintCount):]
+}
+
+func (e *endpoint) isOwner() (bool, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner, e.cacheSeq
+}
+
+func (e *endpoint) status() wire.HoldStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return wire.HoldStatus{
+		Endpoint: e.settings.Name,
+		State:    string(e.shares.Hold().State),
+		Boxes:    e.shares.Boxes(),
+		Used:     e.lastLoad.UsedTokens,
+		Capacity: e.settings.MemoryTokens,
+	}
+}
--- /dev/null
+++ b/watch/platform.go
@@ -0,0 +1,56 @@
+package watch
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// platform reads the configuration service; every read is one call there.
+type platform struct {
+	address netip.AddrPort
+	client  *client.Client
+}
+
+func newPlatform(address netip.AddrPort, longest time.Duration) (*platform, error) {
+	c, err := client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(time.Second),
+		client.WithClientReadTimeout(longest+2*time.Second),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the platform client")
+	}
+	return &platform{
+		address: address,
+		client:  c,
+	}, nil
+}
+
+// read asks for a value above a version and waits for one; an empty answer
+// means that there was none.
+func (p *platform) read(ctx context.Context, what string, after uint64, wait time.Duration) ([]byte, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(http.MethodGet)
+	req.SetRequestURI("http://" + p.address.String() + "/v1/" + what +
+		"?after=" + strconv.FormatUint(after, 10) + "&wait=" + wait.String())
+	if err := p.client.Do(ctx, req, resp); err != nil {
+		return nil, errors.Wrap(err, "read the platform's "+what)
+	}
+	switch resp.StatusCode() {
+	case http.StatusOK:
+		return append([]byte(nil), resp.Body()...), nil
+	case http.StatusNotModified:
+		return nil, nil
+	}
+	return nil, errors.Errorf("the platform answered %d for its %s", resp.StatusCode(), what)
+}
