--- /dev/null
+++ b/cmd/dillsaddle/main.go
@@ -0,0 +1,4 @@
+// Command dillsaddle is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/config"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/settings"
+	"dillsaddle.example/dillsaddle/shard"
+	"dillsaddle.example/dillsaddle/trace"
+	"dillsaddle.example/dillsaddle/watch"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// maxHeader bounds a caller's headers and maxBody what the HTTP library reads
+// before the configuration's own bound is looked at; both in bytes.
+const (
+	maxHeader = 64 << 10
+	maxBody   = 17 << 20
+)
+
+// Entry is the callers' side of one box.
+type Entry struct {
+	settings  *settings.Box
+	self      core.Box
+	log       *zap.Logger
+	recorder  *trace.Recorder
+	state     *watch.State
+	http      *server.Hertz
+	handlers  *wire.Handlers
+	pool      *wire.Pool
+	worker    engine.Worker
+	services  *serviceClient
+	models    *shard.Map[*model]
+	customers *shard.Map[*customer]
+	calls     *shard.Map[*call]
+	homes     *shard.Map[core.Incarnation]
+	drainLock sync.Mutex
+	drain     *core.Drain
+	work      int
+	left      chan struct{}
+	stop      context.CancelFunc
+}
+
+// Start starts an entry.
+func Start(b *settings.Box, log *zap.Logger, worker engine.Worker, recorder *trace.Recorder) (*Entry, error) {
+	services, err := newServiceClient()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		settings: b,
+		self: core.Box{
+			Name:        b.Name,
+			Incarnation: core.Incarnation(time.Now().UnixNano()),
+		},
+		log:       log,
+		recorder:  recorder,
+		state:     watch.NewState(log),
+		worker:    worker,
+		services:  services,
+		models:    shard.NewMap[*model](),
+		customers: shard.NewMap[*customer](),
+		calls:     shard.NewMap[*call](),
+		homes:     shard.NewMap[core.Incarnation](),
+		drain:     core.NewDrain(),
+		left:      make(chan struct{}),
+		stop:      cancel,
+	}
+	e.handlers = wire.NewHandlers(wire.WithVersions(e.state.Versions))
+	e.pool = wire.NewPool(e.handlers)
+	e.state.OnChange(e.changed)
+	watch.Follow(ctx, b.Watch, e.state)
+	go e.renewLeases(ctx)
+	e.http = e.routes()
+	go func() { _ = e.http.Run() }()
+	return e, nil
+}
+
+func (e *Entry) routes() *server.Hertz {
+	h := server.New(
+		server.WithHostPorts(e.settings.Entry.String()),
+		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(maxBody),
+		server.WithMaxHeaderBytes(maxHeader),
+		server.WithUseRawPath(true),
+		server.WithExitWaitTime(0),
+	)
+	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(e.recovered)))
+	h.POST("/v1/chat/completions", e.complete(true))
+	h.POST("/v1/completions", e.complete(false))
+	h.GET("/v1/models", e.listModels)
+	h.GET("/v1/streams/:id", e.continueStream)
+	h.DELETE("/v1/streams/:id", e.cancelStream)
+	h.Any("/v1/services/:name", e.passCall)
+	h.Any("/v1/services/:name/*path", e.passCall)
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		invalid(http.StatusNotFound, "unknown_path", "this path is not served; docs/API.md lists the paths").answer(c)
+	})
+	return h
+}
+
+// recovered ends one request whose handler panicked, and that request alone.
+func (e *Entry) recovered(_ context.Context, c *app.RequestContext, fault any, stack []byte) {
+	panics.Inc()
+	e.log.Error("a request's handler panicked", zap.Any("fault", fault), zap.ByteString("stack", stack))
+	(&Problem{
+		Status:  http.StatusInternalServerError,
+		Code:    "internal_error",
+		Message: "the request failed inside this box; try again and report it if it recurs",
+		Outcome: core.Unknown,
+	}).answer(c)
+}
+
+// Ready says what is missing before a stream can be served.
+func (e *Entry) Ready() string {
+	if !e.taking() {
+		return "draining"
+	}
+	v := e.state.View()
+	if v.Document == nil || v.List == nil {
+		return "no configuration or list of boxes from this box's watch yet"
+	}
+	for i := range v.Document.Models {
+		if name := v.Document.Models[i].Name; !e.modelOf(name).leased(time.Now()) {
+			return "no lease on an endpoint of model " + name + " yet"
+		}
+	}
+	return ""
+}
+
+// enter starts a caller's request, or says why not.
+func (e *Entry) enter(c *app.RequestContext) (*config.Document, *config.Customer, *Problem) {
+	e.drainLock.Lock()
+	taking := e.drain.Taking()
+	if taking {
+		e.work++
+	}
+	e.drainLock.Unlock()
+	if !taking {
+		return nil, nil, refused(http.StatusServiceUnavailable, "draining", "this box is being stopped; ask again and the balancer picks another", time.Second)
+	}
+	d := e.state.View().Document
+	if d == nil {
+		e.exit()
+		return nil, nil, refused(http.StatusServiceUnavailable, "not_ready", "this box has no configuration yet; ask again shortly", time.Second)
+	}
+	key := bearer(c)
+	who := d.Authenticate(key)
+	if who == nil {
+		e.exit()
+		return nil, nil, invalid(http.StatusUnauthorized, "invalid_api_key", "no customer has this key; send Authorization: Bearer KEY with a published key")
+	}
+	return d, who, nil
+}
+
+// exit ends what enter started.
+func (e *Entry) exit() {
+	e.drainLock.Lock()
+	defer e.drainLock.Unlock()
+	e.work--
+}
+
+const bearerPrefix = "Bearer "
+
+func bearer(c *app.RequestContext) string {
+	value := string(c.GetHeader("Authorization"))
+	if len(value) <= len(bearerPrefix) || value[:len(bearerPrefix)] != bearerPrefix {
+		return ""
+	}
+	return value[len(bearerPrefix):]
+}
+
+func (e *Entry) customerOf(c *config.Customer) *customer {
+	return e.customers.GetOrMake(c.Name, func() *customer { return newCustomer(c.RetryBudget) })
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) listModels(_ context.Context, c *app.RequestContext) {
+	d, _, problem := e.enter(c)
+	if problem != nil {
+		problem.answer(c)
+		return
+	}
+	defer e.exit()
+	list := modelList{Object: "list"}
+	for i := range d.Models {
+		list.Data = append(list.Data, modelItem{
+			ID:      d.Models[i].Name,
+			Object:  "model",
+			OwnedBy: "operator",
+		})
+	}
+	c.Response.Header.Set(outcomeHeader, string(core.Ran))
+	c.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/entry/identity.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// macSize is the length of the mark that authenticates a stream id.
+const macSize = 12
+
+// tagSize is how much of a stream's mark its event ids repeat.
+const tagSize = 8
+
+// identity is all that a box needs to continue a stream that another began; it
+// is the stream's id, authenticated by the fleet's secret.
+type identity struct {
+	Endpoint    string           `cbor:"1,keyasint"`
+	Incarnation core.Incarnation `cbor:"2,keyasint"`
+	Generation  string           `cbor:"3,keyasint"`
+	Customer    string           `cbor:"4,keyasint"`
+	Model       string           `cbor:"5,keyasint"`
+	Chat        bool             `cbor:"6,keyasint,omitempty"`
+	Prompt      int              `cbor:"7,keyasint"`
+	Most        int              `cbor:"8,keyasint"`
+}
+
+func (i *identity) origin() core.Origin {
+	return core.Origin{
+		Endpoint:    i.Endpoint,
+		Incarnation: i.Incarnation,
+		Generation:  i.Generation,
+	}
+}
+
+func seal(secret string, i *identity) (string, error) {
+	body, err := cbor.Marshal(i)
+	if err != nil {
+		return "", err
+	}
+	return base64.RawURLEncoding.EncodeToString(append(mark(secret, body), body...)), nil
+}
+
+func mark(secret string, body []byte) []byte {
+	m := hmac.New(sha256.New, []byte(secret))
+	_, _ = m.Write(body)
+	return m.Sum(nil)[:macSize]
+}
+
+// unseal reads a stream id; it fails for an id that this fleet didn't make.
+func unseal(secret, id string) (*identity, bool) {
+	raw, err := base64.RawURLEncoding.DecodeString(id)
+	if err != nil || len(raw) <= macSize {
+		return nil, false
+	}
+	if !hmac.Equal(raw[:macSize], mark(secret, raw[macSize:])) {
+		return nil, false
+	}
+	var i identity
+	if cbor.Unmarshal(raw[macSize:], &i) != nil {
+		return nil, false
+	}
+	return &i, true
+}
+
+// eventTag is the start of a stream's event ids.
+func eventTag(id string) string { return id[:tagSize] }
+
+// nextOffset reads the offset after a Last-Event-ID of a stream.
+func nextOffset(id, lastEvent string) (uint64, bool) {
+	if lastEvent == "" {
+		return 0, true
+	}
+	tag, offset, found := strings.Cut(lastEvent, ".")
+	if !found || tag != eventTag(id) {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(offset, 10, 63)
+	return n + 1, err == nil
+}
+
+// newToken gives an unguessable name for a request, attempt or generation.
+func newToken() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return base64.RawURLEncoding.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/entry/model.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/config"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/policy"
+	"dillsaddle.example/dillsaddle/scheduler"
+	"dillsaddle.example/dillsaddle/trace"
+	"dillsaddle.example/dillsaddle/watch"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// subsetSize is how many endpoints of a model one box uses, so that leases
+// don't grow with the fleet on both sides.
+const subsetSize = 16
+
+// model is one model's admission on this box, under its own lock.
+type model struct {
+	name     string
+	mu       sync.Mutex
+	core     *admission.Model
+	waiters  map[string]chan core.Command
+	recorder *trace.Recorder
+	until    map[string]time.Time
+}
+
+func (e *Entry) modelOf(name string) *model {
+	return e.models.GetOrMake(name, func() *model {
+		m := &model{
+			name:     name,
+			core:     admission.NewModel(),
+			waiters:  make(map[string]chan core.Command),
+			recorder: e.recorder,
+			until:    make(map[string]time.Time),
+		}
+		rules := admission.DefaultRules()
+		m.recorder.Event(time.Now(), trace.Model+name, trace.ModelBegun{
+			ExpectTokens: rules.ExpectTokens,
+			MaxWait:      rules.MaxWait,
+		})
+		return m
+	})
+}
+
+// step applies an event and hands each answer to the request that waits.
+func (m *model) step(now time.Time, ev core.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recorder.Event(now, trace.Model+m.name, ev)
+	for _, command := range m.core.Step(now, ev) {
+		switch c := command.(type) {
+		case admission.PlaceRequest:
+			m.answer(c.ID, c)
+		case admission.RefuseRequest:
+			m.answer(c.ID, c)
+		case admission.PolicyFailed:
+			policyFailures.Inc()
+		}
+	}
+}
+
+func (m *model) answer(id string, c core.Command) {
+	waiter := m.waiters[id]
+	delete(m.waiters, id)
+	if waiter != nil {
+		waiter <- c
+	}
+}
+
+// arrive queues a request and gives the channel of its one answer.
+func (m *model) arrive(now time.Time, r admission.Request) <-chan core.Command {
+	waiter := make(chan core.Command, 1)
+	m.mu.Lock()
+	m.waiters[r.ID] = waiter
+	m.mu.Unlock()
+	m.step(now, admission.RequestArrived{Request: r})
+	return waiter
+}
+
+// withdraw takes a waiting request back; one that was placed in the meantime is
+// ended.
+func (m *model) withdraw(now time.Time, id, customer string, waiter <-chan core.Command) {
+	m.step(now, admission.RequestWithdrawn{
+		ID:       id,
+		Customer: customer,
+	})
+	m.mu.Lock()
+	delete(m.waiters, id)
+	m.mu.Unlock()
+	select {
+	case c := <-waiter:
+		if _, placed := c.(admission.PlaceRequest); placed {
+			m.step(now, admission.GenerationEnded{ID: id})
+		}
+	default:
+	}
+}
+
+func (m *model) leased(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, until := range m.until {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// changed puts a new configuration's rules and endpoints in force.
+func (e *Entry) changed(v watch.View) {
+	if v.Document == nil || v.List == nil {
+		return
+	}
+	now := time.Now()
+	for i := range v.Document.Models {
+		settings := &v.Document.Models[i]
+		m := e.modelOf(settings.Name)
+		names := subset(v, e.settings.Name, settings.Name)
+		m.mu.Lock()
+		m.core.SetRules(rulesOf(v.Document, settings))
+		m.mu.Unlock()
+		m.step(now, admission.EndpointsChanged{Names: names})
+	}
+}
+
+// subset gives the endpoints of a model that a box uses: all if they are few,
+// else the nearest by rendezvous.
+func subset(v watch.View, box, model string) []string {
+	var names []string
+	for i := range v.Document.Endpoints {
+		c := &v.Document.Endpoints[i]
+		if slices.Contains(c.Models, model) {
+			names = append(names, c.Name)
+		}
+	}
+	return core.Nearest(box, names, subsetSize)
+}
+
+func rulesOf(d *config.Document, m *config.Model) admission.Rules {
+	rules := admission.DefaultRules()
+	rules.ExpectTokens = m.ExpectTokens
+	rules.MaxWait = d.Limits.MaxWait
+	rules.MaxWaiting = func(customer string) int {
+		if c := d.Customer(customer); c != nil {
+			return c.MaxWaiting
+		}
+		return 0
+	}
+	rules.Program = func(tier string) *policy.Program {
+		t := d.Tier(tier)
+		if t == nil {
+			return nil
+		}
+		if p := d.Policy(t.Policy); p != nil {
+			return p.Program
+		}
+		return nil
+	}
+	return rules
+}
+
+// renewLeases asks the owners for leases until the context ends.
+func (e *Entry) renewLeases(ctx context.Context) {
+	tick := time.NewTicker(e.settings.LeaseEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.renew(ctx)
+			e.models.Each(func(_ string, m *model) { m.step(time.Now(), admission.Ticked{}) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renew sends one message to each owner, with a wish for each endpoint.
+func (e *Entry) renew(ctx context.Context) {
+	v := e.state.View()
+	if v.Document == nil || v.List == nil {
+		return
+	}
+	asks := make(map[string]*wire.LeaseAsk)
+	for i := range v.Document.Models {
+		e.wishes(v, v.Document.Models[i].Name, asks)
+	}
+	for owner, ask := range asks {
+		if member := v.List.Member(owner); member != nil {
+			go e.askLeases(ctx, *member, *ask)
+		}
+	}
+}
+
+func (e *Entry) wishes(v watch.View, modelName string, asks map[string]*wire.LeaseAsk) {
+	m := e.modelOf(modelName)
+	m.mu.Lock()
+	wishes := m.core.Wishes()
+	m.mu.Unlock()
+	for _, w := range wishes {
+		owner := scheduler.Owner(v.List, w.Endpoint, v.Suspected)
+		ask := asks[owner]
+		if ask == nil {
+			ask = &wire.LeaseAsk{Box: e.self}
+			asks[owner] = ask
+		}
+		mean, variance := w.Profile.Floats()
+		ask.Wishes = append(ask.Wishes, wire.LeaseWish{
+			Endpoint: w.Endpoint,
+			Model:    modelName,
+			Mean:     mean,
+			Variance: variance,
+			Running:  w.Running,
+			Waiting:  w.Waiting,
+		})
+	}
+}
+
+func (e *Entry) askLeases(ctx context.Context, owner core.Member, ask wire.LeaseAsk) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	asked := time.Now()
+	answer, err := wire.Request[wire.LeaseGrants](ctx, e.pool, owner.Scheduler, ask)
+	if err != nil {
+		leaseFaults.Inc()
+		return
+	}
+	for _, g := range answer.Grants {
+		e.leaseGranted(asked, g)
+	}
+}
+
+func (e *Entry) leaseGranted(asked time.Time, g wire.LeaseGrant) {
+	m := e.modelOf(g.Model)
+	lease := core.NewLease(g.Endpoint, asked, g.TTL, g.Tokens, g.Slots)
+	m.mu.Lock()
+	m.until[g.Endpoint] = lease.Until
+	m.mu.Unlock()
+	m.step(time.Now(), admission.LeaseArrived{
+		Lease:        lease,
+		Others:       admission.ProfileFrom(g.OtherMean, g.OtherVariance),
+		OtherRunning: g.OtherRunning,
+		Growth:       g.Growth,
+		Step:         g.Step,
+	})
+	for _, h := range g.Hints {
+		m.step(time.Now(), admission.PrefixCached{
+			Endpoint: g.Endpoint,
+			Prefix:   h.Prefix,
+			Dropped:  h.Dropped,
+		})
+	}
+}
--- /dev/null
+++ b/entry/service_client.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// serviceClient calls plain services. What may not be repeated goes over a
+// fresh connection each time: on a kept one, a close by the other side can't be
+// told from a loss, and the HTTP library sends some methods again by itself.
+type serviceClient struct {
+	kept  *client.Client
+	fresh *client.Client
+	mu    sync.Mutex
+	load  map[netip.AddrPort]*serverLoad
+}
+
+// serverLoad is what one box knows of one server of a service.
+type serverLoad struct {
+	open     int
+	latency  float64 // seconds, smoothed
+	failedAt time.Time
+}
+
+// maxServiceConnections bounds the connections to one server.
+const maxServiceConnections = 4096
+
+func newServiceClient() (*serviceClient, error) {
+	options := []config.ClientOption{
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(time.Second),
+		client.WithMaxConnsPerHost(maxServiceConnections),
+	}
+	kept, err := client.NewClient(options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the service client")
+	}
+	fresh, err := client.NewClient(append(options, client.WithKeepAlive(false))...)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the service client")
+	}
+	return &serviceClient{
+		kept:  kept,
+		fresh: fresh,
+		load:  make(map[netip.AddrPort]*serverLoad),
+	}, nil
+}
+
+func (s *serviceClient) of(address netip.AddrPort) *serverLoad {
+	l := s.load[address]
+	if l == nil {
+		l = &serverLoad{}
+		s.load[address] = l
+	}
+	return l
+}
+
+// failedFor is how long a server that failed goes last.
+const failedFor = 2 * time.Second
+
+// choose gives the server with the least expected time to answer, but for those
+// to avoid, and counts the call in.
+func (s *serviceClient) choose(now time.Time, all []netip.AddrPort, avoid netip.AddrPort) netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best netip.AddrPort
+	least := 0.0
+	for _, address := range all {
+		l := s.of(address)
+		cost := float64(l.open+1) * (l.latency + 0.001)
+		if now.Sub(l.failedAt) < failedFor {
+			cost += 1000
+		}
+		if address == avoid && len(all) > 1 {
+			cost += 10000
+		}
+		if !best.IsValid() || cost < least {
+			best, least = address, cost
+		}
+	}
+	s.of(best).open++
+	return best
+}
+
+// latencyWeight is the weight of the newest call.
+const latencyWeight = 0.2
+
+func (s *serviceClient) done(address netip.AddrPort, took time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.of(address)
+	l.open--
+	if failed {
+		l.failedAt = time.Now()
+		return
+	}
+	l.latency += latencyWeight * (took.Seconds() - l.latency)
+}
+
+// do sends one call within a time.
+func (s *serviceClient) do(ctx context.Context, req *protocol.Request, resp *protocol.Response, timeout time.Duration, repeatable bool) error {
+	req.SetOptions(config.WithRequestTimeout(timeout))
+	if repeatable {
+		return s.kept.Do(ctx, req, resp)
+	}
+	return s.fresh.Do(ctx, req, resp)
+}
+
+// unsent reports whether an error means that no byte of the request left.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"dillsaddle.example/dillsaddle/config"
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// serviceCall carries one call to a plain service. Its decisions are those of a
+// generation with a single frame: the answer.
+type serviceCall struct {
+	entry    *Entry
+	ctx      context.Context
+	c        *app.RequestContext
+	service  *config.Service
+	who      *config.Customer
+	gen      *core.Generation
+	claim    *claim
+	path     string
+	deadline time.Time
+	last     netip.AddrPort
+	answer   *protocol.Response
+	problem  *Problem
+}
+
+// passCall passes a call to a service.
+func (e *Entry) passCall(ctx context.Context, c *app.RequestContext) {
+	d, who, problem := e.enter(c)
+	if problem != nil {
+		problem.answer(c)
+		return
+	}
+	defer e.exit()
+	if problem := e.pass(ctx, c, d, who); problem != nil {
+		countOutcome(who.Name, problem.Outcome, problem.Code)
+		problem.answer(c)
+	}
+}
+
+func (e *Entry) pass(ctx context.Context, c *app.RequestContext, d *config.Document, who *config.Customer) *Problem {
+	service := d.Service(c.Param("name"))
+	if service == nil {
+		return invalid(http.StatusNotFound, "service_not_found", "no service has this name; see the services of the published configuration")
+	}
+	if len(c.Request.Body()) > d.Limits.BodyBytes {
+		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the body is longer than the limit body_bytes; send less")
+	}
+	customer := e.customerOf(who)
+	if !customer.enterService(service.Name, service.Concurrency) {
+		return refused(http.StatusTooManyRequests, "too_many_calls", "the customer has as many calls to this service as its concurrency allows; wait for one to end", time.Second)
+	}
+	defer customer.leaveService(service.Name)
+	method := string(c.Method())
+	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
+	repeatable := service.Repeatable(method, path) && string(c.GetHeader(repeatableHeader)) != "false"
+	k := &serviceCall{
+		entry:    e,
+		ctx:      ctx,
+		c:        c,
+		service:  service,
+		who:      who,
+		path:     path,
+		deadline: time.Now().Add(service.Deadline),
+		gen: core.NewGeneration(repeatable, core.GenerationRules{
+			Attempts: attempts,
+		}),
+	}
+	if !repeatable {
+		claimed, problem := e.claim(ctx, c, who)
+		if problem != nil || claimed == nil {
+			return problem
+		}
+		k.claim = claimed
+	}
+	return k.run()
+}
+
+func (k *serviceCall) run() *Problem {
+	k.perform(core.PlaceAgain{})
+	if k.answer != nil {
+		defer protocol.ReleaseResponse(k.answer)
+	}
+	if k.problem == nil && k.answer != nil {
+		k.deliver()
+		countOutcome(k.who.Name, core.Ran, "")
+	}
+	if k.claim != nil {
+		k.settle()
+	}
+	return k.problem
+}
+
+func (k *serviceCall) settle() {
+	if k.answer == nil {
+		k.entry.settle(k.claim, k.gen.Outcome, 0, nil)
+		return
+	}
+	body := append([]byte(nil), k.answer.Body()...)
+	k.entry.settle(k.claim, k.gen.Outcome, k.answer.StatusCode(), body)
+}
+
+func (k *serviceCall) step(ev core.Event) {
+	for _, command := range k.gen.Step(time.Now(), ev) {
+		k.perform(command)
+	}
+}
+
+func (k *serviceCall) perform(command core.Command) {
+	switch c := command.(type) {
+	case core.PlaceAgain:
+		k.place(c)
+	case core.SendAttempt:
+		k.send(c)
+	case core.EndStream:
+		if c.Code != core.EndDone {
+			k.problem = k.failure(c)
+		}
+	}
+}
+
+// place picks a server for the next try, if there is time and budget for one.
+func (k *serviceCall) place(c core.PlaceAgain) {
+	again := c.Avoid != ""
+	if again && (time.Until(k.deadline) <= 0 || !k.entry.customerOf(k.who).mayRetry()) {
+		k.step(core.CallerGone{})
+		k.problem = k.failure(core.EndStream{
+			Outcome: k.gen.Outcome,
+			Code:    core.EndRetriesSpent,
+		})
+		return
+	}
+	if again {
+		retries.Inc()
+	}
+	k.last = k.entry.services.choose(time.Now(), k.service.Addresses, k.last)
+	k.step(core.Placed{
+		Endpoint:   k.last.String(),
+		Generation: newToken(),
+	})
+}
+
+// tryTime is the time of one try: a repeatable call keeps half of what is left
+// for another, so that one late server leaves nobody without an answer.
+func (k *serviceCall) tryTime() time.Duration {
+	left := time.Until(k.deadline)
+	if k.gen.Repeatable && k.gen.Attempt < attempts && len(k.service.Addresses) > 1 {
+		return left / 2
+	}
+	return left
+}
+
+func (k *serviceCall) send(c core.SendAttempt) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	k.fill(req, c)
+	if k.claim != nil && time.Now().After(k.claim.until) || k.tryTime() <= 0 {
+		k.entry.services.done(k.last, 0, false)
+		protocol.ReleaseResponse(resp)
+		k.step(core.CallerGone{})
+		return
+	}
+	k.step(core.Sending{Attempt: c.Attempt})
+	began := time.Now()
+	err := k.entry.services.do(k.ctx, req, resp, k.tryTime(), k.gen.Repeatable)
+	k.entry.services.done(k.last, time.Since(began), err != nil)
+	k.judge(c, resp, err)
+}
+
+func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt) {
+	k.c.Request.CopyTo(req)
+	req.Header.Del("Authorization")
+	uri := "http://" + k.last.String() + k.path
+	if query := string(k.c.URI().QueryString()); query != "" {
+		uri += "?" + query
+	}
+	req.SetRequestURI(uri)
+	req.Header.SetHost(k.last.String())
+	req.Header.Set(requestIDHeader, c.Origin.Generation)
+	if !k.gen.Repeatable {
+		req.SetConnectionClose()
+	}
+}
+
+// judge turns what came back into the call's next event. An answer that names
+// another request is crossed and is not the caller's.
+func (k *serviceCall) judge(c core.SendAttempt, resp *protocol.Response, err error) {
+	echoed := string(resp.Header.Peek(requestIDHeader))
+	switch {
+	case err != nil && unsent(err):
+		k.drop(resp, core.Refused{Attempt: c.Attempt})
+	case err != nil:
+		k.drop(resp, core.LinkLost{Attempt: c.Attempt})
+	case echoed != "" && echoed != c.Origin.Generation:
+		droppedLate.Inc()
+		k.drop(resp, core.LinkLost{Attempt: c.Attempt})
+	case slices.Contains(k.service.Refusals, resp.StatusCode()):
+		k.drop(resp, core.Refused{Attempt: c.Attempt})
+	case resp.StatusCode() >= http.StatusInternalServerError && k.gen.Repeatable && k.gen.Attempt < attempts:
+		k.drop(resp, core.LinkLost{Attempt: c.Attempt})
+	default:
+		k.answer = resp
+		k.step(core.FrameArrived{
+			Attempt: c.Attempt,
+			Origin:  c.Origin,
+			Final:   true,
+		})
+	}
+}
+
+func (k *serviceCall) drop(resp *protocol.Response, ev core.Event) {
+	protocol.ReleaseResponse(resp)
+	k.step(ev)
+}
+
+func (k *serviceCall) deliver() {
+	k.answer.CopyTo(&k.c.Response)
+	k.c.Response.Header.Set(outcomeHeader, string(core.Ran))
+}
+
+func (k *serviceCall) failure(c core.EndStream) *Problem {
+	p := endProblem(c)
+	p.Outcome = c.Outcome
+	if time.Until(k.deadline) <= 0 {
+		p.Status = http.StatusGatewayTimeout
+		p.Code = "deadline"
+		p.Message = "the service didn't answer within its deadline; come back after the time in Retry-After"
+		if c.Outcome == core.Unknown && !k.gen.Repeatable {
+			p.Message = "the service didn't answer within its deadline and the call may have run; look at its effects first"
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/entry/writer.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/engine"
+)
+
+// streamWriter writes server-sent events. Several tokens go out in one write
+// when they are there together.
+type streamWriter struct {
+	c      *app.RequestContext
+	body   network.ExtWriter
+	slow   time.Duration
+	p      *parsed
+	buffer []byte
+}
+
+func newStreamWriter(c *app.RequestContext, slow time.Duration, p *parsed) *streamWriter {
+	return &streamWriter{
+		c:    c,
+		slow: slow,
+		p:    p,
+	}
+}
+
+func (w *streamWriter) begin(id string) {
+	h := &w.c.Response.Header
+	h.SetContentType("text/event-stream; charset=utf-8")
+	h.Set("Cache-Control", "no-cache")
+	h.Set(requestHeader, id)
+	w.c.Response.SetStatusCode(http.StatusOK)
+	w.body = resp.NewChunkedBodyWriter(&w.c.Response, w.c.GetWriter())
+	w.c.Response.HijackWriter(w.body)
+}
+
+func (w *streamWriter) token(id string, offset uint64, data []byte) {
+	b := append(w.buffer, "id: "...)
+	b = append(b, eventTag(id)...)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, offset, 10)
+	b = append(b, "\ndata: "...)
+	b = append(b, data...)
+	w.buffer = append(b, "\n\n"...)
+}
+
+// flush writes what is there; a caller that takes nothing for too long makes it
+// fail, and until then holds its endpoint's link up.
+func (w *streamWriter) flush() error {
+	if len(w.buffer) == 0 {
+		return nil
+	}
+	_ = w.c.GetConn().SetWriteTimeout(w.slow)
+	if _, err := w.body.Write(w.buffer); err != nil {
+		return err
+	}
+	w.buffer = w.buffer[:0]
+	return w.body.Flush()
+}
+
+// usageChunk is the last chunk of a stream whose caller asked for usage.
+type usageChunk struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []any        `json:"choices"`
+	Usage   usageBody    `json:"usage"`
+	Outcome core.Outcome `json:"Dillsaddle-Outcome"`
+}
+
+type usageBody struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func usageOf(u engine.Usage) usageBody {
+	return usageBody{
+		PromptTokens:     u.PromptTokens,
+		CompletionTokens: u.CompletionTokens,
+		TotalTokens:      u.PromptTokens + u.CompletionTokens,
+	}
+}
+
+func (w *streamWriter) finish(id string, offset uint64, last engine.Finished) error {
+	if !w.p.usage {
+		w.token(id, offset, withOutcome(last.Data, core.Ran))
+		return w.done(id, offset, core.Ran)
+	}
+	w.token(id, offset, last.Data)
+	chunk, err := json.Marshal(usageChunk{
+		ID:      last.Origin.Generation,
+		Object:  objectName(w.p.chat, true),
+		Created: time.Now().Unix(),
+		Model:   w.p.model,
+		Choices: []any{},
+		Usage:   usageOf(last.Usage),
+		Outcome: core.Ran,
+	})
+	if err != nil {
+		return err
+	}
+	w.token(id, offset, chunk)
+	return w.done(id, offset, core.Ran)
+}
+
+// withOutcome adds the outcome to a chunk as its last field.
+func withOutcome(data []byte, outcome core.Outcome) []byte {
+	trimmed := bytes.TrimRight(data, " \n")
+	if len(trimmed) < 2 || trimmed[len(trimmed)-1] != '}' {
+		return data
+	}
+	out := append([]byte(nil), trimmed[:len(trimmed)-1]...)
+	out = append(out, `,"`+outcomeHeader+`":"`...)
+	out = append(out, outcome...)
+	return append(out, `"}`...)
+}
+
+// done writes the mark that ends a stream; its outcome is a field of the event,
+// which clients that don't know it pass over.
+func (w *streamWriter) done(id string, offset uint64, outcome core.Outcome) error {
+	w.buffer = append(w.buffer, "id: "+eventTag(id)+"."...)
+	w.buffer = strconv.AppendUint(w.buffer, offset, 10)
+	w.buffer = append(w.buffer, "\n"+outcomeHeader+": "...)
+	w.buffer = append(w.buffer, outcome...)
+	w.buffer = append(w.buffer, "\ndata: [DONE]\n\n"...)
+	return w.flush()
+}
+
+func (w *streamWriter) fail(id string, offset uint64, p *Problem) bool {
+	if w.body == nil {
+		return false
+	}
+	text, err := json.Marshal(p.body())
+	if err != nil {
+		return true
+	}
+	last := offset
+	if last > 0 {
+		last--
+	}
+	w.token(id, last, text)
+	_ = w.done(id, last, p.Outcome)
+	return true
+}
+
+func objectName(chat, chunk bool) string {
+	switch {
+	case chat && chunk:
+		return "chat.completion.chunk"
+	case chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// wholeWriter gathers a stream for a caller that wants one answer.
+type wholeWriter struct {
+	c    *app.RequestContext
+	p    *parsed
+	text strings.Builder
+	id   string
+}
+
+func newWholeWriter(c *app.RequestContext, p *parsed) *wholeWriter {
+	return &wholeWriter{
+		c: c,
+		p: p,
+	}
+}
+
+type tokenChunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Reason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+func (w *wholeWriter) begin(id string) { w.id = id }
+
+func (w *wholeWriter) token(_ string, _ uint64, data []byte) {
+	var t tokenChunk
+	if json.Unmarshal(data, &t) != nil || len(t.Choices) == 0 {
+		return
+	}
+	w.text.WriteString(t.Choices[0].Text)
+	w.text.WriteString(t.Choices[0].Delta.Content)
+}
+
+func (w *wholeWriter) flush() error { return nil }
+
+type wholeBody struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   usageBody     `json:"usage"`
+	Outcome core.Outcome  `json:"Dillsaddle-Outcome"`
+}
+
+type wholeChoice struct {
+	Index   int           `json:"index"`
+	Text    *string       `json:"text,omitempty"`
+	Message *wholeMessage `json:"message,omitempty"`
+	Reason  string        `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (w *wholeWriter) finish(id string, _ uint64, last engine.Finished) error {
+	var t tokenChunk
+	_ = json.Unmarshal(last.Data, &t)
+	choice := wholeChoice{Reason: "stop"}
+	if len(t.Choices) > 0 {
+		choice.Reason = t.Choices[0].Reason
+	}
+	text := w.text.String()
+	if w.p.chat {
+		choice.Message = &wholeMessage{
+			Role:    "assistant",
+			Content: text,
+		}
+	} else {
+		choice.Text = &text
+	}
+	w.c.Response.Header.Set(requestHeader, id)
+	w.c.Response.Header.Set(outcomeHeader, string(core.Ran))
+	w.c.JSON(http.StatusOK, wholeBody{
+		ID:      last.Origin.Generation,
+		Object:  objectName(w.p.chat, false),
+		Created: time.Now().Unix(),
+		Model:   w.p.model,
+		Choices: []wholeChoice{choice},
+		Usage:   usageOf(last.Usage),
+		Outcome: core.Ran,
+	})
+	return nil
+}
+
+func (w *wholeWriter) fail(string, uint64, *Problem) bool { return false }
