config: refuse a tier without a rank

A tier whose rank was left out became rank 0, the one that is served first: a typing error would have put bulk summaries before paid completions. The test failed first with the document accepted; now it is a fault that names the line. A default of the last rank was ruled out: an order nobody wrote is no order.

--- /dev/null
+++ b/config/document_test.go
@@ -0,0 +1,87 @@
+package config_test
+
+import (
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/config"
+)
+
+func example(name string) string {
+	text, err := os.ReadFile("../examples/" + name + "/config.json")
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+// lineOf gives the number of the first line that holds a text.
+func lineOf(source, text string) int {
+	at := strings.Index(source, text)
+	Expect(at).To(BeNumerically(">=", 0), text)
+	return 1 + strings.Count(source[:at], "\n")
+}
+
+var _ = Describe("a published document", func() {
+	for _, name := range []string{"buscodigo", "jordan"} {
+		It("is accepted as the example of "+name, func() {
+			d, faults := config.Parse("config.json", []byte(example(name)))
+			Expect(faults).To(BeEmpty())
+			Expect(d.Version).To(Equal(config.Version(1)))
+			Expect(d.Customers).To(HaveLen(4))
+		})
+	}
+
+	DescribeTable("is refused with the line, what is wrong and the remedy",
+		func(old, changed, what, remedy string) {
+			source := strings.Replace(example("buscodigo"), old, changed, 1)
+			d, faults := config.Parse("config.json", []byte(source))
+			Expect(d).To(BeNil())
+			Expect(faults).NotTo(BeEmpty())
+			Expect(faults[0].Line).To(Equal(lineOf(source, changed)))
+			Expect(faults[0].What).To(ContainSubstring(what))
+			Expect(faults[0].Remedy).To(ContainSubstring(remedy))
+		},
+		Entry("unknown field", `"rank": 1`, `"rnk": 1`, "rnk", "docs/CONFIGURATION.md"),
+		Entry("wrong type", `"weight": 2`, `"weight": "two"`, "wrong type", "number"),
+		Entry("out of bounds", `"batch_slots": 60`, `"batch_slots": 0`, "is 0", "from 1 to"),
+		Entry("host name", `"address": "127.0.0.1:7011"`, `"address": "engine:7011"`, "no address by IP number", "IP:port"),
+		Entry("bad duration", `"deadline": "2s"`, `"deadline": "soon"`, "no duration", "2s"),
+	)
+
+	It("names every fault and not only the first", func() {
+		source := strings.NewReplacer(`"rank": 1`, `"rnk": 1`, `"weight": 2`, `"weight": "two"`).Replace(example("buscodigo"))
+		_, faults := config.Parse("config.json", []byte(source))
+		Expect(len(faults)).To(BeNumerically(">=", 2))
+	})
+
+	It("is refused when a tier has no rank, since rank 0 is served first", func() {
+		source := strings.Replace(example("buscodigo"), `"rank": 2,`, "", 1)
+		d, _ := config.Parse("config.json", []byte(source))
+		Expect(d).To(BeNil())
+	})
+
+	It("is refused when a policy program has no type for its verdict", func() {
+		source := strings.Replace(example("buscodigo"), `request.fits ? 'run' : 'wait'`, `request.fits`, 1)
+		d, faults := config.Parse("config.json", []byte(source))
+		Expect(d).To(BeNil())
+		Expect(faults[0].What).To(ContainSubstring("not string"))
+	})
+
+	It("is warned of when a tier has no customer or a policy runs nothing", func() {
+		source := strings.Replace(example("buscodigo"), `"tier": "bronze"`, `"tier": "silver"`, 1)
+		source = strings.Replace(source, `request.fits ? 'run' : 'wait'`, `'wait'`, 1)
+		d, faults := config.Parse("config.json", []byte(source))
+		Expect(d).NotTo(BeNil())
+		Expect(faults.Error()).To(ContainSubstring("no customer uses tier"))
+		Expect(faults.Error()).To(ContainSubstring("doesn't run even a small request"))
+	})
+
+	It("knows a customer by its key and nobody by another", func() {
+		d, _ := config.Parse("config.json", []byte(example("jordan")))
+		Expect(d.Authenticate("demo-field-key").Name).To(Equal("field-officers"))
+		Expect(d.Authenticate("")).To(BeNil())
+		Expect(d.Authenticate("demo-field-ke")).To(BeNil())
+	})
+})
--- a/config/tier.go
+++ b/config/tier.go
@@ -15,6 +15,9 @@
 		line: o.r.line(o.at),
 	}
 	o.name(&t.Name)
+	if o.members["rank"] == nil {
+		o.r.fault(o.at, "tier "+t.Name+" has no rank", `add "rank": 0 is served first`)
+	}
 	o.whole("rank", &t.Rank, 0, 15)
 	o.text("policy", &t.Policy)
 	o.real("risk", &t.Risk, 0.00001, 0.5)
