scheduler: give each endpoint two owners with a half each

With one owner, its death stopped all new work on its endpoints until the platform's list, which lags, named another. Taking over by suspicion was weighed and ruled out: a paused owner that wakes believes in its whole right while the one that suspects it grants too, and two boxes fill the same memory. Two owners with a half each need no agreement: one's death leaves the other's half in use at once. By the list alone a new owner waits out the old leases, then grants half of its half until the old one is known to have stopped.

--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -9,10 +9,10 @@
 // place is what one box knows of one endpoint.
 type place struct {
 	name     string
-	lease    core.Lease
+	leases   [core.SlotCount]core.Lease
+	growths  [core.SlotCount]float64
 	others   Profile
 	otherRun int
-	growth   float64
 	step     time.Duration
 	own      Profile
 	running  map[string]*running
@@ -34,14 +34,39 @@
 	}
 }
 
-// load is the planned part of the endpoint's memory.
-func (p *place) load() float64 {
-	if p.lease.Tokens == 0 {
+// room is what the usable leases allow at a moment.
+type room struct {
+	tokens float64
+	slots  int
+	growth float64
+	until  time.Time // end of the lease that ends first
+}
+
+func (p *place) room(now time.Time) room {
+	var r room
+	for i := range p.leases {
+		l := &p.leases[i]
+		if !l.Usable(now) {
+			continue
+		}
+		r.tokens += float64(l.Tokens)
+		r.slots += l.Slots
+		r.growth += p.growths[i]
+		if r.until.IsZero() || l.Until.Before(r.until) {
+			r.until = l.Until
+		}
+	}
+	return r
+}
+
+// load is the planned part of the leased memory.
+func (p *place) load(r room) float64 {
+	if r.tokens == 0 {
 		return 1
 	}
 	total := p.own
 	total.Add(&p.others)
-	return total.Peak(0) / float64(p.lease.Tokens)
+	return total.Peak(0) / r.tokens
 }
 
 // total is the planned memory of all boxes at a risk.
@@ -56,25 +81,33 @@
 
 // fits reports whether a request with a profile may be sent now: memory and
 // batch, each less what is kept for higher ranks.
-func (p *place) fits(with *Profile, z, kept float64) bool {
-	room := float64(p.lease.Tokens) * (1 - kept)
-	slots := int(float64(p.lease.Slots) * (1 - kept))
+func (p *place) fits(r room, with *Profile, z, kept float64) bool {
+	slots := int(float64(r.slots) * (1 - kept))
 	if p.count() >= max(1, slots) {
 		return false
 	}
 	before := p.total(&Profile{}, z)
 	after := p.total(with, z)
-	if after > room {
+	if after > r.tokens*(1-kept) {
 		return false
 	}
-	return after-before <= p.growth || len(p.running) == 0 && p.growth > 0
+	return after-before <= r.growth || len(p.running) == 0 && r.growth > 0
 }
 
 func (p *place) add(r *running) {
 	before := p.total(&Profile{}, 0)
 	p.running[r.request.ID] = r
 	p.own.Add(&r.profile)
-	p.growth -= max(1, p.total(&Profile{}, 0)-before)
+	p.spend(max(1, p.total(&Profile{}, 0)-before))
+}
+
+// spend takes from the growth of the leases, the first one first.
+func (p *place) spend(amount float64) {
+	for i := range p.growths {
+		part := min(amount, max(0, p.growths[i]))
+		p.growths[i] -= part
+		amount -= part
+	}
 }
 
 func (p *place) drop(r *running) {
--- a/admission/event.go
+++ b/admission/event.go
@@ -19,9 +19,10 @@
 	Customer string
 }
 
-// LeaseArrived tells what an owner granted.
+// LeaseArrived tells what an owner granted of its half.
 type LeaseArrived struct {
 	core.EventBase
+	Slot         int
 	Lease        core.Lease
 	Others       Profile
 	OtherRunning int
--- a/admission/model.go
+++ b/admission/model.go
@@ -102,10 +102,10 @@
 	if p == nil {
 		return
 	}
-	p.lease = e.Lease
+	p.leases[e.Slot] = e.Lease
+	p.growths[e.Slot] = float64(e.Growth)
 	p.others = e.Others
 	p.otherRun = e.OtherRunning
-	p.growth = float64(e.Growth)
 	p.step = e.Step
 	p.refresh(m.profile)
 }
@@ -272,8 +272,8 @@
 func (m *Model) meanLoad(now time.Time) float64 {
 	sum, n := 0.0, 0
 	for _, p := range m.places {
-		if p.lease.Usable(now) {
-			sum += p.load()
+		if r := p.room(now); r.tokens > 0 {
+			sum += p.load(r)
 			n++
 		}
 	}
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -82,7 +82,7 @@
 	return PlaceRequest{
 		ID:       r.ID,
 		Endpoint: name,
-		Until:    p.lease.Until,
+		Until:    p.room(now).until,
 		Waited:   now.Sub(r.ArrivedAt),
 		Forced:   forced,
 	}
@@ -101,15 +101,16 @@
 	var candidates []string
 	for _, name := range m.names {
 		p := m.places[name]
-		if !p.lease.Usable(now) || name == r.Avoid && len(m.names) > 1 {
+		space := p.room(now)
+		if space.tokens == 0 || name == r.Avoid && len(m.names) > 1 {
 			continue
 		}
-		load := p.load()
+		load := p.load(space)
 		if load < anyLoad {
 			any, anyLoad = name, load
 		}
 		candidates = append(candidates, name)
-		if !p.fits(&with, z, kept) {
+		if !p.fits(space, &with, z, kept) {
 			continue
 		}
 		if load < bestLoad {
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -23,12 +23,12 @@
 	Growth       int
 }
 
-// Shares divides one endpoint's memory among boxes. Each box learns what the
+// Shares divides one owner's half of an endpoint's memory among boxes. Each box learns what the
 // others are expected to hold, so that chance evens out over all of them, and
 // how much it may add until its next lease: a part of the free memory by
 // demand, with half of it spread evenly for what demand didn't foresee.
 type Shares struct {
-	Capacity int
+	Capacity int // of the whole endpoint
 	Slots    int
 	hold     *core.Hold
 	boxes    map[string]*share
@@ -69,7 +69,8 @@
 
 // Grant answers one box's wish.
 func (s *Shares) Grant(now time.Time, box string, w Wish) Grant {
-	tokens, ttl := s.hold.Grantable(now, s.Capacity)
+	half := s.Capacity / core.SlotCount
+	tokens, ttl := s.hold.Grantable(now, half)
 	s.forget(now, ttl)
 	mine := &share{
 		wish:   w,
@@ -83,11 +84,12 @@
 	total := others
 	total.Add(&w.Profile)
 	unexplained := max(0, float64(s.reported)-total.Mean[0])
-	free := float64(tokens) - total.Peak(deviations(ownerRisk)) - float64(s.promised(box)) - unexplained
+	planned := total.Peak(deviations(ownerRisk)) + unexplained
+	free := float64(tokens) - planned/core.SlotCount - float64(s.promised(box))
 	mine.growth = max(0, int(free*s.part(box)))
 	return Grant{
 		Tokens:       tokens,
-		Slots:        s.slots(tokens),
+		Slots:        s.slots() * tokens / s.Capacity,
 		TTL:          ttl,
 		Others:       others,
 		OtherRunning: running,
@@ -141,12 +143,12 @@
 	return (even + byDemand) / 2
 }
 
-func (s *Shares) slots(tokens int) int {
-	slots := s.Slots
+// slots is the batch at which the time between tokens holds.
+func (s *Shares) slots() int {
 	if limit := s.fit.Limit(s.target); limit > 0 {
-		slots = min(slots, limit)
+		return min(s.Slots, limit)
 	}
-	return max(1, slots*tokens/s.Capacity)
+	return s.Slots
 }
 
 // Report is an endpoint's own report, which lags.
@@ -156,17 +158,20 @@
 	Used  int
 }
 
+// Observe learns from an endpoint's report.
+func (s *Shares) Observe(r Report) {
+	s.fit.Observe(r.Batch, r.Step)
+	s.reported = r.Used
+}
+
 // foreignPart is the part of the capacity above which memory that no lease
 // explains counts as another owner's.
 const foreignPart = 0.1
 
-// Observe learns from an endpoint's report, and tells the hold whether another
-// owner's leases seem to be in use.
-func (s *Shares) Observe(now time.Time, r Report) {
-	s.fit.Observe(r.Batch, r.Step)
-	s.reported = r.Used
-	foreign := float64(r.Used-s.Used()) > foreignPart*float64(s.Capacity)
-	s.hold.Step(now, core.ForeignUse{Seen: foreign})
+// Foreign reports whether the endpoint's report shows memory in use that the
+// known boxes don't explain.
+func (s *Shares) Foreign() bool {
+	return float64(s.reported-s.Used()) > foreignPart*float64(s.Capacity)
 }
 
 // Used is the memory that all boxes report to hold now.
--- a/core/fence.go
+++ b/core/fence.go
@@ -73,7 +73,7 @@
 		if !o.owner {
 			o.takenAt = now
 		}
-		if e.Planned {
+		if e.Fresh {
 			o.takenAt = time.Time{}
 		}
 		o.owner = true
--- a/core/lease.go
+++ b/core/lease.go
@@ -20,7 +20,6 @@
 const (
 	leaseWaited leaseTrigger = "waited"
 	leaseClear  leaseTrigger = "clear"
-	leaseStale  leaseTrigger = "stale"
 	leaseClose  leaseTrigger = "close"
 	leaseOpen   leaseTrigger = "open"
 )
@@ -33,17 +32,16 @@
 	},
 	LeaseSafe: {
 		leaseClear: LeaseFull,
-		leaseStale: LeaseSafe,
 		leaseClose: LeaseClosed,
 	},
 	LeaseFull: {
-		leaseStale: LeaseSafe,
 		leaseClear: LeaseFull,
 		leaseClose: LeaseClosed,
 	},
 	LeaseClosed: {
 		leaseOpen:  LeaseWaiting,
 		leaseClose: LeaseClosed,
+		leaseClear: LeaseClosed,
 	},
 })
 
@@ -61,23 +59,26 @@
 	}
 }
 
-// Hold is an owner's right to lease out one endpoint. It says how much of the
-// endpoint may be leased; who gets how much is the Shares policy's matter.
+// Hold is an owner's right to lease out one half of an endpoint. Each endpoint
+// has two owners with a half each, so that one's death leaves the other's half
+// in use at once. The hold says how much may be leased; who gets how much is
+// the matter of admission.Shares.
 type Hold struct {
 	State     LeaseState
 	Endpoint  string
 	leaving   bool
+	cleared   bool
 	waitUntil time.Time
 	reading   time.Time
 	rules     LeaseRules
 	guards    Guards
 }
 
-// HoldTaken tells that the list makes this box the endpoint's owner. Planned
-// means that the old owner handed over or that there was none.
+// HoldTaken tells that the list makes this box the owner. Fresh means that
+// nobody can have owned the half before.
 type HoldTaken struct {
 	EventBase
-	Planned bool
+	Fresh bool
 }
 
 // HoldLost tells that the list makes another box the owner.
@@ -89,12 +90,9 @@
 	Leaving bool
 }
 
-// ForeignUse tells whether the endpoint's own report shows memory in use that
-// this owner's leases don't explain.
-type ForeignUse struct {
-	EventBase
-	Seen bool
-}
+// PredecessorGone tells that the owner before is known to grant nothing more:
+// it handed over, came back with this list or a later one, or is long dead.
+type PredecessorGone struct{ EventBase }
 
 // NewHold starts closed.
 func NewHold(endpoint string, rules LeaseRules, options ...Option) *Hold {
@@ -117,8 +115,8 @@
 		h.leaving = e.Leaving
 	case ListConfirmed:
 		h.confirmed(e)
-	case ForeignUse:
-		h.foreign(now, e)
+	case PredecessorGone:
+		h.clear(now)
 	}
 	return nil
 }
@@ -128,23 +126,26 @@
 		return
 	}
 	h.waitUntil = now.Add(h.rules.Fresh + h.rules.TTL)
-	if e.Planned || !h.guards.on(GuardLeaseTakeover) {
+	h.cleared = false
+	if e.Fresh || !h.guards.on(GuardLeaseTakeover) {
 		_ = leaseLifecycle.Fire(&h.State, leaseClear)
 	}
 }
 
-func (h *Hold) confirmed(e ListConfirmed) {
-	if e.At.After(h.reading) {
-		h.reading = e.At
+// clear lets the hold grant all when the predecessor's last leases have ended.
+func (h *Hold) clear(now time.Time) {
+	if h.cleared || h.State == LeaseFull {
+		return
+	}
+	h.cleared = true
+	if last := now.Add(h.rules.TTL); h.State == LeaseSafe || last.Before(h.waitUntil) {
+		h.waitUntil = last
 	}
 }
 
-func (h *Hold) foreign(now time.Time, e ForeignUse) {
-	if e.Seen || now.Before(h.waitUntil) {
-		return
-	}
-	if h.State == LeaseSafe {
-		_ = leaseLifecycle.Fire(&h.State, leaseClear)
+func (h *Hold) confirmed(e ListConfirmed) {
+	if e.At.After(h.reading) {
+		h.reading = e.At
 	}
 }
 
@@ -158,11 +159,9 @@
 	if h.State == LeaseClosed || h.leaving && h.guards.on(GuardLeaseLeaving) {
 		return 0, 0
 	}
+	h.advance(now)
 	if h.State == LeaseWaiting {
-		if now.Before(h.waitUntil) {
-			return 0, 0
-		}
-		_ = leaseLifecycle.Fire(&h.State, leaseWaited)
+		return 0, 0
 	}
 	if h.State == LeaseSafe || now.Sub(h.reading) > h.rules.Fresh {
 		return capacity / safeDivisor, h.rules.TTL
@@ -170,6 +169,20 @@
 	return capacity, h.rules.TTL
 }
 
+// advance moves on when the predecessor's leases have ended.
+func (h *Hold) advance(now time.Time) {
+	if now.Before(h.waitUntil) || h.State == LeaseFull {
+		return
+	}
+	if h.cleared {
+		_ = leaseLifecycle.Fire(&h.State, leaseClear)
+		return
+	}
+	if h.State == LeaseWaiting {
+		_ = leaseLifecycle.Fire(&h.State, leaseWaited)
+	}
+}
+
 // Lease is what an entry holds of one endpoint. Its end is counted from the
 // moment before the entry asked, so that a delayed answer is never too long.
 type Lease struct {
--- a/core/member.go
+++ b/core/member.go
@@ -83,6 +83,30 @@
 	return best
 }
 
+// SlotCount is the number of owners of an endpoint.
+const SlotCount = 2
+
+// Owner gives the box that owns a half of an endpoint. The second half goes to
+// another box than the first where there is one.
+func (l *List) Owner(endpoint string, slot int) string {
+	first := l.Home("endpoint/0/"+endpoint, nil)
+	if slot == 0 {
+		return first
+	}
+	second := l.Home("endpoint/1/"+endpoint, func(box string) bool { return box == first })
+	if second == "" {
+		return first
+	}
+	return second
+}
+
+// Without gives the list as it is without a box.
+func (l *List) Without(box string) *List {
+	shorter := *l
+	shorter.Boxes = slices.DeleteFunc(slices.Clone(l.Boxes), func(m Member) bool { return m.Name == box })
+	return &shorter
+}
+
 // Score is the rendezvous weight of a box for a key.
 func Score(key, box string) uint64 {
 	var d xxhash.Digest
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -104,7 +104,7 @@
 func (h *Home) remember(now time.Time, next *List) {
 	old := h.reading.List
 	if old == nil {
-		old = next.without(h.self.Name)
+		old = next.Without(h.self.Name)
 		h.take.settled = len(old.Boxes) == 0 || next.Age <= h.rules.BootSlack
 	} else if next.Version > old.Version+1 {
 		h.take.settled = false
@@ -117,12 +117,6 @@
 	})
 }
 
-func (l *List) without(box string) *List {
-	shorter := *l
-	shorter.Boxes = slices.DeleteFunc(slices.Clone(l.Boxes), func(m Member) bool { return m.Name == box })
-	return &shorter
-}
-
 func (h *Home) blind(until time.Time) {
 	if until.After(h.take.blindUntil) {
 		h.take.blindUntil = until
--- a/entry/model.go
+++ b/entry/model.go
@@ -10,7 +10,6 @@
 	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/policy"
-	"dillsaddle.example/dillsaddle/scheduler"
 	"dillsaddle.example/dillsaddle/trace"
 	"dillsaddle.example/dillsaddle/watch"
 	"dillsaddle.example/dillsaddle/wire"
@@ -181,7 +180,8 @@
 	}
 }
 
-// renew sends one message to each owner, with a wish for each endpoint.
+// renew sends one message to each owner, with a wish for each half of an
+// endpoint.
 func (e *Entry) renew(ctx context.Context) {
 	v := e.state.View()
 	if v.Document == nil || v.List == nil {
@@ -204,21 +204,26 @@
 	wishes := m.core.Wishes()
 	m.mu.Unlock()
 	for _, w := range wishes {
-		owner := scheduler.Owner(v.List, w.Endpoint, v.Suspected)
-		ask := asks[owner]
-		if ask == nil {
-			ask = &wire.LeaseAsk{Box: e.self}
-			asks[owner] = ask
+		for slot := range core.SlotCount {
+			owner := v.List.Owner(w.Endpoint, slot)
+			if asks[owner] == nil {
+				asks[owner] = &wire.LeaseAsk{Box: e.self}
+			}
+			asks[owner].Wishes = append(asks[owner].Wishes, leaseWish(modelName, w, slot))
 		}
-		mean, variance := w.Profile.Floats()
-		ask.Wishes = append(ask.Wishes, wire.LeaseWish{
-			Endpoint: w.Endpoint,
-			Model:    modelName,
-			Mean:     mean,
-			Variance: variance,
-			Running:  w.Running,
-			Waiting:  w.Waiting,
-		})
+	}
+}
+
+func leaseWish(model string, w admission.EndpointWish, slot int) wire.LeaseWish {
+	mean, variance := w.Profile.Floats()
+	return wire.LeaseWish{
+		Endpoint: w.Endpoint,
+		Slot:     slot,
+		Model:    model,
+		Mean:     mean,
+		Variance: variance,
+		Running:  w.Running,
+		Waiting:  w.Waiting,
 	}
 }
 
@@ -243,6 +248,7 @@
 	m.until[g.Endpoint] = lease.Until
 	m.mu.Unlock()
 	m.step(time.Now(), admission.LeaseArrived{
+		Slot:         g.Slot,
 		Lease:        lease,
 		Others:       admission.ProfileFrom(g.OtherMean, g.OtherVariance),
 		OtherRunning: g.OtherRunning,
--- a/entry/services.go
+++ b/entry/services.go
@@ -178,6 +178,7 @@
 func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt) {
 	k.c.Request.CopyTo(req)
 	req.Header.Del("Authorization")
+	req.Header.Del("Connection")
 	uri := "http://" + k.last.String() + k.path
 	if query := string(k.c.URI().QueryString()); query != "" {
 		uri += "?" + query
@@ -223,6 +224,7 @@
 
 func (k *serviceCall) deliver() {
 	k.answer.CopyTo(&k.c.Response)
+	k.c.Response.Header.Del("Connection")
 	k.c.Response.Header.Set(outcomeHeader, string(core.Ran))
 }
 
--- a/scheduler/claims.go
+++ b/scheduler/claims.go
@@ -69,7 +69,6 @@
 }
 
 func (s *Scheduler) handoverAsk(ctx context.Context, _ *wire.Conn, q wire.HandoverAsk) (wire.HandoverGive, error) {
-	s.owners.retire(q.From.Name, false)
 	for _, command := range s.stepHome(ctx, core.HandoverAsked{
 		From:        q.From,
 		ListVersion: q.ListVersion,
@@ -90,7 +89,7 @@
 	if q.None {
 		return
 	}
-	s.owners.retire(q.Handover.From.Name, q.Handover.Final)
+	s.owners.told(q.Handover.From.Name, q.Handover.ListVersion, q.Handover.Final)
 	s.stepHome(ctx, core.HandoverArrived{Handover: q.Handover})
 }
 
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -21,9 +21,10 @@
 // hintCount bounds the cache hints on one lease.
 const hintCount = 16
 
-// endpoint is one engine that this box may own; its lock is its own.
+// endpoint is the half of one engine that this box may own; its lock is its own.
 type endpoint struct {
 	mu       sync.Mutex
+	slot     int
 	settings config.Endpoint
 	shares   *admission.Shares
 	owner    bool
@@ -33,16 +34,17 @@
 	hints    []engine.CacheEvent
 }
 
-func newEndpoint(c config.Endpoint) *endpoint {
+func newEndpoint(c config.Endpoint, slot int) *endpoint {
 	hold := core.NewHold(c.Name, core.DefaultLeaseRules())
 	return &endpoint{
+		slot:     slot,
 		settings: c,
 		shares:   admission.NewShares(hold, c.MemoryTokens, c.BatchSlots, targetStep),
 	}
 }
 
-// own follows the list: it takes or loses the endpoint.
-func (e *endpoint) own(now time.Time, owner, planned bool) {
+// own follows the list: it takes or loses the half.
+func (e *endpoint) own(now time.Time, owner, fresh bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if owner == e.owner {
@@ -50,12 +52,24 @@
 	}
 	e.owner = owner
 	if owner {
-		e.shares.Hold().Step(now, core.HoldTaken{Planned: planned})
+		e.shares.Hold().Step(now, core.HoldTaken{Fresh: fresh})
 		return
 	}
 	e.shares.Hold().Step(now, core.HoldLost{})
 }
 
+func (e *endpoint) foreign() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shares.Foreign()
+}
+
+func (e *endpoint) predecessorGone(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shares.Hold().Step(now, core.PredecessorGone{})
+}
+
 func (e *endpoint) follow(now time.Time, c config.Endpoint, leaving bool, confirmed time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -90,6 +104,7 @@
 		Incarnation:   uint64(e.lastLoad.Incarnation),
 		Step:          e.lastLoad.Step,
 		Model:         w.Model,
+		Slot:          w.Slot,
 	}
 	for _, h := range e.hints {
 		out.Hints = append(out.Hints, wire.CacheHint{
@@ -108,7 +123,7 @@
 	}
 	e.lastLoad = l
 	e.loadAt = now
-	e.shares.Observe(now, admission.Report{
+	e.shares.Observe(admission.Report{
 		Batch: l.Running,
 		Step:  l.Step,
 		Used:  l.UsedTokens,
@@ -137,6 +152,7 @@
 	defer e.mu.Unlock()
 	return wire.HoldStatus{
 		Endpoint: e.settings.Name,
+		Slot:     e.slot,
 		State:    string(e.shares.Hold().State),
 		Boxes:    e.shares.Boxes(),
 		Used:     e.lastLoad.UsedTokens,
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -1,68 +1,81 @@
 package scheduler
 
 import (
-	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
-	"dillsaddle.example/dillsaddle/watch"
 )
 
-// EndpointKey is what an endpoint's owner is computed from.
-func EndpointKey(endpoint string) string { return "endpoint/" + endpoint }
+// slotKey names one half of an endpoint.
+func slotKey(endpoint string, slot int) string { return endpoint + "/" + strconv.Itoa(slot) }
 
-// Owner gives the box that owns an endpoint: the highest by rendezvous of those
-// that are neither suspected nor retired.
-func Owner(list *core.List, endpoint string, without []string) string {
-	owner := list.Home(EndpointKey(endpoint), func(box string) bool { return slices.Contains(without, box) })
-	if owner == "" {
-		return list.Home(EndpointKey(endpoint), nil)
-	}
-	return owner
-}
+// goneAfter is how long a predecessor must be off the list, with no use of the
+// endpoint that this owner can't explain, until it counts as dead.
+const goneAfter = 5 * time.Minute
 
-// ownership remembers who owned what, to tell a planned change from another.
+// ownership remembers who owned which half before, and what is known of it.
 type ownership struct {
 	mu      sync.Mutex
-	last    map[string]string
-	retired map[string]bool
-	began   time.Time
+	before  map[string]string // by half: the owner before the present one
+	owner   map[string]string
+	since   map[string]time.Time
+	version map[string]uint64 // by half: the list that made the owner
+	adopted map[string]uint64 // by box: the list that it told to have adopted
 }
 
 func newOwnership() *ownership {
 	return &ownership{
-		last:    make(map[string]string),
-		retired: make(map[string]bool),
-		began:   time.Now(),
+		before:  make(map[string]string),
+		owner:   make(map[string]string),
+		since:   make(map[string]time.Time),
+		version: make(map[string]uint64),
+		adopted: make(map[string]uint64),
 	}
 }
 
-// of gives the owner and whether the change to it is planned: the one before
-// retired, or the fleet is too young for there to have been one.
-func (o *ownership) of(v watch.View, endpoint, self string) (string, bool) {
+// of gives the owner of a half, and whether nobody can have owned it before. A
+// box that starts takes the list without itself as the one before.
+func (o *ownership) of(now time.Time, list *core.List, self, endpoint string, slot int) (owner string, fresh bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	without := slices.Clone(v.Suspected)
-	for box := range o.retired {
-		without = append(without, box)
+	key := slotKey(endpoint, slot)
+	owner = list.Owner(endpoint, slot)
+	last, known := o.owner[key]
+	if known && last == owner {
+		return owner, false
 	}
-	without = slices.DeleteFunc(without, func(box string) bool { return box == self })
-	owner := Owner(v.List, endpoint, without)
-	before, known := o.last[endpoint]
-	o.last[endpoint] = owner
 	if !known {
-		return owner, v.List.Age < youngFleet
+		last = list.Without(self).Owner(endpoint, slot)
+	}
+	o.owner[key] = owner
+	o.before[key] = last
+	o.since[key] = now
+	o.version[key] = list.Version
+	return owner, !known && list.Age < youngFleet
+}
+
+// told notes that a box has adopted a list.
+func (o *ownership) told(box string, version uint64, final bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if final {
+		version = ^uint64(0)
 	}
-	return owner, o.retired[before]
+	o.adopted[box] = max(o.adopted[box], version)
 }
 
-func (o *ownership) retire(box string, gone bool) {
+// gone reports whether the owner of a half before the present one is known to
+// grant nothing more.
+func (o *ownership) gone(now time.Time, list *core.List, endpoint string, slot int, foreign bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if gone {
-		o.retired[box] = true
-		return
+	key := slotKey(endpoint, slot)
+	last := o.before[key]
+	if last == "" || last == o.owner[key] || o.adopted[last] >= o.version[key] {
+		return true
 	}
-	delete(o.retired, box)
+	unlisted := list.Member(last) == nil
+	return unlisted && !foreign && now.Sub(o.since[key]) > goneAfter
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,10 +135,7 @@
 		}
 	})
 	slices.SortFunc(out.Holds, func(a, b wire.HoldStatus) int {
-		if a.Endpoint < b.Endpoint {
-			return -1
-		}
-		return 1
+		return cmp.Or(strings.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Slot, b.Slot))
 	})
 	s.homeLock.Lock()
 	out.Claims = s.home.Len()
@@ -175,23 +174,39 @@
 	})
 	known := make(map[string]bool, len(v.Document.Endpoints))
 	for _, c := range v.Document.Endpoints {
-		known[c.Name] = true
-		s.followOne(now, v, c)
+		for slot := range core.SlotCount {
+			known[slotKey(c.Name, slot)] = true
+			s.followOne(now, v, c, slot)
+		}
 	}
-	s.endpoints.Each(func(name string, e *endpoint) {
-		if !known[name] {
+	s.endpoints.Each(func(key string, e *endpoint) {
+		if !known[key] {
 			e.own(now, false, false)
-			s.endpoints.Delete(name)
+			s.endpoints.Delete(key)
 		}
 	})
 }
 
-func (s *Scheduler) followOne(now time.Time, v watch.View, c config.Endpoint) {
-	owner, planned := s.owners.of(v, c.Name, s.settings.Name)
-	e := s.endpoints.GetOrMake(c.Name, func() *endpoint { return newEndpoint(c) })
+func (s *Scheduler) followOne(now time.Time, v watch.View, c config.Endpoint, slot int) {
+	owner, fresh := s.owners.of(now, v.List, s.settings.Name, c.Name, slot)
 	mine := owner == s.settings.Name && s.taking()
+	key := slotKey(c.Name, slot)
+	e, held := s.endpoints.Get(key)
+	if !held && !mine {
+		return
+	}
+	if !held {
+		e = newEndpoint(c, slot)
+		s.endpoints.Put(key, e)
+	}
 	e.follow(now, c, v.List.Leaving(c.Name), v.ConfirmedAt)
-	e.own(now, mine, planned)
+	e.own(now, mine, fresh)
+	if mine && s.owners.gone(now, v.List, c.Name, slot, e.foreign()) {
+		e.predecessorGone(now)
+	}
+	if !mine {
+		s.endpoints.Delete(key)
+	}
 }
 
 // readLoads reads the load and the cache events of the endpoints it owns.
@@ -223,7 +238,7 @@
 	now := time.Now()
 	var out wire.LeaseGrants
 	for _, w := range q.Wishes {
-		e, known := s.endpoints.Get(w.Endpoint)
+		e, known := s.endpoints.Get(slotKey(w.Endpoint, w.Slot))
 		if !known {
 			continue
 		}
--- a/trace/event.go
+++ b/trace/event.go
@@ -65,7 +65,7 @@
 	core.HoldTaken{},
 	core.HoldLost{},
 	core.EndpointLeaving{},
-	core.ForeignUse{},
+	core.PredecessorGone{},
 	admission.RequestArrived{},
 	admission.RequestWithdrawn{},
 	admission.LeaseArrived{},
--- a/wire/message.go
+++ b/wire/message.go
@@ -64,6 +64,7 @@
 	Running  int       `cbor:"4,keyasint"`
 	Waiting  int       `cbor:"5,keyasint"` // expected tokens of waiting requests
 	Model    string    `cbor:"6,keyasint"`
+	Slot     int       `cbor:"7,keyasint,omitempty"`
 }
 
 // LengthSeen tells the length of an ended generation, for the estimates.
@@ -96,6 +97,7 @@
 	Step          time.Duration `cbor:"10,keyasint"` // engine's last time between tokens
 	Hints         []CacheHint   `cbor:"11,keyasint,omitempty"`
 	Model         string        `cbor:"12,keyasint"`
+	Slot          int           `cbor:"13,keyasint,omitempty"`
 }
 
 // CacheHint tells that an endpoint kept or dropped a prompt prefix.
@@ -183,8 +185,8 @@
 // HoldStatus is one endpoint that a scheduler owns.
 type HoldStatus struct {
 	Endpoint string `cbor:"1,keyasint" json:"endpoint"`
+	Slot     int    `cbor:"7,keyasint" json:"slot"`
 	State    string `cbor:"2,keyasint" json:"state"`
-	Leaving  bool   `cbor:"3,keyasint" json:"leaving"`
 	Boxes    int    `cbor:"4,keyasint" json:"boxes"`
 	Used     int    `cbor:"5,keyasint" json:"used"`
 	Capacity int    `cbor:"6,keyasint" json:"capacity"`
