--- a/config/document.go
+++ b/config/document.go
@@ -38,9 +38,9 @@
 	d := r.document(&value)
 	r.check(d)
 	if r.faults.Fatal() {
-		return nil, r.faults
+		return nil, r.faults.sorted()
 	}
-	return d, r.faults
+	return d, r.faults.sorted()
 }
 
 func errorOffset(source []byte) int {
--- a/config/fault.go
+++ b/config/fault.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -35,6 +37,14 @@
 	return strings.Join(lines, "\n")
 }
 
+// sorted gives the faults by line, the same in every run.
+func (f Faults) sorted() Faults {
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.What, b.What))
+	})
+	return f
+}
+
 // Fatal reports whether any fault forbids putting the document in force.
 func (f Faults) Fatal() bool {
 	for _, one := range f {
