model: check the core protocol and mend what it found

Six specifications call the running core: streams, claims, leases, configuration versions, planned stops and fenced orders.

Each of these failed first, as a shortest trace, and is held now: - streams: a late token of a given-up attempt was taken while the request waited for its next place (10 steps). Frames in waiting are late. - streams: a gap before any token resumed without knowing the endpoint's life, so a restarted engine that reuses numbers was believed (11 steps). The frame that shows the gap names the life. - claims: a repeat later than the guard time ran again after its home had died (9 steps). Inherent to keys that say nothing of their age; keys that carry their time (UUID version 7) get "unknown" for ever instead. - claims: a restarted old home handed over an empty memory as if it were whole (8 steps). A handover counts only from a settled home, and what an earlier life knew counts as lost. - claims: in a young fleet a restarted home took itself for settled before it had heard that it had lived before (9 steps). It waits for all others. - claims: an old home that had gone back to own the key, two lists ahead, handed over nothing and was believed (10 steps, no fault). Handovers are exchanged under one list version only. - leases: an owner that slept through the endpoint's leaving woke and granted (8 steps). After a pause a reading must be confirmed before a grant. - leases: a new owner that learned of the old one's end granted all while the old one's last lease ran (10 steps). It waits the lease time out.

Changelog-added: model checking of the core protocol.

--- a/core/claim.go
+++ b/core/claim.go
@@ -67,6 +67,11 @@
 
 // ClaimRules are the bounds of the at-most-once records.
 //
+// Records are kept for Retention. A key that carries its time (a UUID of
+// version 7) and is older than that, or than a loss of records, gets "unknown"
+// for ever; its maker's clock may be off by Skew at most. Any other key that is
+// not on record counts as new once Guard has passed since the last loss.
+//
 // Guard must exceed Fresh and GrantTTL by more than the platform's usual lag:
 // a home that lost touch stops granting within Fresh, and a grant it gave is
 // spent within GrantTTL, before its successor grants anything.
@@ -76,6 +81,7 @@
 	GrantTTL  time.Duration
 	Retention time.Duration
 	BootSlack time.Duration
+	Skew      time.Duration
 }
 
 // DefaultClaimRules gives the bounds that the processes use.
@@ -86,6 +92,7 @@
 		GrantTTL:  10 * time.Second,
 		Retention: time.Hour,
 		BootSlack: time.Minute,
+		Skew:      time.Minute,
 	}
 }
 
@@ -111,6 +118,8 @@
 	Asker       Box
 	ListVersion uint64
 	HomeKnown   Incarnation
+	Timed       bool // the key carries the time at which it was made
+	KeyAge      time.Duration
 }
 
 // ClaimSettled tells how a granted attempt ended.
@@ -224,7 +233,7 @@
 		return append(h.answer(e, VerdictNotYet, nil), ListWanted{Version: e.ListVersion})
 	}
 	if e.HomeKnown != 0 && e.HomeKnown != h.self.Incarnation {
-		h.restartSeen(now, h.rules.Guard)
+		h.restartSeen()
 	}
 	if r := h.records[e.Key]; r != nil && r.State != ClaimNotRun {
 		return h.answerKnown(e, r)
@@ -235,7 +244,7 @@
 	if !h.reading.Fresh(now, h.rules.Fresh) && h.guards.on(GuardClaimFresh) {
 		return h.answer(e, VerdictNotYet, nil)
 	}
-	switch h.provable(now, e.Key) {
+	switch h.provable(now, &e) {
 	case proofMissing:
 		return h.answer(e, VerdictUnknown, nil)
 	case proofPending:
--- a/core/generation.go
+++ b/core/generation.go
@@ -40,6 +40,7 @@
 	},
 	GenerationPlaced: {
 		generationToken:  GenerationStreaming,
+		generationCut:    GenerationResuming,
 		generationReturn: GenerationWaiting,
 		generationEnd:    GenerationEnded,
 	},
@@ -301,7 +302,7 @@
 // Accept judges one frame without building commands; it is the path that every
 // token takes.
 func (g *Generation) Accept(attempt int, origin Origin, offset uint64) DropReason {
-	if attempt != g.Attempt && g.guards.on(GuardAttempt) {
+	if attempt != g.Attempt || g.State == GenerationWaiting || g.State == GenerationEnded {
 		return DropLate
 	}
 	if !g.sameOrigin(origin) {
@@ -321,7 +322,7 @@
 }
 
 func (g *Generation) sameOrigin(origin Origin) bool {
-	if !g.guards.on(GuardIncarnation) {
+	if !g.guards.on(GuardOrigin) {
 		return true
 	}
 	if origin.Endpoint != g.Origin.Endpoint || origin.Generation != g.Origin.Generation {
@@ -339,6 +340,7 @@
 	}
 	reason := g.Accept(e.Attempt, e.Origin, e.Offset)
 	if reason == DropGap {
+		g.Origin = e.Origin // a resume must find this life of the endpoint
 		return append([]Command{DropFrame{Reason: reason}}, g.resumeAt(0)...)
 	}
 	if reason != DropNone {
@@ -373,6 +375,8 @@
 	}
 	if !g.guards.on(GuardNoSplice) && g.Repeatable {
 		g.State = GenerationWaiting
+		g.MaybeRan = true
+		g.Origin = Origin{}
 		return []Command{PlaceAgain{Avoid: g.Origin.Endpoint}}
 	}
 	return g.resumeAt(g.rules.ResumeDelay)
--- a/core/guard.go
+++ b/core/guard.go
@@ -7,18 +7,17 @@
 // The guards, by the promise that each keeps.
 const (
 	GuardOffset        Guard = "offset"         // tokens once and in order
-	GuardIncarnation   Guard = "incarnation"    // tokens of one generation
+	GuardOrigin        Guard = "origin"         // tokens of one generation, none crossed
 	GuardNoSplice      Guard = "no-splice"      // no restart after the first token
-	GuardAttempt       Guard = "attempt"        // late and crossed answers dropped
 	GuardWholeAnswer   Guard = "whole-answer"   // a cut answer is not given as whole
 	GuardBytesLeft     Guard = "bytes-left"     // not-run only if no byte left
 	GuardClaimRecord   Guard = "claim-record"   // a key is granted once
 	GuardClaimTakeover Guard = "claim-takeover" // a new home waits for the old
 	GuardClaimFresh    Guard = "claim-fresh"    // a home with an old list stops
 	GuardClaimRestart  Guard = "claim-restart"  // a restarted home knows nothing
-	GuardGrantExpiry   Guard = "grant-expiry"   // an old grant is not used
 	GuardLeaseExpiry   Guard = "lease-expiry"   // no send on an expired lease
 	GuardLeaseLeaving  Guard = "lease-leaving"  // no renewal for the leaving
+	GuardLeasePause    Guard = "lease-pause"    // who wakes from a pause asks first
 	GuardLeaseTakeover Guard = "lease-takeover" // a new owner waits out the old
 	GuardVersionOrder  Guard = "version-order"  // never an older configuration
 	GuardVersionAsk    Guard = "version-ask"    // a starting box asks its peers
--- a/core/lease.go
+++ b/core/lease.go
@@ -68,7 +68,10 @@
 	Endpoint  string
 	leaving   bool
 	cleared   bool
+	clearAt   time.Time
 	waitUntil time.Time
+	tickedAt  time.Time
+	wokeAt    time.Time // after a pause, until a reading is confirmed anew
 	reading   time.Time
 	rules     LeaseRules
 	guards    Guards
@@ -94,6 +97,10 @@
 // it handed over, came back with this list or a later one, or is long dead.
 type PredecessorGone struct{ EventBase }
 
+// HoldTicked tells that the process runs; it comes several times in the time for
+// which a reading is fresh.
+type HoldTicked struct{ EventBase }
+
 // NewHold starts closed.
 func NewHold(endpoint string, rules LeaseRules, options ...Option) *Hold {
 	return &Hold{
@@ -117,6 +124,8 @@
 		h.confirmed(e)
 	case PredecessorGone:
 		h.clear(now)
+	case HoldTicked:
+		h.ticked(now)
 	}
 	return nil
 }
@@ -138,15 +147,29 @@
 		return
 	}
 	h.cleared = true
-	if last := now.Add(h.rules.TTL); h.State == LeaseSafe || last.Before(h.waitUntil) {
-		h.waitUntil = last
+	h.clearAt = now.Add(h.rules.TTL)
+	if h.clearAt.Before(h.waitUntil) {
+		h.waitUntil = h.clearAt
+	}
+}
+
+// ticked notices a pause: who wakes from one may believe in what changed in the
+// meantime, and grants nothing until a reading is confirmed anew. An outage of
+// the platform alone is no pause.
+func (h *Hold) ticked(now time.Time) {
+	if !h.tickedAt.IsZero() && now.Sub(h.tickedAt) > h.rules.Fresh && h.guards.on(GuardLeasePause) {
+		h.wokeAt = now
 	}
+	h.tickedAt = now
 }
 
 func (h *Hold) confirmed(e ListConfirmed) {
 	if e.At.After(h.reading) {
 		h.reading = e.At
 	}
+	if !e.At.Before(h.wokeAt) {
+		h.wokeAt = time.Time{}
+	}
 }
 
 // safeDivisor is the part of an endpoint that an owner may lease when another
@@ -159,8 +182,9 @@
 	if h.State == LeaseClosed || h.leaving && h.guards.on(GuardLeaseLeaving) {
 		return 0, 0
 	}
+	h.ticked(now)
 	h.advance(now)
-	if h.State == LeaseWaiting {
+	if h.State == LeaseWaiting || !h.wokeAt.IsZero() {
 		return 0, 0
 	}
 	if h.State == LeaseSafe || now.Sub(h.reading) > h.rules.Fresh {
@@ -171,14 +195,10 @@
 
 // advance moves on when the predecessor's leases have ended.
 func (h *Hold) advance(now time.Time) {
-	if now.Before(h.waitUntil) || h.State == LeaseFull {
-		return
-	}
-	if h.cleared {
+	if h.cleared && !now.Before(h.clearAt) && h.State != LeaseFull {
 		_ = leaseLifecycle.Fire(&h.State, leaseClear)
-		return
 	}
-	if h.State == LeaseWaiting {
+	if h.State == LeaseWaiting && !now.Before(h.waitUntil) {
 		_ = leaseLifecycle.Fire(&h.State, leaseWaited)
 	}
 }
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -40,16 +40,17 @@
 		b = fmt.Appendf(b, "%s:%s/%s/%v|", key.Key, r.State, r.Attempt, r.Asker)
 	}
 	for _, ep := range h.take.epochs {
-		b = fmt.Appendf(b, "e%d-%d/%d/%d|", ep.List.Version, ep.Next, len(ep.List.Boxes), age(ep.till))
+		b = fmt.Appendf(b, "e%d-%d/%d/%d|", ep.List.Version, ep.Next, len(ep.List.Boxes), age(ep.at))
 	}
 	for _, name := range slices.Sorted(maps.Keys(h.take.heirOf)) {
-		b = fmt.Appendf(b, "h%s%d|", name, h.take.heirOf[name])
+		from := h.take.heirOf[name]
+		b = fmt.Appendf(b, "h%s%d/%d|", name, from.version, age(from.blindSince))
 	}
 	for _, name := range slices.Sorted(maps.Keys(h.take.known)) {
 		k := h.take.known[name]
-		b = fmt.Appendf(b, "k%s%d/%d|", name, k.incarnation, age(k.replacedAt))
+		b = fmt.Appendf(b, "k%s%d/%v/%d/%v|", name, k.incarnation, k.replaced, age(k.metAt), k.told)
 	}
-	return fmt.Appendf(b, "%v/%d", h.take.settled, age(h.take.blindUntil))
+	return fmt.Appendf(b, "%v/%v/%d", h.take.settled, h.take.young, age(h.take.blindSince))
 }
 
 // Clone copies an owner's hold.
@@ -61,8 +62,10 @@
 // Fingerprint writes what decides a hold's later answers.
 func (h *Hold) Fingerprint(b []byte, now time.Time) []byte {
 	wait := max(0, h.waitUntil.Sub(now))
+	clear := max(0, h.clearAt.Sub(now))
 	age := min(now.Sub(h.reading), h.rules.Fresh+1)
-	return fmt.Appendf(b, "L%s,%v,%v,%d,%d|", h.State, h.leaving, h.cleared, wait, age)
+	tick := min(now.Sub(h.tickedAt), h.rules.Fresh+1)
+	return fmt.Appendf(b, "L%s,%v,%v,%d,%d,%d,%d,%v|", h.State, h.leaving, h.cleared, wait, clear, age, tick, h.wokeAt.IsZero())
 }
 
 // Clone copies a generation.
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -10,8 +10,8 @@
 type Epoch struct {
 	List *List
 	Next uint64        // version of the list that replaced it
-	Left time.Duration // time for which it still matters
-	till time.Time
+	Age  time.Duration // since it was replaced, in a message
+	at   time.Time
 }
 
 // Handover is what one home tells its successor.
@@ -21,9 +21,11 @@
 	ListVersion uint64
 	Final       bool // From grants nothing more
 	Settled     bool // From itself knows the past
+	Blind       bool // From lost what was before, BlindAge ago
+	BlindAge    time.Duration
 	Records     []ClaimRecord
 	Epochs      []Epoch
-	Earlier     time.Duration // guard left because of an earlier life of To
+	Earlier     bool // From met an earlier life of To
 }
 
 // HandoverAsked tells that a successor wants what it takes over.
@@ -61,20 +63,29 @@
 // takeover is what a home knows of those who were home before it.
 type takeover struct {
 	epochs     []Epoch
-	heirOf     map[string]uint64 // list version at which a box handed over
-	known      map[string]life   // lives of other boxes that were met
+	heirOf     map[string]heir // by box that handed over
+	known      map[string]life // lives of other boxes that were met
 	settled    bool
-	blindUntil time.Time
+	young      bool      // the fleet has no past but what its boxes know
+	blindSince time.Time // keys from before are unknown to this home
+}
+
+// heir says what a box has handed over.
+type heir struct {
+	version    uint64    // of the list under which it did
+	blindSince time.Time // what it knew from before was lost
 }
 
 type life struct {
 	incarnation Incarnation
-	replacedAt  time.Time
+	replaced    bool // an earlier one was met
+	metAt       time.Time
+	told        bool // it handed over, and so said what it knew of this box
 }
 
 func newTakeover() takeover {
 	return takeover{
-		heirOf: make(map[string]uint64),
+		heirOf: make(map[string]heir),
 		known:  make(map[string]life),
 	}
 }
@@ -105,50 +116,63 @@
 	old := h.reading.List
 	if old == nil {
 		old = next.Without(h.self.Name)
-		h.take.settled = len(old.Boxes) == 0 || next.Age <= h.rules.BootSlack
+		h.take.settled = len(old.Boxes) == 0
+		h.take.young = next.Age <= h.rules.BootSlack
 	} else if next.Version > old.Version+1 {
 		h.take.settled = false
-		h.blind(now.Add(h.rules.Guard))
+		h.take.blindSince = now
 	}
 	h.take.epochs = append(h.take.epochs, Epoch{
 		List: old,
 		Next: next.Version,
-		till: now.Add(h.rules.Guard),
+		at:   now,
 	})
 }
 
-func (h *Home) blind(until time.Time) {
-	if until.After(h.take.blindUntil) {
-		h.take.blindUntil = until
+// restartSeen tells that an earlier life of this box was met by another.
+func (h *Home) restartSeen() {
+	if h.guards.on(GuardClaimRestart) && h.take.blindSince.Before(h.started) {
+		h.take.blindSince = h.started
 	}
 }
 
-// restartSeen tells that an earlier life of this box was met by another.
-func (h *Home) restartSeen(now time.Time, left time.Duration) {
-	if left > 0 && h.guards.on(GuardClaimRestart) && now.Sub(h.started) < h.rules.Guard {
-		h.blind(now.Add(left))
-	}
+// lostAt reports whether a key may have been granted by a home whose records
+// were lost at a moment. A key that carries its time is judged by that: one made
+// after every old home must have stopped can't have been granted there. Any
+// other key may have been, until the guard time has passed.
+func (h *Home) lostAt(now time.Time, e *ClaimAsked, moment time.Time) bool {
+	if e.Timed {
+		return !now.Add(-e.KeyAge).After(moment.Add(h.rules.Fresh + h.rules.Skew))
+	}
+	return now.Sub(moment) <= h.rules.Guard
 }
 
 // provable tells whether every box that may have granted a key before has
-// handed over, or is past its guard time.
-func (h *Home) provable(now time.Time, key ClaimKey) proof {
+// handed over, or can't have granted this one.
+func (h *Home) provable(now time.Time, e *ClaimAsked) proof {
 	if !h.guards.on(GuardClaimTakeover) {
 		return proofWhole
 	}
-	if now.Before(h.take.blindUntil) {
+	if e.Timed && e.KeyAge > h.rules.Retention-h.rules.Fresh-h.rules.Skew {
+		return proofMissing
+	}
+	if !h.take.blindSince.IsZero() && h.lostAt(now, e, h.take.blindSince) {
 		return proofMissing
 	}
-	if !h.take.settled && now.Sub(h.started) < h.rules.Guard {
+	if !h.take.settled && now.Sub(h.started) <= h.rules.Guard {
 		return proofPending
 	}
 	for i := range h.take.epochs {
 		ep := &h.take.epochs[i]
-		before := ep.List.Home(ClaimScope(key), nil)
-		if before == "" || before == h.self.Name || now.After(ep.till) {
+		before := ep.List.Home(ClaimScope(e.Key), nil)
+		if before == "" || before == h.self.Name {
 			continue
 		}
-		if h.take.heirOf[before] < ep.Next {
+		lost := ep.at
+		if from := h.take.heirOf[before]; from.version >= ep.Next {
+			lost = from.blindSince
+		}
+		if !lost.IsZero() && h.lostAt(now, e, lost) {
 			return proofMissing
 		}
 	}
@@ -163,21 +187,27 @@
 	if e.ListVersion > h.reading.List.Version {
 		return []Command{ListWanted{Version: e.ListVersion}}
 	}
+	if e.ListVersion < h.reading.List.Version {
+		return nil // what is the asker's by its list may not be by this one
+	}
 	return []Command{HandoverSent{Handover: h.handover(now, e.From.Name, earlier)}}
 }
 
-// meet notes a life of another box and gives the guard time that is left if an
-// earlier one was known.
-func (h *Home) meet(now time.Time, other Box) time.Duration {
+// meet notes a life of another box and tells whether an earlier one was known.
+func (h *Home) meet(now time.Time, other Box) bool {
 	k, met := h.take.known[other.Name]
 	if !met {
-		h.take.known[other.Name] = life{incarnation: other.Incarnation}
-		return 0
+		h.take.known[other.Name] = life{
+			incarnation: other.Incarnation,
+			metAt:       now,
+		}
+		return false
 	}
 	if other.Incarnation > k.incarnation {
 		k = life{
 			incarnation: other.Incarnation,
-			replacedAt:  now,
+			replaced:    true,
+			metAt:       now,
 		}
 		h.take.known[other.Name] = k
 		delete(h.take.heirOf, other.Name)
@@ -186,21 +216,22 @@
 			Incarnation: other.Incarnation - 1,
 		}})
 	}
-	if k.replacedAt.IsZero() {
-		return 0
-	}
-	return max(0, h.rules.Guard-now.Sub(k.replacedAt))
+	return k.replaced
 }
 
-func (h *Home) handover(now time.Time, to string, earlier time.Duration) Handover {
+func (h *Home) handover(now time.Time, to string, earlier bool) Handover {
 	out := Handover{
 		From:        h.self,
 		To:          to,
 		ListVersion: h.reading.List.Version,
 		Final:       h.retired,
-		Settled:     h.take.settled && !now.Before(h.take.blindUntil),
+		Settled:     h.take.settled,
 		Earlier:     earlier,
 	}
+	if !h.take.blindSince.IsZero() {
+		out.Blind = true
+		out.BlindAge = now.Sub(h.take.blindSince)
+	}
 	for _, key := range h.sortedKeys() {
 		r := h.records[key]
 		if h.successor(key) == to {
@@ -210,10 +241,8 @@
 		}
 	}
 	for _, ep := range h.take.epochs {
-		if left := ep.till.Sub(now); left > 0 {
-			ep.Left = left
-			out.Epochs = append(out.Epochs, ep)
-		}
+		ep.Age = now.Sub(ep.at)
+		out.Epochs = append(out.Epochs, ep)
 	}
 	return out
 }
@@ -238,21 +267,61 @@
 func (h *Home) handoverArrived(now time.Time, e HandoverArrived) {
 	in := e.Handover
 	h.meet(now, in.From)
-	if k := h.take.known[in.From.Name]; k.incarnation != in.From.Incarnation {
+	if h.reading.List == nil || h.take.known[in.From.Name].incarnation != in.From.Incarnation {
 		return
 	}
-	h.restartSeen(now, in.Earlier)
+	if in.Earlier {
+		h.restartSeen()
+	}
 	for _, r := range in.Records {
 		h.learn(now, r)
 	}
 	for _, ep := range in.Epochs {
 		h.learnEpoch(now, ep)
 	}
-	h.take.settled = h.take.settled || in.Settled
-	h.take.heirOf[in.From.Name] = max(h.take.heirOf[in.From.Name], in.ListVersion)
+	h.settle(in)
+	if in.Settled && in.ListVersion == h.reading.List.Version {
+		h.inherit(now, in)
+	}
+}
+
+// settle takes over a past from one who knows it. In a young fleet nobody knows
+// one: there, a box has heard of its own earlier life, if it had one, when every
+// other box has answered.
+func (h *Home) settle(in Handover) {
+	k := h.take.known[in.From.Name]
+	k.told = true
+	h.take.known[in.From.Name] = k
+	if in.Settled || h.take.young && h.allTold() {
+		h.take.settled = true
+	}
+}
+
+func (h *Home) allTold() bool {
+	for i := range h.reading.List.Boxes {
+		name := h.reading.List.Boxes[i].Name
+		if name != h.self.Name && !h.take.known[name].told {
+			return false
+		}
+	}
+	return true
+}
+
+// inherit notes that a box grants nothing more of what is not its own under a
+// list. What an earlier life of it knew is lost.
+func (h *Home) inherit(now time.Time, in Handover) {
+	from := h.take.heirOf[in.From.Name]
+	from.version = max(from.version, in.ListVersion)
 	if in.Final {
-		h.take.heirOf[in.From.Name] = heirForGood
+		from.version = heirForGood
+	}
+	if in.Blind {
+		from.blindSince = now.Add(-in.BlindAge)
 	}
+	if k := h.take.known[in.From.Name]; k.replaced && k.metAt.After(from.blindSince) {
+		from.blindSince = k.metAt
+	}
+	h.take.heirOf[in.From.Name] = from
 }
 
 func (h *Home) learn(now time.Time, r ClaimRecord) {
@@ -271,7 +340,7 @@
 			return
 		}
 	}
-	ep.till = now.Add(ep.Left)
+	ep.at = now.Add(-ep.Age)
 	h.take.epochs = append(h.take.epochs, ep)
 }
 
@@ -284,12 +353,15 @@
 		return h.retire(now)
 	}
 	h.sweep(now)
-	h.take.epochs = slices.DeleteFunc(h.take.epochs, func(ep Epoch) bool { return now.After(ep.till) })
+	h.take.epochs = slices.DeleteFunc(h.take.epochs, func(ep Epoch) bool { return now.Sub(ep.at) > h.rules.Retention })
 	wanted := make(map[string]bool)
 	for _, ep := range h.take.epochs {
+		if now.Sub(ep.at) > h.rules.Guard {
+			continue
+		}
 		for i := range ep.List.Boxes {
 			m := &ep.List.Boxes[i]
-			if m.Name != h.self.Name && h.take.heirOf[m.Name] < ep.Next {
+			if m.Name != h.self.Name && h.take.heirOf[m.Name].version < ep.Next {
 				wanted[m.Name] = true
 			}
 		}
@@ -331,7 +403,7 @@
 		if name == h.self.Name {
 			continue
 		}
-		commands = append(commands, HandoverSent{Handover: h.handover(now, name, 0)})
+		commands = append(commands, HandoverSent{Handover: h.handover(now, name, false)})
 	}
 	return commands
 }
--- a/core/version.go
+++ b/core/version.go
@@ -44,6 +44,7 @@
 type VersionHeard struct {
 	EventBase
 	Version uint64
+	Digest  uint64
 	From    string
 }
 
@@ -74,10 +75,12 @@
 const (
 	RejectOlder    RejectReason = "not-newer"
 	RejectFaulty   RejectReason = "faulty"
-	RejectConflict RejectReason = "same-version-other-text"
+	RejectConflict RejectReason = "same-version-lower-digest"
 )
 
-// Versions decides which configuration version is in force on one box.
+// Versions decides which configuration version is in force on one box. Operators
+// who race may publish two texts under one version; then the one with the higher
+// digest is in force on every box, whichever came first.
 type Versions struct {
 	State    VersionState
 	InForce  uint64
@@ -107,12 +110,12 @@
 }
 
 func (v *Versions) offered(e VersionOffered) []Command {
-	if e.Version == v.InForce && e.Digest != v.Digest && e.Accepted {
-		return v.reject(e, RejectConflict)
-	}
-	if e.Version <= v.InForce && v.guards.on(GuardVersionOrder) {
+	if e.Version < v.InForce && v.guards.on(GuardVersionOrder) || e.Version == v.InForce && e.Digest == v.Digest {
 		return v.reject(e, RejectOlder)
 	}
+	if e.Version == v.InForce && e.Digest < v.Digest {
+		return v.reject(e, RejectConflict)
+	}
 	if !e.Accepted {
 		v.Rejected = max(v.Rejected, e.Version)
 		return v.reject(e, RejectFaulty)
@@ -130,9 +133,18 @@
 	}}
 }
 
+// newer reports whether a version that a peer named is wanted; a faulty one is
+// not asked for again.
+func (v *Versions) newer(e VersionHeard) bool {
+	if e.Version == v.InForce {
+		return e.Digest > v.Digest
+	}
+	return e.Version > v.InForce && e.Version != v.Rejected
+}
+
 func (v *Versions) heard(e VersionHeard) []Command {
 	v.Heard = max(v.Heard, e.Version)
-	if e.Version <= v.InForce || e.Version <= v.Rejected {
+	if !v.newer(e) {
 		return nil
 	}
 	_ = versionLifecycle.Fire(&v.State, versionHeard)
--- a/entry/call.go
+++ b/entry/call.go
@@ -320,19 +320,19 @@
 
 // token forwards one token if the generation accepts it, and counts it.
 func (k *call) token(t engine.Token) int {
-	if k.entry.recorder != nil {
-		k.entry.recorder.Event(time.Now(), trace.Generation+k.name, core.FrameArrived{
-			Attempt: k.sinkFor,
-			Origin:  t.Origin,
-			Offset:  t.Offset,
-		})
+	arrived := core.FrameArrived{
+		Attempt: k.sinkFor,
+		Origin:  t.Origin,
+		Offset:  t.Offset,
 	}
 	reason := k.gen.Accept(k.sinkFor, t.Origin, t.Offset)
 	if reason == core.DropGap {
-		countDropped(reason)
-		k.step(core.LinkLost{Attempt: k.sinkFor})
+		k.step(arrived)
 		return 0
 	}
+	if k.entry.recorder != nil { // the event would be made on the heap for nothing
+		k.entry.recorder.Event(time.Now(), trace.Generation+k.name, arrived)
+	}
 	if reason != core.DropNone {
 		countDropped(reason)
 		return 0
--- /dev/null
+++ b/model/claim_fault.go
@@ -0,0 +1,123 @@
+package model
+
+import (
+	"fmt"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// nextPlatform gives the platform's and time's own steps.
+func (s *claimState) nextPlatform(add claimAdder) {
+	if s.published+1 < len(s.lists) {
+		add(fmt.Sprintf("the platform publishes list %d", s.published+2), func(n *claimState) { n.published++ })
+	}
+	for i := range s.boxes {
+		b := &s.boxes[i]
+		if i != boxThird && b.home != nil && !b.paused && !b.cut && b.list < s.published {
+			add(fmt.Sprintf("%s adopts list %d", boxNames[i], b.list+2), func(n *claimState) { n.adopt(i, n.boxes[i].list+1) })
+		}
+		if b.home == nil && b.incarnation == 0 && s.lists[s.published].Member(boxNames[i]) != nil {
+			add(boxNames[i]+" starts", func(n *claimState) { n.startBox(i) })
+		}
+	}
+	s.nextStop(add)
+	if s.now < bootTime+1+s.rules.Time {
+		add("time passes", func(n *claimState) { n.tick() })
+	}
+}
+
+// tick lets time pass: boxes that reach the platform with its newest list have
+// it confirmed, and handovers are asked for.
+func (s *claimState) tick() {
+	s.now++
+	for i := range s.boxes {
+		b := &s.boxes[i]
+		if b.home == nil || b.paused || b.cut {
+			continue
+		}
+		if i == boxThird && b.list < s.published {
+			s.adopt(i, b.list+1)
+		}
+		if b.list != s.published {
+			continue
+		}
+		b.home.Step(at(s.now), core.ListConfirmed{
+			Version: s.lists[b.list].Version,
+			At:      at(s.now),
+		})
+	}
+	s.handovers()
+}
+
+// nextFault gives what can go wrong. A cut or paused box comes back without
+// another fault, and the process of a dead one is started anew.
+func (s *claimState) nextFault(add claimAdder) {
+	fault := func(label string, change func(*claimState)) {
+		add("fault: "+label, func(n *claimState) {
+			n.faults--
+			change(n)
+		})
+	}
+	for i := range s.boxes {
+		b := &s.boxes[i]
+		if b.home != nil && i != boxThird {
+			fault(boxNames[i]+" dies and restarts with empty memory", func(n *claimState) { n.startBox(i) })
+		}
+		if b.home != nil && i == boxHome {
+			fault(boxNames[i]+" dies for good", func(n *claimState) { n.boxes[i].home = nil })
+		}
+		if b.home != nil && !b.paused && i != boxThird {
+			fault(boxNames[i]+" is paused", func(n *claimState) { n.boxes[i].paused = true })
+		}
+		if b.home != nil && !b.cut {
+			fault(boxNames[i]+" is cut off", func(n *claimState) { n.boxes[i].cut = true })
+		}
+	}
+}
+
+func (s *claimState) nextRecovery(add claimAdder) {
+	for i := range s.boxes {
+		if s.boxes[i].paused {
+			add(boxNames[i]+" wakes", func(n *claimState) { n.boxes[i].paused = false })
+		}
+		if s.boxes[i].cut {
+			add(boxNames[i]+" is reached again", func(n *claimState) { n.boxes[i].cut = false })
+		}
+	}
+}
+
+// nextStop gives the steps of a planned stop of the home: it hands over what it
+// has, and leaves when no granted claim is open.
+func (s *claimState) nextStop(add claimAdder) {
+	b := &s.boxes[boxHome]
+	if s.rules.Scenario != HomeStops || b.home == nil || b.paused {
+		return
+	}
+	if !b.stopping {
+		add(boxNames[boxHome]+" is stopped as planned", func(n *claimState) {
+			n.boxes[boxHome].stopping = true
+			n.retire()
+		})
+		return
+	}
+	if b.home.Open() == 0 {
+		add(boxNames[boxHome]+" hands over once more and leaves", func(n *claimState) {
+			n.retire()
+			n.boxes[boxHome].home = nil
+		})
+	}
+}
+
+func (s *claimState) retire() {
+	for _, command := range s.boxes[boxHome].home.Step(at(s.now), core.Retire{}) {
+		sent, ok := command.(core.HandoverSent)
+		if !ok {
+			continue
+		}
+		for i := range boxNames {
+			if boxNames[i] == sent.Handover.To && s.reachable(boxHome, i) {
+				s.boxes[i].home.Step(at(s.now), core.HandoverArrived{Handover: sent.Handover})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/model/clock.go
@@ -0,0 +1,30 @@
+package model
+
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// start is the moment at which every specification begins.
+var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// unit is one step of a specification's time.
+const unit = time.Second
+
+func at(step int) time.Time { return start.Add(time.Duration(step) * unit) }
+
+// boxNames are the boxes of every specification.
+var boxNames = [3]string{"box-a", "box-b", "box-c"}
+
+// listOf builds a list version from the boxes that are live in it.
+func listOf(version uint64, age time.Duration, live ...string) *core.List {
+	l := &core.List{
+		Version: version,
+		Age:     age,
+	}
+	for _, name := range live {
+		l.Boxes = append(l.Boxes, core.Member{Name: name})
+	}
+	return l
+}
--- /dev/null
+++ b/model/drain.go
@@ -0,0 +1,106 @@
+package model
+
+import (
+	"fmt"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// DrainRules are the bounds of the specification of planned stops.
+type DrainRules struct {
+	Streams int
+	Options []core.Option
+}
+
+type drainState struct {
+	rules   *DrainRules
+	drain   *core.Drain
+	streams int
+	pending int // claims that the next home has not taken
+	begun   int
+	stops   int
+	cut     bool // a stream was cut, or a claim lost, by the leaving
+	late    bool // a stream was taken after the stop
+}
+
+// maxStops is how often the stop is asked for.
+const maxStops = 3
+
+// PlannedStops gives the first state of the specification of planned stops.
+func PlannedStops(rules DrainRules) State {
+	return &drainState{
+		rules:   &rules,
+		drain:   core.NewDrain(rules.Options...),
+		pending: 1,
+	}
+}
+
+// Key writes what decides the later states.
+func (s *drainState) Key() string {
+	return fmt.Sprint(s.drain.State, s.streams, s.pending, s.begun, s.stops, s.cut, s.late)
+}
+
+func (s *drainState) step(ev core.Event) {
+	for _, command := range s.drain.Step(at(0), ev) {
+		if _, ok := command.(core.Leave); ok {
+			s.cut = s.streams+s.pending > 0
+		}
+	}
+}
+
+func (s *drainState) changed() {
+	s.step(core.WorkChanged{
+		Streams: s.streams,
+		Pending: s.pending,
+	})
+}
+
+// Next gives every step of callers, operators and the handover.
+func (s *drainState) Next() []Transition {
+	var all []Transition
+	add := func(label string, change func(*drainState)) {
+		next := *s
+		next.drain = s.drain.Clone()
+		change(&next)
+		all = append(all, Transition{
+			Label: label,
+			To:    &next,
+		})
+	}
+	if s.drain.Taking() && s.begun < s.rules.Streams {
+		add("a stream begins", func(n *drainState) {
+			n.begun++
+			n.streams++
+			n.late = !n.drain.Taking()
+			n.changed()
+		})
+	}
+	if s.streams > 0 {
+		add("a stream ends", func(n *drainState) {
+			n.streams--
+			n.changed()
+		})
+	}
+	if s.pending > 0 && !s.drain.Taking() {
+		add("the next home takes the claims", func(n *drainState) {
+			n.pending--
+			n.changed()
+		})
+	}
+	if s.stops < maxStops {
+		add("a planned stop is asked for", func(n *drainState) {
+			n.stops++
+			n.changed()
+			n.step(core.StopAsked{})
+		})
+	}
+	return all
+}
+
+// Broken checks what planned stops promise.
+func (s *drainState) Broken() (string, bool) {
+	if s.cut {
+		return "a planned stop cut a request in progress", true
+	}
+	return "a stream was taken after the stop", s.late
+}
--- a/model/explore.go
+++ b/model/explore.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strings"
 	"time"
@@ -71,11 +72,20 @@
 // space is the graph of a specification's states, made as it is walked.
 type space struct {
 	nodes  []*node
-	byKey  map[string]int64
+	byKey  map[fingerprint]int64
 	states int
 	full   bool
 }
 
+// fingerprint stands for a state's key, which would fill the memory: two keys of
+// ten million states share one with a chance under 1e-24.
+type fingerprint [16]byte
+
+func fingerprintOf(key string) fingerprint {
+	sum := sha256.Sum256([]byte(key))
+	return fingerprint(sum[:16])
+}
+
 // From gives the states after one; the library asks once for each, and then the
 // state itself is let go.
 func (s *space) From(id int64) graph.Nodes {
@@ -106,7 +116,7 @@
 }
 
 func (s *space) intern(state State, parent int64, label string) (*node, bool) {
-	key := state.Key()
+	key := fingerprintOf(state.Key())
 	if id, known := s.byKey[key]; known {
 		return s.nodes[id], false
 	}
@@ -139,7 +149,7 @@
 func Explore(first State, bounds Bounds) Result {
 	began := time.Now()
 	s := &space{
-		byKey:  make(map[string]int64),
+		byKey:  make(map[fingerprint]int64),
 		states: bounds.States,
 	}
 	root, _ := s.intern(first, -1, "start")
@@ -153,7 +163,9 @@
 			return true
 		}
 		what, broken := n.(*node).state.Broken()
-		out.Break = what
+		if broken {
+			out.Break = what
+		}
 		return broken
 	})
 	out.States = len(s.nodes)
--- /dev/null
+++ b/model/stream.go
@@ -0,0 +1,342 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// StreamRules are the bounds of the specification of streams.
+type StreamRules struct {
+	Callers    int
+	Tokens     int
+	Faults     int
+	Repeatable bool
+	Options    []core.Option
+}
+
+// streamEngines is the number of engines; three boxes may carry a stream.
+const (
+	streamEngines = 2
+	streamWindow  = 2
+)
+
+type frameKind string
+
+const (
+	frameToken   frameKind = "token"
+	frameFinal   frameKind = "final"
+	frameRefused frameKind = "refused"
+	frameLost    frameKind = "lost"
+	frameGone    frameKind = "gone"
+)
+
+// streamFrame is a message on its way to a caller's entry.
+type streamFrame struct {
+	kind    frameKind
+	attempt int
+	origin  core.Origin
+	offset  uint64
+}
+
+// streamReader is a link over which an engine sends a generation's frames.
+type streamReader struct {
+	engine  int
+	origin  core.Origin
+	attempt int
+	sent    uint64
+	ended   bool
+}
+
+type streamCaller struct {
+	gen       *core.Generation
+	box       int
+	place     bool
+	send      *core.SendAttempt
+	resume    *core.Resume
+	net       []streamFrame
+	readers   []streamReader
+	delivered []streamFrame
+	started   []core.Origin
+}
+
+type streamEngine struct {
+	incarnation core.Incarnation
+	holds       []string // generations that can be read
+}
+
+// streamState is one state of callers, entries, links and engines.
+type streamState struct {
+	rules   *StreamRules
+	now     int
+	faults  int
+	engines [streamEngines]streamEngine
+	callers []streamCaller
+}
+
+// Streams gives the first state of the specification of streams.
+func Streams(rules StreamRules) State {
+	s := &streamState{
+		rules:  &rules,
+		faults: rules.Faults,
+	}
+	for i := range s.engines {
+		s.engines[i].incarnation = 1
+	}
+	for range rules.Callers {
+		s.callers = append(s.callers, streamCaller{
+			gen:   core.NewGeneration(rules.Repeatable, generationRules(), rules.Options...),
+			place: true,
+		})
+	}
+	return s
+}
+
+func generationRules() core.GenerationRules {
+	return core.GenerationRules{
+		Attempts:     2,
+		ResumeWindow: streamWindow * unit,
+	}
+}
+
+func (s *streamState) clone() *streamState {
+	copied := *s
+	copied.callers = slices.Clone(s.callers)
+	for i := range copied.engines {
+		copied.engines[i].holds = slices.Clone(s.engines[i].holds)
+	}
+	for i := range copied.callers {
+		c := &copied.callers[i]
+		c.gen = c.gen.Clone()
+		c.net = slices.Clone(c.net)
+		c.readers = slices.Clone(c.readers)
+		c.delivered = slices.Clone(c.delivered)
+		c.started = slices.Clone(c.started)
+	}
+	return &copied
+}
+
+// Key writes what decides the later states.
+func (s *streamState) Key() string {
+	b := fmt.Appendf(nil, "%d;%d;%v;", s.now, s.faults, s.engines)
+	for i := range s.callers {
+		c := &s.callers[i]
+		b = c.gen.Fingerprint(b, at(s.now))
+		b = fmt.Appendf(b, "%d,%v,%v,%v,%v,%v,%v,%v;", c.box, c.place, c.send != nil, c.resume, c.net, c.readers, c.delivered, c.started)
+	}
+	return string(b)
+}
+
+// step gives the caller's generation an event and notes what it asks.
+func (s *streamState) step(c *streamCaller, ev core.Event) {
+	for _, command := range c.gen.Step(at(s.now), ev) {
+		switch t := command.(type) {
+		case core.PlaceAgain:
+			c.place = true
+		case core.SendAttempt:
+			c.send = &t
+		case core.Resume:
+			c.resume = &t
+		case core.ForwardToken:
+			c.delivered = append(c.delivered, streamFrame{
+				origin: t.Origin,
+				offset: t.Offset,
+			})
+		}
+	}
+}
+
+// Next gives every step that callers, entries, engines, links and faults can
+// take.
+func (s *streamState) Next() []Transition {
+	var all []Transition
+	add := func(label string, change func(*streamState)) {
+		next := s.clone()
+		change(next)
+		all = append(all, Transition{
+			Label: label,
+			To:    next,
+		})
+	}
+	for i := range s.callers {
+		s.nextOf(i, add)
+	}
+	if s.faults > 0 {
+		s.nextFaults(add)
+	}
+	return all
+}
+
+type adder func(label string, change func(*streamState))
+
+func (s *streamState) nextOf(i int, add adder) {
+	c := &s.callers[i]
+	who := "caller " + strconv.Itoa(i)
+	if c.gen.State == core.GenerationEnded {
+		return
+	}
+	if c.place {
+		for e := range s.engines {
+			add(fmt.Sprintf("%s: placed on engine %d", who, e), func(n *streamState) { n.place(i, e) })
+		}
+	}
+	if c.send != nil {
+		add(who+": request reaches its engine", func(n *streamState) { n.send(i) })
+	}
+	if c.resume != nil {
+		add(who+": resume reaches its engine", func(n *streamState) { n.resume(i) })
+	}
+	for r := range c.readers {
+		if !c.readers[r].ended {
+			add(fmt.Sprintf("%s: engine sends frame %d of attempt %d", who, c.readers[r].sent, c.readers[r].attempt), func(n *streamState) { n.emit(i, r) })
+		}
+	}
+	if len(c.net) > 0 {
+		add(fmt.Sprintf("%s: %s %d of attempt %d arrives", who, c.net[0].kind, c.net[0].offset, c.net[0].attempt), func(n *streamState) { n.deliver(i, 0, true) })
+	}
+}
+
+func (s *streamState) place(i, e int) {
+	c := &s.callers[i]
+	c.place = false
+	s.step(c, core.Placed{
+		Endpoint:   strconv.Itoa(e),
+		Generation: fmt.Sprintf("g%d", i),
+	})
+}
+
+func (s *streamState) engineOf(origin core.Origin) int {
+	e, _ := strconv.Atoi(origin.Endpoint)
+	return e
+}
+
+// send lets the engine start the generation and read it to the caller.
+func (s *streamState) send(i int) {
+	c := &s.callers[i]
+	attempt, origin := c.send.Attempt, c.send.Origin
+	c.send = nil
+	s.step(c, core.Sending{Attempt: attempt})
+	s.start(c, attempt, origin, true)
+}
+
+func (s *streamState) start(c *streamCaller, attempt int, origin core.Origin, reading bool) {
+	e := s.engineOf(origin)
+	origin.Incarnation = s.engines[e].incarnation
+	s.engines[e].holds = append(s.engines[e].holds, origin.Generation)
+	c.started = append(c.started, origin)
+	if reading {
+		c.readers = append(c.readers, streamReader{
+			engine:  e,
+			origin:  origin,
+			attempt: attempt,
+		})
+	}
+}
+
+// resume reads a generation again. An engine that restarted answers that it
+// knows none, or has begun another under the same number.
+func (s *streamState) resume(i int) {
+	c := &s.callers[i]
+	r := *c.resume
+	c.resume = nil
+	e := s.engineOf(r.Origin)
+	if !slices.Contains(s.engines[e].holds, r.Origin.Generation) {
+		c.net = append(c.net, streamFrame{
+			kind:    frameGone,
+			attempt: r.Attempt,
+		})
+		return
+	}
+	origin := r.Origin
+	origin.Incarnation = s.engines[e].incarnation
+	c.readers = append(c.readers, streamReader{
+		engine:  e,
+		origin:  origin,
+		attempt: r.Attempt,
+		sent:    r.From,
+	})
+}
+
+func (s *streamState) emit(i, r int) {
+	c := &s.callers[i]
+	reader := &c.readers[r]
+	kind := frameToken
+	if reader.sent >= uint64(s.rules.Tokens) {
+		kind = frameFinal
+		reader.ended = true
+	}
+	offset := min(reader.sent, uint64(s.rules.Tokens))
+	c.net = append(c.net, streamFrame{
+		kind:    kind,
+		attempt: reader.attempt,
+		origin:  reader.origin,
+		offset:  offset,
+	})
+	reader.sent++
+}
+
+func (s *streamState) deliver(i, at int, remove bool) {
+	c := &s.callers[i]
+	f := c.net[at]
+	if remove {
+		c.net = slices.Delete(c.net, at, at+1)
+	}
+	s.arrive(c, f)
+}
+
+func (s *streamState) arrive(c *streamCaller, f streamFrame) {
+	switch f.kind {
+	case frameRefused:
+		s.step(c, core.Refused{Attempt: f.attempt})
+	case frameLost:
+		s.step(c, core.LinkLost{Attempt: f.attempt})
+	case frameGone:
+		s.step(c, core.GenerationGone{Attempt: f.attempt})
+	default:
+		s.step(c, core.FrameArrived{
+			Attempt: f.attempt,
+			Origin:  f.origin,
+			Offset:  f.offset,
+			Final:   f.kind == frameFinal,
+		})
+	}
+}
+
+// Broken checks what streams promise.
+func (s *streamState) Broken() (string, bool) {
+	for i := range s.callers {
+		if what := s.callers[i].broken(s.rules); what != "" {
+			return what, true
+		}
+	}
+	return "", false
+}
+
+func (c *streamCaller) broken(rules *StreamRules) string {
+	for n, f := range c.delivered {
+		if f.offset != uint64(n) {
+			return fmt.Sprintf("token %d was delivered in place of token %d", f.offset, n)
+		}
+		if f.origin != c.delivered[0].origin {
+			return "tokens of two generations were delivered"
+		}
+		if !slices.Contains(c.started, f.origin) {
+			return "a token of another request was delivered"
+		}
+	}
+	if !rules.Repeatable && len(c.started) > 1 {
+		return "a request that may not be repeated was started twice"
+	}
+	if c.gen.State != core.GenerationEnded {
+		return ""
+	}
+	if c.gen.Code == core.EndDone && len(c.delivered) != rules.Tokens {
+		return fmt.Sprintf("%d of %d tokens were given as the whole answer", len(c.delivered), rules.Tokens)
+	}
+	if c.gen.Outcome == core.NotRun && len(c.started) > 0 {
+		return "a request that was run was told not to have been run"
+	}
+	return ""
+}
--- /dev/null
+++ b/model/suite_test.go
@@ -0,0 +1,13 @@
+package model_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestModel(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "model")
+}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -76,6 +76,7 @@
 	e.settings = c
 	e.shares.Capacity = c.MemoryTokens
 	e.shares.Slots = c.BatchSlots
+	e.shares.Hold().Step(now, core.HoldTicked{})
 	e.shares.Hold().Step(now, core.EndpointLeaving{Leaving: leaving})
 	e.shares.Hold().Step(now, core.ListConfirmed{At: confirmed})
 }
--- a/trace/event.go
+++ b/trace/event.go
@@ -66,6 +66,7 @@
 	core.HoldLost{},
 	core.EndpointLeaving{},
 	core.PredecessorGone{},
+	core.HoldTicked{},
 	admission.RequestArrived{},
 	admission.RequestWithdrawn{},
 	admission.LeaseArrived{},
--- a/watch/state.go
+++ b/watch/state.go
@@ -69,7 +69,10 @@
 func (s *State) Versions() wire.Versions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := wire.Versions{Config: s.versions.InForce}
+	v := wire.Versions{
+		Config: s.versions.InForce,
+		Digest: s.versions.Digest,
+	}
 	if s.reading.List != nil {
 		v.List = s.reading.List.Version
 	}
@@ -150,7 +153,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newer := false
-	for _, command := range s.versions.Step(core.VersionHeard{Version: v.Config}) {
+	for _, command := range s.versions.Step(core.VersionHeard{
+		Version: v.Config,
+		Digest:  v.Digest,
+	}) {
 		_, newer = command.(core.FetchVersion)
 	}
 	return newer || s.reading.List == nil && v.List > 0 || s.reading.List != nil && v.List > s.reading.List.Version
@@ -210,7 +216,7 @@
 		ListAge:       time.Since(s.reading.ConfirmedAt),
 		Suspected:     s.suspects,
 	}
-	if s.document != nil && uint64(s.document.Version) > have.Config {
+	if s.document != nil && (s.versions.InForce > have.Config || s.versions.Digest != have.Digest) {
 		out.Config = s.document.Source()
 	}
 	if s.reading.List == nil {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -16,6 +16,7 @@
 type Versions struct {
 	Config uint64 `cbor:"1,keyasint,omitempty"`
 	List   uint64 `cbor:"2,keyasint,omitempty"`
+	Digest uint64 `cbor:"3,keyasint,omitempty"` // of the configuration's text
 }
 
 type envelope struct {
--- a/wire/message.go
+++ b/wire/message.go
@@ -41,6 +41,7 @@
 type Fetch struct {
 	Config uint64 `cbor:"1,keyasint"`
 	List   uint64 `cbor:"2,keyasint"`
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind names the message.
