proof: bring about failures on real processes

17 scenarios start whole fleets, kill, pause, cut and stop their processes, spoil frames and answers, race and stale the platform, and judge by the stand-ins' own records.

Keys may be UUIDs of version 7: their own time makes at most once hold for ever.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
 
 	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
@@ -26,6 +27,8 @@
 // claim is the right to send one request that may run at most once.
 type claim struct {
 	key     core.ClaimKey
+	timed   bool
+	made    time.Time // when its caller made the key, if the key says so
 	attempt string
 	home    string
 	until   time.Time
@@ -50,6 +53,10 @@
 		},
 		attempt: newToken(),
 	}
+	k.made, k.timed = keyTime(name)
+	if k.timed && time.Until(k.made) > core.DefaultClaimRules().Skew {
+		return nil, invalid(http.StatusBadRequest, "key_from_the_future", "the Idempotency-Key's own time is ahead of this box's clock; set the clock of whoever makes the keys")
+	}
 	answer, asked := e.askHome(ctx, k)
 	switch answer.Verdict {
 	case core.VerdictGranted:
@@ -67,6 +74,16 @@
 	return nil, refused(http.StatusServiceUnavailable, "claim_home_unavailable", "the box that keeps this key can't vouch for it now; come back after the time in Retry-After", claimPatience)
 }
 
+// keyTime reads the time that a key carries: a UUID of version 7 does (RFC 9562).
+func keyTime(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	seconds, nanoseconds := id.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds), true
+}
+
 func conflict(code, message string) *Problem {
 	return &Problem{
 		Status:     http.StatusConflict,
@@ -126,6 +143,8 @@
 		Asker:       e.self,
 		ListVersion: v.List.Version,
 		HomeKnown:   known,
+		Timed:       k.timed,
+		Made:        k.made,
 	})
 	if err == nil {
 		e.homes.Put(k.home, max(known, answer.Home.Incarnation))
--- /dev/null
+++ b/proof/scenario.go
@@ -0,0 +1,51 @@
+package proof
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/model"
+)
+
+// Scenario is one failure brought about on real processes.
+type Scenario struct {
+	Name     string
+	Promises []model.Promise
+	Shape    Shape
+	Run      func(*Fleet) (string, error) // what was seen, and what broke
+}
+
+// Scenarios are all of them.
+func Scenarios() []Scenario {
+	all := streamScenarios()
+	all = append(all, claimScenarios()...)
+	all = append(all, configScenarios()...)
+	return append(all, stopScenarios()...)
+}
+
+// Execute runs one scenario on a fleet of its own.
+func (s *Scenario) Execute(programs string) (string, error) {
+	shape := s.Shape
+	if shape.Boxes == 0 {
+		shape = DefaultShape()
+	}
+	f, err := Start(programs, shape)
+	if err != nil {
+		return "", errors.Wrap(err, "start the fleet")
+	}
+	defer f.Close()
+	return s.Run(f)
+}
+
+// until waits for a condition.
+func until(within time.Duration, condition func() bool) bool {
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		if condition() {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return condition()
+}
--- /dev/null
+++ b/proof/stops.go
@@ -0,0 +1,75 @@
+package proof
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/model"
+)
+
+func stopScenarios() []Scenario {
+	var all []Scenario
+	for _, part := range []string{"entry", "scheduler", "watch"} {
+		all = append(all, Scenario{
+			Name:     "a planned stop of a box's " + part + " during 24 streams, with a second signal",
+			Promises: []model.Promise{model.PlannedStopCutsNothing},
+			Run:      func(f *Fleet) (string, error) { return plannedStop(f, "box-1-"+part) },
+		})
+	}
+	return append(all, Scenario{
+		Name:     "a planned stop of a claims' home, and the writes are repeated",
+		Promises: []model.Promise{model.PlannedStopCutsNothing, model.AtMostOnce},
+		Run:      homeStopped,
+	})
+}
+
+// stopLimit bounds how long a planned stop may take after the last stream.
+const stopLimit = 30 * time.Second
+
+func plannedStop(f *Fleet, name string) (string, error) {
+	streams := f.Many(manyStreams, func() {
+		f.Signal(name, syscall.SIGTERM)
+		time.Sleep(100 * time.Millisecond)
+		f.Signal(name, syscall.SIGTERM)
+	})
+	whole, err := f.judge(streams, f.Records())
+	if err == nil && whole != manyStreams {
+		err = errors.Errorf("%d of %d streams came whole", whole, manyStreams)
+	}
+	if err == nil && !f.Ended(name, stopLimit) {
+		err = errors.Errorf("%s had not left %s after the last stream", name, stopLimit)
+	}
+	return fmt.Sprintf("%d whole, then %s left", whole, name), err
+}
+
+func homeStopped(f *Fleet) (string, error) {
+	var all []write
+	for n := range 20 {
+		all = append(all, f.writeRecord(n%len(f.boxes), newKey(), fmt.Sprintf("reading-%d", n)))
+	}
+	f.Signal("box-1-scheduler", syscall.SIGTERM)
+	if !f.Ended("box-1-scheduler", stopLimit) {
+		return "", errors.New("the scheduler did not leave")
+	}
+	if err := f.PublishList(func(l *core.List) { l.Boxes = l.Boxes[1:] }); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	replayed := 0
+	for _, w := range all[:20] {
+		again := f.writeRecord(1, w.key, w.body)
+		if again.outcome == "ran" {
+			replayed++
+		}
+		all = append(all, again)
+	}
+	said, err := f.judgeWrites(all)
+	if err == nil && replayed != 20 {
+		err = errors.Errorf("%d of 20 repeats were answered with what had run", replayed)
+	}
+	return fmt.Sprintf("%s, %d repeats answered from the handed-over records", said, replayed), err
+}
--- a/scheduler/claims.go
+++ b/scheduler/claims.go
@@ -42,6 +42,8 @@
 		Asker:       q.Asker,
 		ListVersion: q.ListVersion,
 		HomeKnown:   q.HomeKnown,
+		Timed:       q.Timed,
+		KeyAge:      time.Since(q.Made),
 	}) {
 		if c, ok := command.(core.ClaimAnswered); ok {
 			claimVerdicts(string(c.Verdict)).Inc()
--- a/wire/message.go
+++ b/wire/message.go
@@ -114,6 +114,8 @@
 	Asker       core.Box         `cbor:"3,keyasint"`
 	ListVersion uint64           `cbor:"4,keyasint"`
 	HomeKnown   core.Incarnation `cbor:"5,keyasint,omitempty"`
+	Timed       bool             `cbor:"6,keyasint,omitempty"`
+	Made        time.Time        `cbor:"7,keyasint"` // by the key itself, if it is timed
 }
 
 // Kind names the message.
