--- /dev/null
+++ b/bench/load.go
@@ -0,0 +1,224 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dillsaddle.example/dillsaddle/standin"
+)
+
+// Customer is one customer's part of a load.
+type Customer struct {
+	Name   string
+	Class  string
+	Tier   string
+	Rank   int
+	Share  float64 // of all requests
+	Prompt standin.LengthRules
+	Output standin.LengthRules
+	Most   int
+}
+
+// Arrival is one request of a load.
+type Arrival struct {
+	At       time.Duration
+	Customer *Customer
+	Prompt   int
+	Output   int
+	Prefix   uint64
+	Box      int
+}
+
+// Deployment is who calls, and how.
+type Deployment struct {
+	Name      string
+	Customers []Customer
+}
+
+// Case is one load with one disturbance.
+type Case struct {
+	Name     string
+	Factor   float64 // of what the engines can carry
+	Burst    bool
+	Noisy    bool // one customer of the middle tier sends five times as much
+	Growth   bool // one customer's outputs grow tenfold half way
+	Death    bool // one engine dies half way
+	Cut      bool // half the boxes lose the other half's owners for a while
+	Lag      time.Duration
+	Duration time.Duration
+}
+
+// Buscodigo is the code search router fleet's load in shape: short completions
+// over shared prefixes, and longer summaries.
+func Buscodigo() Deployment {
+	short := standin.LengthRules{Median: 45, Spread: 0.9, Most: 2000}
+	long := standin.LengthRules{Median: 350, Spread: 1.1, Most: 12000}
+	prompt := standin.LengthRules{Median: 500, Spread: 0.5, Most: 4000}
+	return Deployment{
+		Name: "buscodigo",
+		Customers: []Customer{
+			{Name: "editor", Class: "autocomplete", Tier: "gold", Rank: 0, Share: 0.30, Prompt: prompt, Output: short, Most: 2000},
+			{Name: "plugin", Class: "autocomplete", Tier: "gold", Rank: 0, Share: 0.10, Prompt: prompt, Output: short, Most: 2000},
+			{Name: "enterprise", Class: "autocomplete", Tier: "silver", Rank: 1, Share: 0.20, Prompt: prompt, Output: short, Most: 2000},
+			{Name: "partner-a", Class: "explain", Tier: "silver", Rank: 1, Share: 0.10, Prompt: prompt, Output: long, Most: 12000},
+			{Name: "partner-b", Class: "explain", Tier: "silver", Rank: 1, Share: 0.10, Prompt: prompt, Output: long, Most: 12000},
+			{Name: "summaries", Class: "summary", Tier: "bronze", Rank: 2, Share: 0.20, Prompt: prompt, Output: long, Most: 12000},
+		},
+	}
+}
+
+// Jordan is the climate records assistant's load in shape: answers of middling
+// length, read word by word, and bulk summaries.
+func Jordan() Deployment {
+	answer := standin.LengthRules{Median: 220, Spread: 0.8, Most: 6000}
+	bulk := standin.LengthRules{Median: 600, Spread: 1.0, Most: 16000}
+	prompt := standin.LengthRules{Median: 300, Spread: 0.7, Most: 4000}
+	return Deployment{
+		Name: "jordan",
+		Customers: []Customer{
+			{Name: "field", Class: "explain", Tier: "gold", Rank: 0, Share: 0.25, Prompt: prompt, Output: answer, Most: 6000},
+			{Name: "clinics", Class: "alert", Tier: "gold", Rank: 0, Share: 0.15, Prompt: prompt, Output: answer, Most: 6000},
+			{Name: "water", Class: "explain", Tier: "silver", Rank: 1, Share: 0.15, Prompt: prompt, Output: answer, Most: 6000},
+			{Name: "labs", Class: "explain", Tier: "silver", Rank: 1, Share: 0.15, Prompt: prompt, Output: answer, Most: 6000},
+			{Name: "farms", Class: "explain", Tier: "silver", Rank: 1, Share: 0.10, Prompt: prompt, Output: answer, Most: 6000},
+			{Name: "ministry", Class: "bulk", Tier: "bronze", Rank: 2, Share: 0.20, Prompt: prompt, Output: bulk, Most: 16000},
+		},
+	}
+}
+
+// mean is the expected value of drawn lengths, by drawing.
+func mean(l standin.LengthRules) float64 {
+	r := rand.New(rand.NewPCG(1, 2))
+	sum := 0
+	const draws = 20000
+	for range draws {
+		sum += l.Draw(r)
+	}
+	return float64(sum) / draws
+}
+
+// shortBatch leaves a part of the memory for what the mean doesn't show.
+const usableMemory = 0.9
+
+// Rate gives the requests a second that some engines can carry: as many at once
+// as the memory holds on average or the time between tokens allows.
+func (d *Deployment) Rate(engines int, rules standin.BatchRules, slots int) float64 {
+	output, held := 0.0, 0.0
+	for i := range d.Customers {
+		c := &d.Customers[i]
+		prompt, length := mean(c.Prompt), mean(c.Output)
+		output += c.Share * length
+		held += c.Share * length * (prompt + secondMoment(c.Output)/(2*length))
+	}
+	atOnce := math.Min(float64(slots), usableMemory*float64(rules.MemoryTokens)/(held/output))
+	step := rules.StepBase + time.Duration(atOnce*float64(rules.StepPerSeq))
+	return float64(engines) * atOnce / step.Seconds() / output
+}
+
+func secondMoment(l standin.LengthRules) float64 {
+	r := rand.New(rand.NewPCG(3, 4))
+	sum := 0.0
+	const draws = 20000
+	for range draws {
+		n := float64(l.Draw(r))
+		sum += n * n
+	}
+	return sum / draws
+}
+
+// noisyTimes is how much more a noisy customer sends.
+const noisyTimes = 5
+
+// Arrivals draws a case's requests.
+func (d *Deployment) Arrivals(c Case, rate float64, boxes int, seed uint64) []Arrival {
+	r := rand.New(rand.NewPCG(seed, 7))
+	weights := make([]float64, len(d.Customers))
+	total := 0.0
+	for i := range d.Customers {
+		weights[i] = d.Customers[i].Share
+		if c.Noisy && i == 2 {
+			weights[i] *= noisyTimes
+		}
+		total += weights[i]
+	}
+	var all []Arrival
+	now := time.Duration(0)
+	for {
+		current := rate * c.Factor * total
+		if c.Burst {
+			current *= burst(now)
+		}
+		now += time.Duration(r.ExpFloat64() / current * float64(time.Second))
+		if now > c.Duration {
+			return all
+		}
+		all = append(all, d.draw(r, c, weights, now, boxes))
+	}
+}
+
+// burst doubles and halves the rate in turn, with a short spike.
+func burst(now time.Duration) float64 {
+	switch second := int(now.Seconds()) % 20; {
+	case second < 2:
+		return 3
+	case second < 10:
+		return 1
+	}
+	return 0.6
+}
+
+func (d *Deployment) draw(r *rand.Rand, c Case, weights []float64, now time.Duration, boxes int) Arrival {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	at := r.Float64() * sum
+	pick := 0
+	for ; pick < len(weights)-1 && at >= weights[pick]; pick++ {
+		at -= weights[pick]
+	}
+	customer := &d.Customers[pick]
+	a := Arrival{
+		At:       now,
+		Customer: customer,
+		Prompt:   customer.Prompt.Draw(r),
+		Output:   customer.Output.Draw(r),
+		Prefix:   uint64(pick*1000 + 1 + r.IntN(12)),
+		Box:      r.IntN(boxes),
+	}
+	if c.Growth && pick == 2 && now > c.Duration/2 {
+		a.Output = min(a.Output*10, customer.Most)
+	}
+	return a
+}
+
+// Cases are the committed loads.
+func Cases(duration time.Duration) []Case {
+	cases := []Case{
+		{Name: "0.7", Factor: 0.7},
+		{Name: "1.0", Factor: 1.0},
+		{Name: "1.3", Factor: 1.3},
+		{Name: "burst", Factor: 1.0, Burst: true},
+		{Name: "noisy", Factor: 0.7, Noisy: true},
+		{Name: "growth", Factor: 1.0, Growth: true},
+		{Name: "death", Factor: 1.0, Death: true},
+		{Name: "cut", Factor: 1.0, Cut: true},
+		{Name: "lag", Factor: 1.0, Lag: 5 * time.Second},
+	}
+	for i := range cases {
+		cases[i].Duration = duration
+	}
+	return cases
+}
+
+// Find gives a case by name.
+func Find(cases []Case, name string) (Case, error) {
+	at := slices.IndexFunc(cases, func(c Case) bool { return c.Name == name })
+	if at < 0 {
+		return Case{}, fmt.Errorf("no case is named %q; leave the name out to see all", name)
+	}
+	return cases[at], nil
+}
--- /dev/null
+++ b/lab/measure.go
@@ -0,0 +1,46 @@
+package lab
+
+import (
+	"context"
+	"flag"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"dillsaddle.example/dillsaddle/bench"
+)
+
+func init() {
+	fs := flag.NewFlagSet("measure", flag.ContinueOnError)
+	deployment := fs.String("deployment", "", "buscodigo or jordan; both if left out")
+	name := fs.String("case", "", "one case; all if left out")
+	duration := fs.Duration("duration", 120*time.Second, "virtual `time` of arrivals")
+	commands = append(commands, &ffcli.Command{
+		Name:       "measure",
+		ShortUsage: "dillsaddle-lab measure [flags]",
+		ShortHelp:  "print the decision tables in virtual time",
+		FlagSet:    fs,
+		Exec:       func(context.Context, []string) error { return measure(*deployment, *name, *duration) },
+	})
+}
+
+func measure(deployment, name string, duration time.Duration) error {
+	cases := bench.Cases(duration)
+	if name != "" {
+		one, err := bench.Find(cases, name)
+		if err != nil {
+			return err
+		}
+		cases = []bench.Case{one}
+	}
+	for _, d := range []bench.Deployment{bench.Buscodigo(), bench.Jordan()} {
+		if deployment != "" && d.Name != deployment {
+			continue
+		}
+		if err := bench.Print(os.Stdout, bench.Measure(d, cases, bench.Policies())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -74,3 +74,12 @@
 	}
 	return e, nil
 }
+
+// Size gives the bytes that a message's body takes on the wire.
+func Size(m any) int {
+	raw, err := encoding.Marshal(m)
+	if err != nil {
+		return 0
+	}
+	return len(raw)
+}
