--- /dev/null
+++ b/bench/summary.go
@@ -0,0 +1,75 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// The names of the policies that a summary compares with.
+const (
+	PolicyOurs        = "dillsaddle"
+	PolicyOracle      = "oracle"
+	PolicyReservation = "reservation"
+	PolicyLeast       = "least reported"
+)
+
+// Summary is one case's distance to the aims.
+type Summary struct {
+	Case            string
+	OfOracle        float64 // goodput
+	OfReservation   float64
+	OfLeast         float64
+	TopPreempted    int     // of the two highest tiers
+	GoldBetween99   float64 // seconds
+	GoldFirst95     float64
+	GoldStall       float64
+	ControlBytes    float64
+	BronzePreempted int
+}
+
+// Summarise compares our policy with the others, case by case.
+func Summarise(all []*Outcome) []Summary {
+	byCase := make(map[string]map[string]*Outcome)
+	var order []string
+	for _, o := range all {
+		if byCase[o.Case] == nil {
+			byCase[o.Case] = make(map[string]*Outcome)
+			order = append(order, o.Case)
+		}
+		byCase[o.Case][o.Policy] = o
+	}
+	summaries := make([]Summary, 0, len(order))
+	for _, name := range order {
+		summaries = append(summaries, summarise(name, byCase[name]))
+	}
+	return summaries
+}
+
+func summarise(name string, by map[string]*Outcome) Summary {
+	ours := by[PolicyOurs]
+	gold := ours.Tier("gold")
+	return Summary{
+		Case:            name,
+		OfOracle:        ours.Goodput / by[PolicyOracle].Goodput,
+		OfReservation:   ours.Goodput / by[PolicyReservation].Goodput,
+		OfLeast:         ours.Goodput / by[PolicyLeast].Goodput,
+		TopPreempted:    gold.Preemptions + ours.Tier("silver").Preemptions,
+		BronzePreempted: ours.Tier("bronze").Preemptions,
+		GoldBetween99:   gold.Between99,
+		GoldFirst95:     gold.First95,
+		GoldStall:       gold.StallMean,
+		ControlBytes:    ours.Bytes,
+	}
+}
+
+// PrintSummary writes the distances to the aims.
+func PrintSummary(out io.Writer, deployment string, all []Summary) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "deployment\tcase\tof oracle\tof reservation\tof least rep.\ttop preempted\tbronze preempted\tgold p99 ms\tgold first p95 s\tgold stall ms\tcontrol B/s\t")
+	for _, s := range all {
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.2f\t%.2f\t%d\t%d\t%.1f\t%.2f\t%.0f\t%.0f\t\n", deployment, s.Case, s.OfOracle, s.OfReservation,
+			s.OfLeast, s.TopPreempted, s.BronzePreempted, 1000*s.GoldBetween99, s.GoldFirst95, 1000*s.GoldStall, s.ControlBytes)
+	}
+	return w.Flush()
+}
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -15,17 +15,18 @@
 	fs := flag.NewFlagSet("measure", flag.ContinueOnError)
 	deployment := fs.String("deployment", "", "buscodigo or jordan; both if left out")
 	name := fs.String("case", "", "one case; all if left out")
-	duration := fs.Duration("duration", 120*time.Second, "virtual `time` of arrivals")
+	duration := fs.Duration("duration", 300*time.Second, "virtual `time` of arrivals")
+	brief := fs.Bool("brief", false, "print the distance to the aims only")
 	commands = append(commands, &ffcli.Command{
 		Name:       "measure",
 		ShortUsage: "dillsaddle-lab measure [flags]",
 		ShortHelp:  "print the decision tables in virtual time",
 		FlagSet:    fs,
-		Exec:       func(context.Context, []string) error { return measure(*deployment, *name, *duration) },
+		Exec:       func(context.Context, []string) error { return measure(*deployment, *name, *duration, *brief) },
 	})
 }
 
-func measure(deployment, name string, duration time.Duration) error {
+func measure(deployment, name string, duration time.Duration, brief bool) error {
 	cases := bench.Cases(duration)
 	if name != "" {
 		one, err := bench.Find(cases, name)
@@ -38,7 +39,13 @@
 		if deployment != "" && d.Name != deployment {
 			continue
 		}
-		if err := bench.Print(os.Stdout, bench.Measure(d, cases, bench.Policies())); err != nil {
+		all := bench.Measure(d, cases, bench.Policies())
+		if !brief {
+			if err := bench.Print(os.Stdout, all); err != nil {
+				return err
+			}
+		}
+		if err := bench.PrintSummary(os.Stdout, d.Name, bench.Summarise(all)); err != nil {
 			return err
 		}
 	}
