admission: give free memory in turn and pace prompts

Both together: an even part stays with boxes whose waiting is of a better rank, and a box leaves three steps between two prompts to one endpoint.

--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -15,6 +15,7 @@
 	others   Profile
 	otherRun int
 	step     time.Duration
+	sentAt   time.Time
 	own      Profile
 	running  map[string]*running
 	prefixes *prefixes
@@ -80,6 +81,23 @@
 
 func (p *place) count() int { return len(p.running) + p.otherRun }
 
+// The pause between two prompts that a box sends to one endpoint, in steps of the
+// endpoint: computing a prompt holds up the tokens of all others, and two in one
+// step add up.
+const (
+	promptPause = 3
+	unknownStep = 20 * time.Millisecond
+)
+
+// pause gives how long the next prompt must wait.
+func (p *place) pause(now time.Time) time.Duration {
+	step := p.step
+	if step <= 0 {
+		step = unknownStep
+	}
+	return p.sentAt.Add(promptPause * step).Sub(now)
+}
+
 // fits reports whether a request with a profile may be sent now: memory and
 // batch, each less what is kept for higher ranks.
 func (p *place) fits(r room, with *Profile, z, kept float64) bool {
--- a/admission/event.go
+++ b/admission/event.go
@@ -82,6 +82,13 @@
 	Forced   bool
 }
 
+// Wake asks the shell for a Ticked after a time: a request waits only for the
+// pause between two prompts at an endpoint.
+type Wake struct {
+	core.CommandBase
+	After time.Duration
+}
+
 // RefusalReason is the stable code of a refusal.
 type RefusalReason string
 
--- a/admission/model.go
+++ b/admission/model.go
@@ -19,6 +19,7 @@
 	names     []string
 	running   map[string]*running
 	rate      rate
+	wake      time.Duration
 }
 
 // NewModel starts with no endpoint.
@@ -292,7 +293,8 @@
 // Wishes gives what this box uses of each endpoint; the waiting requests'
 // expected tokens are spread evenly.
 func (m *Model) Wishes() []EndpointWish {
-	waiting := m.expectedWaiting() / max(1, len(m.names))
+	waiting, rank := m.expectedWaiting()
+	waiting /= max(1, len(m.names))
 	wishes := make([]EndpointWish, 0, len(m.places))
 	for _, name := range slices.Sorted(maps.Keys(m.places)) {
 		p := m.places[name]
@@ -303,20 +305,29 @@
 				Profile: p.own,
 				Running: len(p.running),
 				Waiting: waiting,
+				Rank:    rank,
 			},
 		})
 	}
 	return wishes
 }
 
-func (m *Model) expectedWaiting() int {
+// expectedWaiting gives the expected tokens of the requests of the best rank
+// that wait, and that rank.
+func (m *Model) expectedWaiting() (tokens, rank int) {
 	sum := 0.0
+	found := false
 	for _, line := range m.waiting.lines {
 		for _, r := range line {
-			sum += float64(r.PromptTokens) + m.estimator.Curve(r.key()).Remaining(0, r.MaxTokens)
+			if !found || r.Rank < rank {
+				found, rank, sum = true, r.Rank, 0
+			}
+			if r.Rank == rank {
+				sum += float64(r.PromptTokens) + m.estimator.Curve(r.key()).Remaining(0, r.MaxTokens)
+			}
 		}
 	}
-	return int(sum)
+	return int(sum), rank
 }
 
 // Explain gives what the programs would see of a request now.
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -20,7 +20,24 @@
 			break
 		}
 	}
-	return commands
+	return append(commands, m.wakeUp()...)
+}
+
+// wakeUp asks for a tick when only a pause between prompts holds a request.
+func (m *Model) wakeUp() []core.Command {
+	after := m.wake
+	m.wake = 0
+	if after <= 0 || m.waiting.length == 0 {
+		return nil
+	}
+	return []core.Command{Wake{After: after}}
+}
+
+// paused notes the shortest pause that holds a request.
+func (m *Model) paused(after time.Duration) {
+	if m.wake == 0 || after < m.wake {
+		m.wake = after
+	}
 }
 
 func (m *Model) pumpOnce(now time.Time) (bool, []core.Command) {
@@ -77,6 +94,7 @@
 	placed.profile = m.profile(placed)
 	m.running[r.ID] = placed
 	p.add(placed)
+	p.sentAt = now
 	p.prefixes.add(r.Prefix)
 	m.rate.started(now)
 	return PlaceRequest{
@@ -119,6 +137,10 @@
 		if !p.fits(space, &with, z, kept) {
 			continue
 		}
+		if after := p.pause(now); after > 0 {
+			m.paused(after)
+			continue
+		}
 		if c.load < best.load {
 			best = c
 		}
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -10,7 +10,8 @@
 type Wish struct {
 	Profile Profile
 	Running int
-	Waiting int
+	Waiting int // expected tokens of the requests of the best rank that wait
+	Rank    int // that rank
 }
 
 // Grant is what one box gets of an endpoint.
@@ -86,7 +87,7 @@
 	unexplained := max(0, float64(s.reported)-total.Mean[0])
 	planned := total.Peak(deviations(ownerRisk)) + unexplained
 	free := float64(tokens) - planned/core.SlotCount - float64(s.promised(box))
-	mine.growth = max(0, int(free*s.part(box)))
+	mine.growth = s.growth(free, box)
 	return Grant{
 		Tokens:       tokens,
 		Slots:        s.slots() * tokens / s.Capacity,
@@ -129,18 +130,28 @@
 	return sum
 }
 
-// part is a box's part of the free memory.
-func (s *Shares) part(box string) float64 {
-	demand := 0
-	for _, one := range s.boxes {
-		demand += one.wish.Waiting
+// demandFactor is how much more than the expected tokens of what waits a box
+// may plan for, since plans include the chance of long outputs.
+const demandFactor = 2
+
+// growth is what a box may add until its next lease. One that has requests
+// waiting gets all that is free up to its demand, in turn with the others: an
+// even part would often be too small for a single request. It leaves an even
+// part to each box whose waiting requests are of a better rank. One that has none
+// waiting gets an even part for what may arrive.
+func (s *Shares) growth(free float64, box string) int {
+	if free <= 0 {
+		return 0
 	}
-	even := 1 / float64(len(s.boxes))
-	if demand == 0 {
-		return even
+	w := s.boxes[box].wish
+	even := free / float64(len(s.boxes))
+	left := free
+	for name, other := range s.boxes {
+		if name != box && other.wish.Waiting > 0 && other.wish.Rank < w.Rank {
+			left -= even
+		}
 	}
-	byDemand := float64(s.boxes[box].wish.Waiting) / float64(demand)
-	return (even + byDemand) / 2
+	return int(max(even, min(left, demandFactor*float64(w.Waiting))))
 }
 
 // slots is the batch at which the time between tokens holds.
--- a/bench/run.go
+++ b/bench/run.go
@@ -316,6 +316,7 @@
 				Others:       g.Others,
 				OtherRunning: g.OtherRunning,
 				Growth:       g.Growth,
+				Step:         e.reported.Step,
 			}))
 		})
 	})
@@ -354,13 +355,15 @@
 	}}))
 }
 
-func (n *run) perform(_ int, commands []core.Command) {
+func (n *run) perform(box int, commands []core.Command) {
 	for _, command := range commands {
 		switch c := command.(type) {
 		case admission.PlaceRequest:
 			r := n.live[c.ID]
 			r.engine = c.Endpoint
 			n.after(controlDelay, func() { n.startOn(r) })
+		case admission.Wake:
+			n.after(c.After, func() { n.perform(box, n.boxes[box].Step(n.now, admission.Ticked{})) })
 		case admission.RefuseRequest:
 			n.live[c.ID].refused = true
 			delete(n.live, c.ID)
--- a/bench/table.go
+++ b/bench/table.go
@@ -44,3 +44,23 @@
 	}
 	return w.Flush()
 }
+
+// PrintGoodput writes each policy's goodput, one line a case.
+func PrintGoodput(out io.Writer, all []*Outcome, policies []Policy) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "goodput/s of deployment\tcase\t")
+	for _, p := range policies {
+		fmt.Fprintf(w, "%s\t", p.Name)
+	}
+	fmt.Fprintln(w)
+	for i, o := range all {
+		if i%len(policies) == 0 {
+			fmt.Fprintf(w, "%s\t%s\t", o.Deployment, o.Case)
+		}
+		fmt.Fprintf(w, "%.0f\t", o.Goodput)
+		if i%len(policies) == len(policies)-1 {
+			fmt.Fprintln(w)
+		}
+	}
+	return w.Flush()
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -58,6 +58,8 @@
 			m.answer(c.ID, c)
 		case admission.RefuseRequest:
 			m.answer(c.ID, c)
+		case admission.Wake:
+			time.AfterFunc(c.After, func() { m.step(time.Now(), admission.Ticked{}) })
 		case admission.PolicyFailed:
 			policyFailures.Inc()
 		}
@@ -224,6 +226,7 @@
 		Variance: variance,
 		Running:  w.Running,
 		Waiting:  w.Waiting,
+		Rank:     w.Rank,
 	}
 }
 
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -45,6 +45,9 @@
 				return err
 			}
 		}
+		if err := bench.PrintGoodput(os.Stdout, all, bench.Policies()); err != nil {
+			return err
+		}
 		if err := bench.PrintSummary(os.Stdout, d.Name, bench.Summarise(all)); err != nil {
 			return err
 		}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -91,6 +91,7 @@
 		Profile: admission.ProfileFrom(w.Mean, w.Variance),
 		Running: w.Running,
 		Waiting: w.Waiting,
+		Rank:    w.Rank,
 	})
 	mean, variance := g.Others.Floats()
 	out := wire.LeaseGrant{
--- a/wire/message.go
+++ b/wire/message.go
@@ -64,6 +64,7 @@
 	Variance []float32 `cbor:"3,keyasint"`
 	Running  int       `cbor:"4,keyasint"`
 	Waiting  int       `cbor:"5,keyasint"` // expected tokens of waiting requests
+	Rank     int       `cbor:"8,keyasint,omitempty"`
 	Model    string    `cbor:"6,keyasint"`
 	Slot     int       `cbor:"7,keyasint,omitempty"`
 }
