--- a/admission/shares.go
+++ b/admission/shares.go
@@ -48,7 +48,7 @@
 const forgetShare = 3
 
 // ownerRisk is the risk at which an owner plans an endpoint's peak.
-const ownerRisk = 0.01
+const ownerRisk = 0.05
 
 // NewShares divides an endpoint on whose hold it depends. Target is the longest
 // wanted time between tokens.
--- a/bench/load.go
+++ b/bench/load.go
@@ -129,8 +129,12 @@
 	return sum / draws
 }
 
-// noisyTimes is how much more a noisy customer sends.
-const noisyTimes = 5
+// noisyCustomer sends noisyTimes as much in the noisy case, and makes outputs
+// ten times as long in the growth case.
+const (
+	noisyCustomer = 2
+	noisyTimes    = 5
+)
 
 // Arrivals draws a case's requests.
 func (d *Deployment) Arrivals(c Case, rate float64, boxes int, seed uint64) []Arrival {
@@ -139,7 +143,7 @@
 	total := 0.0
 	for i := range d.Customers {
 		weights[i] = d.Customers[i].Share
-		if c.Noisy && i == 2 {
+		if c.Noisy && i == noisyCustomer {
 			weights[i] *= noisyTimes
 		}
 		total += weights[i]
@@ -189,7 +193,7 @@
 		Prefix:   uint64(pick*1000 + 1 + r.IntN(12)),
 		Box:      r.IntN(boxes),
 	}
-	if c.Growth && pick == 2 && now > c.Duration/2 {
+	if c.Growth && pick == noisyCustomer && now > c.Duration/2 {
 		a.Output = min(a.Output*10, customer.Most)
 	}
 	return a
--- a/bench/run.go
+++ b/bench/run.go
@@ -25,6 +25,10 @@
 	cutFor       = 20 * time.Second
 )
 
+// tierRisks are the risks of the tiers by rank, as the examples' configurations
+// have them.
+var tierRisks = []float64{0.01, 0.05, 0.1}
+
 // EngineRules are the engines of a run; memory binds before the batch does.
 func EngineRules() standin.BatchRules {
 	rules := standin.DefaultBatchRules()
@@ -347,7 +351,7 @@
 		Tier:         a.Customer.Tier,
 		Rank:         a.Customer.Rank,
 		Weight:       1,
-		Risk:         []float64{0.001, 0.01, 0.02}[a.Customer.Rank],
+		Risk:         tierRisks[a.Customer.Rank],
 		PromptTokens: a.Prompt,
 		MaxTokens:    a.Customer.Most,
 		Prefix:       a.Prefix,
--- a/bench/summary.go
+++ b/bench/summary.go
@@ -28,6 +28,47 @@
 	BronzePreempted int
 }
 
+// noisyCase and quietCase differ in the noisy customer alone.
+const (
+	noisyCase = "noisy"
+	quietCase = "0.7"
+)
+
+// NoisyCost gives the part of their goodput that the other customers of a noisy
+// customer's tier lose to it; the tier's customers are named, the noisy first.
+func NoisyCost(all []*Outcome, tier []string) float64 {
+	others := func(name string) float64 {
+		sum := 0.0
+		for _, o := range all {
+			if o.Case != name || o.Policy != PolicyOurs {
+				continue
+			}
+			for _, customer := range tier[1:] {
+				sum += o.ByCustomer[customer]
+			}
+		}
+		return sum
+	}
+	quiet := others(quietCase)
+	if quiet == 0 {
+		return 0
+	}
+	return 1 - others(noisyCase)/quiet
+}
+
+// NoisyTier gives the customers of the tier in which one is noisy, it first.
+func (d *Deployment) NoisyTier() []string {
+	noisy := &d.Customers[noisyCustomer]
+	names := []string{noisy.Name}
+	for i := range d.Customers {
+		c := &d.Customers[i]
+		if c.Tier == noisy.Tier && c.Name != noisy.Name {
+			names = append(names, c.Name)
+		}
+	}
+	return names
+}
+
 // Summarise compares our policy with the others, case by case.
 func Summarise(all []*Outcome) []Summary {
 	byCase := make(map[string]map[string]*Outcome)
--- a/config/tier.go
+++ b/config/tier.go
@@ -11,7 +11,7 @@
 
 func parseTier(o *object) Tier {
 	t := Tier{
-		Risk: 0.01,
+		Risk: 0.05,
 		line: o.r.line(o.at),
 	}
 	o.name(&t.Name)
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"time"
 
@@ -51,6 +52,7 @@
 		if err := bench.PrintSummary(os.Stdout, d.Name, bench.Summarise(all)); err != nil {
 			return err
 		}
+		fmt.Printf("%s: the noisy customer costs the others of its tier %.1f%% of their goodput\n", d.Name, 100*bench.NoisyCost(all, d.NoisyTier()))
 	}
 	return nil
 }
