--- a/trace/event.go
+++ b/trace/event.go
@@ -98,8 +98,8 @@
 	return reflect.TypeOf(ev).Name(), data, err
 }
 
-// decode reads an event by its name.
-func decode(name string, data json.RawMessage) (core.Event, error) {
+// Decode reads an event by its name.
+func Decode(name string, data json.RawMessage) (core.Event, error) {
 	t, known := kinds[name]
 	if !known {
 		return nil, errors.Errorf("unknown event %q; this release knows the events of docs/TRACES.md", name)
