entry: read bodies after the caller is known

Bodies are read as streams now, up to the limit, after the key was checked.

Changelog-fixed: an oversized body gets 413 and not a reset.

--- a/config/limits.go
+++ b/config/limits.go
@@ -24,7 +24,7 @@
 }
 
 func parseLimits(o *object, l *Limits) {
-	o.whole("body_bytes", &l.BodyBytes, 1024, 64<<20)
+	o.whole("body_bytes", &l.BodyBytes, 1024, 16<<20)
 	o.duration("slow_caller", &l.SlowCaller, 100*time.Millisecond, 10*time.Minute)
 	o.duration("progress", &l.Progress, 100*time.Millisecond, 10*time.Minute)
 	o.duration("resume_window", &l.ResumeWindow, 100*time.Millisecond, 10*time.Minute)
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -27,17 +27,25 @@
 			return
 		}
 		defer e.exit()
-		p, problem := parseCompletion(d, c.Request.Body(), chat)
-		if problem == nil {
-			problem = e.run(ctx, c, d, who, p)
-		}
-		if problem != nil {
+		if problem = e.parseAndRun(ctx, c, d, who, chat); problem != nil {
 			countOutcome(who.Name, problem.Outcome, problem.Code)
 			problem.answer(c)
 		}
 	}
 }
 
+func (e *Entry) parseAndRun(ctx context.Context, c *app.RequestContext, d *config.Document, who *config.Customer, chat bool) *Problem {
+	body, problem := readBody(c, d.Limits.BodyBytes)
+	if problem != nil {
+		return problem
+	}
+	p, problem := parseCompletion(d, body, chat)
+	if problem != nil {
+		return problem
+	}
+	return e.run(ctx, c, d, who, p)
+}
+
 func (e *Entry) run(ctx context.Context, c *app.RequestContext, d *config.Document, who *config.Customer, p *parsed) *Problem {
 	customer := e.customerOf(who)
 	boxes := len(e.state.View().List.Boxes)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,12 +22,8 @@
 	"dillsaddle.example/dillsaddle/wire"
 )
 
-// maxHeader bounds a caller's headers and maxBody what the HTTP library reads
-// before the configuration's own bound is looked at; both in bytes.
-const (
-	maxHeader = 64 << 10
-	maxBody   = 17 << 20
-)
+// maxHeader bounds a caller's headers, in bytes.
+const maxHeader = 64 << 10
 
 // Entry is the callers' side of one box.
 type Entry struct {
@@ -94,7 +90,7 @@
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
-		server.WithMaxRequestBodySize(maxBody),
+		server.WithStreamBody(true),
 		server.WithMaxHeaderBytes(maxHeader),
 		server.WithUseRawPath(true),
 		server.WithExitWaitTime(0),
--- a/entry/request.go
+++ b/entry/request.go
@@ -56,10 +56,6 @@
 const prefixBytes = 64
 
 func parseCompletion(d *config.Document, body []byte, chat bool) (*parsed, *Problem) {
-	if len(body) > d.Limits.BodyBytes {
-		return nil, invalid(http.StatusRequestEntityTooLarge, "body_too_large",
-			fmt.Sprintf("the body has %d bytes and the limit is %d; shorten the prompt", len(body), d.Limits.BodyBytes))
-	}
 	var b completionBody
 	if err := json.Unmarshal(body, &b); err != nil {
 		return nil, badJSON(err)
--- a/entry/services.go
+++ b/entry/services.go
@@ -26,6 +26,7 @@
 	gen      *core.Generation
 	claim    *claim
 	path     string
+	body     []byte
 	deadline time.Time
 	last     netip.AddrPort
 	answer   *protocol.Response
@@ -51,8 +52,9 @@
 	if service == nil {
 		return invalid(http.StatusNotFound, "service_not_found", "no service has this name; see the services of the published configuration")
 	}
-	if len(c.Request.Body()) > d.Limits.BodyBytes {
-		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the body is longer than the limit body_bytes; send less")
+	body, problem := readBody(c, d.Limits.BodyBytes)
+	if problem != nil {
+		return problem
 	}
 	customer := e.customerOf(who)
 	if !customer.enterService(service.Name, service.Concurrency) {
@@ -69,6 +71,7 @@
 		service:  service,
 		who:      who,
 		path:     path,
+		body:     body,
 		deadline: time.Now().Add(service.Deadline),
 		gen: core.NewGeneration(repeatable, core.GenerationRules{
 			Attempts: attempts,
@@ -176,7 +179,8 @@
 }
 
 func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt) {
-	k.c.Request.CopyTo(req)
+	k.c.Request.Header.CopyTo(&req.Header)
+	req.SetBody(k.body)
 	req.Header.Del("Authorization")
 	req.Header.Del("Connection")
 	uri := "http://" + k.last.String() + k.path
--- a/proof/stream.go
+++ b/proof/stream.go
@@ -62,6 +62,13 @@
 	return f.read(ctx, s, boxIndex, "GET", "/v1/streams/"+s.ID, map[string]string{"Last-Event-ID": s.LastEvent}, nil)
 }
 
+type openedKey struct{}
+
+// WithID has a stream's id sent to a channel as soon as it is known.
+func WithID(ctx context.Context, opened chan string) context.Context {
+	return context.WithValue(ctx, openedKey{}, opened)
+}
+
 func (f *Fleet) read(ctx context.Context, s *Stream, boxIndex int, method, path string, headers map[string]string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, longestStream)
 	defer cancel()
@@ -85,6 +92,9 @@
 		return nil
 	}
 	s.ID = resp.Header.Get("Dillsaddle-Request")
+	if opened, ok := ctx.Value(openedKey{}).(chan string); ok {
+		opened <- s.ID
+	}
 	events, err := sse.NewReader(resp)
 	if err != nil {
 		return err
