--- /dev/null
+++ b/lab/fleet_lists.go
@@ -0,0 +1,79 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// The size that the users expect within two years.
+const (
+	fullBoxes     = 470
+	fullServers   = 5300
+	fullRequests  = 54000.0
+	fullTokens    = 25e6
+	fullCustomers = 410
+	fullModels    = 32
+	fullRegions   = 7
+	fullZones     = 18
+	fullChanges   = 6800.0 // of configuration a day
+	fullReplaced  = 2067.0 // boxes a day, failures included
+	daySeconds    = 86400.0
+)
+
+// listOf builds a list of boxes over zones and regions, and endpoints.
+func listOf(boxes, endpoints int) *core.List {
+	l := &core.List{
+		Version: 1,
+		Age:     time.Hour,
+	}
+	for i := range boxes {
+		zone := i % fullZones
+		l.Boxes = append(l.Boxes, core.Member{
+			Name:   fmt.Sprintf("box-%03d", i),
+			Zone:   fmt.Sprintf("zone-%02d", zone),
+			Region: fmt.Sprintf("region-%d", zone%fullRegions),
+		})
+	}
+	for i := range endpoints {
+		l.Endpoints = append(l.Endpoints, core.EndpointStatus{Name: fmt.Sprintf("engine-%04d", i)})
+	}
+	return l
+}
+
+// document builds a configuration of a size.
+func document(customers, models, endpoints int) []byte {
+	type entry map[string]any
+	d := entry{
+		"version":  1,
+		"tiers":    []entry{{"name": "gold", "rank": 0, "policy": "paid"}},
+		"policies": []entry{{"name": "paid", "decide": "request.fits ? 'run' : 'wait'"}},
+	}
+	var cs, ms, es []entry
+	for i := range customers {
+		cs = append(cs, entry{
+			"name":       fmt.Sprintf("customer-%03d", i),
+			"tier":       "gold",
+			"key_sha256": []string{fmt.Sprintf("%064x", i+1)},
+		})
+	}
+	for i := range models {
+		ms = append(ms, entry{"name": fmt.Sprintf("model-%02d", i)})
+	}
+	for i := range endpoints {
+		es = append(es, entry{
+			"name":    fmt.Sprintf("engine-%04d", i),
+			"address": fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250+1),
+			"zone":    fmt.Sprintf("zone-%02d", i%fullZones),
+			"models":  []string{fmt.Sprintf("model-%02d", i%models)},
+		})
+	}
+	d["customers"], d["models"], d["endpoints"] = cs, ms, es
+	text, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- /dev/null
+++ b/lab/slopes.go
@@ -0,0 +1,37 @@
+package lab
+
+import (
+	"context"
+	"flag"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func init() {
+	fs := flag.NewFlagSet("slopes", flag.ContinueOnError)
+	programs := fs.String("programs", "bin", "`folder` of the programs")
+	lasting := fs.Duration("lasting", 8*time.Second, "`time` of each load on real processes")
+	commands = append(commands, &ffcli.Command{
+		Name:       "slopes",
+		ShortUsage: "dillsaddle-lab slopes [flags]",
+		ShortHelp:  "measure what each part costs, and work it out for the size in two years",
+		FlagSet:    fs,
+		Exec:       func(context.Context, []string) error { return slopes(*programs, *lasting) },
+	})
+}
+
+func slopes(programs string, lasting time.Duration) error {
+	all := coreSlopes()
+	if err := printSlopes(os.Stdout, all); err != nil {
+		return err
+	}
+	if err := printCapacity(os.Stdout, all); err != nil {
+		return err
+	}
+	if err := printControl(os.Stdout, programs, lasting); err != nil {
+		return err
+	}
+	return printPath(os.Stdout, programs, lasting)
+}
--- /dev/null
+++ b/lab/slopes_core.go
@@ -0,0 +1,253 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/config"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// growth is 1, 2, 4 and 8 times a base.
+func growth(base float64) []float64 { return []float64{base, 2 * base, 4 * base, 8 * base} }
+
+// coreSlopes are the costs of the decisions themselves.
+func coreSlopes() []slope {
+	return []slope{
+		fitSlope("admission of a request, by waiting", "ns", growth(50), admissionCost),
+		fitSlope("a lease's wish at its owner, by boxes", "ns", growth(8), grantCost),
+		fitSlope("a wish and its grant on the wire, by wishes", "bytes", growth(4), leaseBytes),
+		fitSlope("owners of all endpoints, by endpoints", "ns", growth(600), ownerCost),
+		fitSlope("owners of all endpoints, by boxes (600 endpoints)", "ns", growth(55), func(n int) float64 { return ownerCostOf(n, 600) }),
+		fitSlope("reading a configuration, by endpoints", "ns", growth(600), parseCost),
+		fitSlope("a configuration's memory, by endpoints", "bytes", growth(600), parseMemory),
+		fitSlope("a configuration's text, by endpoints", "bytes", growth(600), func(n int) float64 { return float64(len(document(fullCustomers, fullModels, n))) }),
+		fitSlope("a claim, by claims held", "ns", growth(10000), claimCost),
+		fitSlope("a claim's memory, by claims held", "bytes", growth(10000), claimMemory),
+		fitSlope("an estimate's memory, by customers", "bytes", growth(50), estimateMemory),
+		fitSlope("a heartbeat on the wire, by suspects", "bytes", growth(2), heartbeatBytes),
+		fitSlope("a list on the wire, by boxes", "bytes", growth(55), func(n int) float64 { return float64(wire.Size(listOf(n, 0))) }),
+		fitSlope("a list on the wire, by endpoints", "bytes", growth(600), func(n int) float64 { return float64(wire.Size(listOf(1, n))) }),
+		fitSlope("peers of a box, by boxes", "count", growth(55), peerCount),
+	}
+}
+
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// modelWith builds an admission of 16 endpoints with full leases and some
+// requests waiting behind a full fleet.
+func modelWith(waiting int) *admission.Model {
+	rules := admission.DefaultRules()
+	rules.MaxWaiting = func(string) int { return 1 << 20 }
+	rules.MaxWait = time.Hour
+	m := admission.NewModel(admission.WithRules(rules))
+	var names []string
+	for i := range 16 {
+		names = append(names, fmt.Sprintf("engine-%d", i))
+	}
+	m.Step(epoch, admission.EndpointsChanged{Names: names})
+	for _, name := range names {
+		for slot := range core.SlotCount {
+			m.Step(epoch, admission.LeaseArrived{
+				Slot:   slot,
+				Lease:  core.NewLease(name, epoch, time.Hour, 3000, 30),
+				Growth: 3000,
+			})
+		}
+	}
+	now := epoch
+	for i := 0; m.Waiting() < waiting; i++ {
+		now = now.Add(100 * time.Millisecond)
+		m.Step(now, arrival(i, now))
+	}
+	return m
+}
+
+func arrival(i int, now time.Time) admission.RequestArrived {
+	return admission.RequestArrived{Request: admission.Request{
+		ID:           fmt.Sprintf("r%d", i),
+		Customer:     fmt.Sprintf("customer-%d", i%fullCustomers),
+		Class:        "standard",
+		Tier:         "gold",
+		Risk:         0.05,
+		Weight:       1,
+		PromptTokens: 300,
+		MaxTokens:    8000,
+		Prefix:       uint64(i%50 + 1),
+		ArrivedAt:    now,
+	}}
+}
+
+// admissionCost is one request in and one out, with some waiting.
+func admissionCost(waiting int) float64 {
+	m := modelWith(waiting)
+	now := epoch.Add(30 * time.Minute)
+	i := 1 << 20
+	return nanoseconds(func() {
+		i++
+		now = now.Add(time.Millisecond)
+		ev := arrival(i, now)
+		m.Step(now, ev)
+		m.Step(now, admission.RequestWithdrawn{
+			ID:       ev.Request.ID,
+			Customer: ev.Request.Customer,
+		})
+	})
+}
+
+func grantCost(boxes int) float64 {
+	hold := core.NewHold("engine", core.DefaultLeaseRules())
+	hold.Step(epoch, core.HoldTaken{Fresh: true})
+	s := admission.NewShares(hold, 100000, 64, 30*time.Millisecond)
+	now := epoch
+	var w admission.Wish
+	w.Waiting = 500
+	names := make([]string, boxes)
+	for i := range names {
+		names[i] = fmt.Sprintf("box-%d", i)
+	}
+	i := 0
+	return nanoseconds(func() {
+		hold.Step(now, core.ListConfirmed{At: now})
+		s.Grant(now, names[i%boxes], w)
+		i++
+	})
+}
+
+func leaseBytes(wishes int) float64 {
+	var ask wire.LeaseAsk
+	var grants wire.LeaseGrants
+	full := admission.Profile{}
+	for i := range full.Mean {
+		full.Mean[i] = 12345.6 + float64(i)
+		full.Variance[i] = 345678.9 + float64(i)
+	}
+	mean, variance := full.Floats()
+	for i := range wishes {
+		name := fmt.Sprintf("engine-%04d", i)
+		ask.Wishes = append(ask.Wishes, wire.LeaseWish{
+			Endpoint: name,
+			Model:    "model-01",
+			Mean:     mean,
+			Variance: variance,
+			Running:  20,
+			Waiting:  1500,
+			Slot:     1,
+		})
+		grants.Grants = append(grants.Grants, wire.LeaseGrant{
+			Endpoint:      name,
+			Model:         "model-01",
+			TTL:           2 * time.Second,
+			Tokens:        20000,
+			Slots:         30,
+			OtherMean:     mean,
+			OtherVariance: variance,
+			OtherRunning:  20,
+			Growth:        1000,
+			Incarnation:   1 << 60,
+			Step:          20 * time.Millisecond,
+			Slot:          1,
+		})
+	}
+	return float64(wire.Size(ask) + wire.Size(grants))
+}
+
+func ownerCost(endpoints int) float64 { return ownerCostOf(fullBoxes, endpoints) }
+
+func ownerCostOf(boxes, endpoints int) float64 {
+	l := listOf(boxes, endpoints)
+	return nanoseconds(func() {
+		for i := range l.Endpoints {
+			l.Owner(l.Endpoints[i].Name, 0)
+			l.Owner(l.Endpoints[i].Name, 1)
+		}
+	})
+}
+
+func parseCost(endpoints int) float64 {
+	text := document(fullCustomers, fullModels, endpoints)
+	return nanoseconds(func() { config.Parse("document", text) })
+}
+
+func parseMemory(endpoints int) float64 {
+	text := document(fullCustomers, fullModels, endpoints)
+	return heapBytes(func() any {
+		d, _ := config.Parse("document", text)
+		return d
+	})
+}
+
+func homeWith(claims int) *core.Home {
+	self := core.Box{
+		Name:        "box-000",
+		Incarnation: 1,
+	}
+	h := core.NewHome(self, core.DefaultClaimRules(), epoch)
+	l := listOf(1, 0)
+	l.Age = 0
+	h.Step(epoch, core.ListAdopted{
+		List: l,
+		At:   epoch,
+	})
+	for i := range claims {
+		h.Step(epoch, claimAsked(i))
+	}
+	return h
+}
+
+func claimAsked(i int) core.ClaimAsked {
+	return core.ClaimAsked{
+		Key: core.ClaimKey{
+			Customer: "customer-001",
+			Key:      fmt.Sprintf("0198c0de-0000-7000-8000-%012d", i),
+		},
+		Attempt:     fmt.Sprintf("attempt-%022d", i),
+		Asker:       core.Box{Name: "box-001"},
+		ListVersion: 1,
+	}
+}
+
+func claimCost(claims int) float64 {
+	h := homeWith(claims)
+	i := claims
+	return nanoseconds(func() {
+		i++
+		h.Step(epoch, claimAsked(i%claims))
+	})
+}
+
+func claimMemory(claims int) float64 {
+	return heapBytes(func() any { return homeWith(claims) })
+}
+
+func estimateMemory(customers int) float64 {
+	return heapBytes(func() any {
+		e := admission.NewEstimator(256)
+		for i := range customers {
+			key := admission.LengthKey{
+				Customer: fmt.Sprintf("customer-%d", i),
+				Class:    "standard",
+			}
+			e.Ended(key, 100)
+			e.Curve(key)
+		}
+		return e
+	})
+}
+
+func heartbeatBytes(suspects int) float64 {
+	h := wire.Heartbeat{
+		From: core.Box{
+			Name:        "box-001",
+			Incarnation: 1 << 60,
+		},
+		ListAge:     time.Second,
+		ListVersion: 123456,
+	}
+	for i := range suspects {
+		h.Suspected = append(h.Suspected, fmt.Sprintf("box-%03d", i))
+	}
+	return float64(wire.Size(h))
+}
--- /dev/null
+++ b/lab/slopes_path.go
@@ -0,0 +1,215 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/gonum/stat"
+
+	"dillsaddle.example/dillsaddle/proof"
+)
+
+// pathLoad is what a run of real streams cost.
+type pathLoad struct {
+	tokens   float64
+	requests float64
+	seconds  float64
+	entry    float64 // core seconds
+	control  float64 // core seconds of scheduler and watch
+	memory   float64 // bytes of the entry
+	gcPart   float64 // of the entry's time
+}
+
+// pathShape is a fleet whose engines make tokens faster than one entry passes
+// them on.
+func pathShape(median float64) proof.Shape {
+	shape := proof.DefaultShape()
+	shape.Boxes = 1
+	shape.Engines = 2
+	shape.Median = median
+	shape.Step = 6 * time.Millisecond
+	shape.PerSeq = 0
+	shape.Memory = 20000000
+	shape.Slots = 4000
+	return shape
+}
+
+// runPath keeps a number of streams open for a while.
+func runPath(programs string, median float64, streams int, lasting time.Duration) (*pathLoad, error) {
+	f, err := proof.Start(programs, pathShape(median))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	before, err := gauges(f)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	requests := keepOpen(f, streams, began.Add(lasting))
+	after, err := gauges(f)
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(began).Seconds()
+	return &pathLoad{
+		tokens:   after["tokens"] - before["tokens"],
+		requests: float64(requests),
+		seconds:  took,
+		entry:    after["entry"] - before["entry"],
+		control:  after["control"] - before["control"],
+		memory:   after["memory"],
+		gcPart:   after["gc"],
+	}, nil
+}
+
+func keepOpen(f *proof.Fleet, streams int, until time.Time) int {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	for range streams {
+		wait.Go(func() {
+			for time.Now().Before(until) {
+				if _, err := f.Drain(context.Background(), 0); err != nil {
+					return
+				}
+				mu.Lock()
+				total++
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return total
+}
+
+// gauges reads the processes' own metrics.
+func gauges(f *proof.Fleet) (map[string]float64, error) {
+	all := make(map[string]float64)
+	entry, err := f.Metrics(0, "entry")
+	if err != nil {
+		return nil, err
+	}
+	all["entry"] = entry.Sum("process_cpu_seconds_total")
+	all["tokens"] = entry.Sum("dillsaddle_tokens_total")
+	all["memory"] = entry.Sum("process_resident_memory_bytes")
+	all["gc"] = entry.Sum("go_gc_cpu_seconds_total") / max(0.001, entry.Sum("process_cpu_seconds_total"))
+	for _, part := range []string{"scheduler", "watch"} {
+		m, err := f.Metrics(0, part)
+		if err != nil {
+			return nil, err
+		}
+		all["control"] += m.Sum("process_cpu_seconds_total")
+	}
+	return all, nil
+}
+
+// printPath tells what a token and a request cost in one entry process: two
+// loads of short and long outputs give the two slopes.
+func printPath(out io.Writer, programs string, lasting time.Duration) error {
+	short, err := runPath(programs, 30, 300, lasting)
+	if err != nil {
+		return errors.Wrap(err, "load of short outputs")
+	}
+	long, err := runPath(programs, 600, 400, lasting)
+	if err != nil {
+		return errors.Wrap(err, "load of long outputs")
+	}
+	det := short.tokens*long.requests - long.tokens*short.requests
+	token := (short.entry*long.requests - long.entry*short.requests) / det
+	request := (short.tokens*long.entry - long.tokens*short.entry) / det
+	for name, l := range map[string]*pathLoad{"short": short, "long": long} {
+		fmt.Fprintf(out, "path, %s outputs: %.0f tokens/s, %.0f requests/s, entry %.2f cores (%.1f us a token, all in), control %.3f cores, entry memory %.0f MB, garbage collection %.1f%% of the entry's time\n",
+			name, l.tokens/l.seconds, l.requests/l.seconds, l.entry/l.seconds, 1e6*l.entry/l.tokens, l.control/l.seconds, l.memory/1e6, 100*l.gcPart)
+	}
+	fmt.Fprintf(out, "path: %.2f us of a core a token, %.0f us a request; 53,000 tokens/s and 115 requests/s take %.2f cores\n",
+		1e6*token, 1e6*request, 53000*token+115*request)
+	return printRatio(out, programs)
+}
+
+// printRatio compares one stream through an entry with the same engine's read
+// directly, one after the other in one run.
+func printRatio(out io.Writer, programs string) error {
+	f, err := proof.Start(programs, pathShape(200))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	var through, direct []float64
+	for range 40 {
+		s, err := f.Open(context.Background(), 0, nil)
+		if err != nil {
+			return err
+		}
+		through = append(through, s.FirstAfter.Seconds())
+		d, err := f.Direct(context.Background(), 0)
+		if err != nil {
+			return err
+		}
+		direct = append(direct, d.FirstAfter.Seconds())
+	}
+	_, err = fmt.Fprintf(out, "path: first token after %.2f ms through the entry and %.2f ms from the engine directly (median of 40 each), ratio %.2f\n",
+		1000*median(through), 1000*median(direct), median(through)/median(direct))
+	return err
+}
+
+// printControl tells what control costs boxes that carry no stream.
+func printControl(out io.Writer, programs string, lasting time.Duration) error {
+	for _, boxes := range []int{1, 2, 4, 8} {
+		shape := proof.DefaultShape()
+		shape.Boxes = boxes
+		f, err := proof.Start(programs, shape)
+		if err != nil {
+			return err
+		}
+		err = printControlOf(out, f, boxes, lasting)
+		f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printControlOf(out io.Writer, f *proof.Fleet, boxes int, lasting time.Duration) error {
+	before, calls, err := control(f, boxes)
+	if err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	after, callsAfter, err := control(f, boxes)
+	if err != nil {
+		return err
+	}
+	per := float64(boxes) * lasting.Seconds()
+	_, err = fmt.Fprintf(out, "control of %d boxes, 3 endpoints, idle: %.0f bytes/s sent and %.1f messages/s a box, %.2f%% of a core a box for all three processes, %.2f platform calls/s a box\n",
+		boxes, (after["bytes"]-before["bytes"])/per, (after["messages"]-before["messages"])/per, 100*(after["cpu"]-before["cpu"])/per, float64(callsAfter-calls)/per)
+	return err
+}
+
+func control(f *proof.Fleet, boxes int) (map[string]float64, int, error) {
+	all := make(map[string]float64)
+	for i := range boxes {
+		for _, part := range []string{"entry", "scheduler", "watch"} {
+			m, err := f.Metrics(i, part)
+			if err != nil {
+				return nil, 0, err
+			}
+			all["bytes"] += m.Sum("dillsaddle_wire_sent_bytes_total")
+			all["messages"] += m.Sum("dillsaddle_wire_sent_messages_total")
+			all["cpu"] += m.Sum("process_cpu_seconds_total")
+		}
+	}
+	calls, err := f.PlatformCalls()
+	return all, calls, err
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return stat.Quantile(0.5, stat.Empirical, values, nil)
+}
--- a/proof/fleet.go
+++ b/proof/fleet.go
@@ -31,7 +31,8 @@
 	Median  float64       // tokens of an output
 	Step    time.Duration // of an engine alone
 	Memory  int
-	Peers   bool
+	PerSeq  time.Duration // added to a step by each sequence
+	Slots   int
 }
 
 // DefaultShape is a small fleet whose streams take a few seconds.
@@ -42,6 +43,8 @@
 		Median:  120,
 		Step:    15 * time.Millisecond,
 		Memory:  200000,
+		PerSeq:  300 * time.Microsecond,
+		Slots:   200,
 	}
 }
 
@@ -143,16 +146,18 @@
 			"zone":          "zone-1",
 			"models":        []string{Model},
 			"memory_tokens": f.Shape.Memory,
-			"batch_slots":   200,
+			"batch_slots":   f.Shape.Slots,
 		})
 		f.list.Endpoints = append(f.list.Endpoints, core.EndpointStatus{Name: name})
 	}
 	f.config = map[string]any{
 		"version": 1,
 		"customers": []map[string]any{{
-			"name":       "customer-1",
-			"tier":       "tier-1",
-			"key_sha256": []string{fmt.Sprintf("%x", sha256.Sum256([]byte(Key)))},
+			"name":        "customer-1",
+			"tier":        "tier-1",
+			"key_sha256":  []string{fmt.Sprintf("%x", sha256.Sum256([]byte(Key)))},
+			"max_streams": 100000,
+			"max_waiting": 100000,
 		}},
 		"tiers":     []map[string]any{{"name": "tier-1", "rank": 0, "policy": "policy-1"}},
 		"policies":  []map[string]any{{"name": "policy-1", "decide": "request.fits ? 'run' : 'wait'"}},
@@ -219,15 +224,17 @@
 	for i, address := range f.engines {
 		name := fmt.Sprintf("engine-%d", i+1)
 		f.run(name, "dillsaddle-standin", f.write(name+".json", map[string]any{
-			"role":    "engine",
-			"name":    name,
-			"address": address.String(),
-			"models":  Model,
-			"memory":  f.Shape.Memory,
-			"median":  f.Shape.Median,
-			"spread":  0.3,
-			"step":    f.Shape.Step.String(),
-			"seed":    i + 1,
+			"role":          "engine",
+			"name":          name,
+			"address":       address.String(),
+			"models":        Model,
+			"memory":        f.Shape.Memory,
+			"batch":         f.Shape.Slots,
+			"median":        f.Shape.Median,
+			"spread":        0.3,
+			"step":          f.Shape.Step.String(),
+			"step-sequence": f.Shape.PerSeq.String(),
+			"seed":          i + 1,
 		}))
 	}
 	f.run("service", "dillsaddle-standin", f.write("service.json", map[string]any{
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -19,15 +18,6 @@
 // is given up.
 const writeTimeout = 5 * time.Second
 
-// Traffic counts what passed over connections.
-type Traffic struct {
-	SentMessages     atomic.Uint64
-	SentBytes        atomic.Uint64
-	ReceivedMessages atomic.Uint64
-	ReceivedBytes    atomic.Uint64
-	LateAnswers      atomic.Uint64
-}
-
 // RemoteError is a fault that the other side answered with.
 type RemoteError struct {
 	Fault string
@@ -88,8 +78,7 @@
 		if err != nil {
 			return
 		}
-		c.handlers.traffic.ReceivedMessages.Add(1)
-		c.handlers.traffic.ReceivedBytes.Add(uint64(len(data)))
+		c.handlers.traffic.received(len(data))
 		e, err := open(data)
 		if err != nil {
 			return
@@ -162,8 +151,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	c.handlers.traffic.SentMessages.Add(1)
-	c.handlers.traffic.SentBytes.Add(uint64(len(data)))
+	c.handlers.traffic.sent(len(data))
 	if err := c.socket.Write(ctx, websocket.MessageBinary, data); err != nil {
 		c.Close()
 		return errors.Wrap(err, "write to the other process")
