admission: have one wake-up under way

Cause: each pump held by a pause between prompts asked for a wake-up of its own, and each wake-up pumped again, so n waiting requests kept n endless chains: 14 ms of a core a request on the path.

--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -61,6 +61,16 @@
 	return r
 }
 
+// teller is the first owner whose lease is still good.
+func (p *place) teller(now time.Time) int {
+	for slot := range p.leases {
+		if p.leases[slot].Usable(now) {
+			return slot
+		}
+	}
+	return 0
+}
+
 // load is the planned part of the leased memory.
 func (p *place) load(r room) float64 {
 	if r.tokens == 0 {
--- a/admission/event.go
+++ b/admission/event.go
@@ -24,6 +24,7 @@
 	core.EventBase
 	Slot         int
 	Lease        core.Lease
+	HasOthers    bool // Others is known; if not, what was known stays
 	Others       Profile
 	OtherRunning int
 	Growth       int
--- a/admission/model.go
+++ b/admission/model.go
@@ -20,6 +20,7 @@
 	running   map[string]*running
 	rate      rate
 	wake      time.Duration
+	wakeAt    time.Time
 }
 
 // NewModel starts with no endpoint.
@@ -105,7 +106,9 @@
 	}
 	p.leases[e.Slot] = e.Lease
 	p.growths[e.Slot] = float64(e.Growth)
-	p.others = e.Others
+	if e.HasOthers {
+		p.others = e.Others
+	}
 	p.otherRun = e.OtherRunning
 	p.step = e.Step
 	p.refresh(m.profile)
@@ -287,12 +290,14 @@
 // EndpointWish is what this box uses of one endpoint and wants more of.
 type EndpointWish struct {
 	Endpoint string
+	Teller   int // the owner's slot that should say what other boxes hold
+	Idle     bool
 	Wish
 }
 
 // Wishes gives what this box uses of each endpoint; the waiting requests'
 // expected tokens are spread evenly.
-func (m *Model) Wishes() []EndpointWish {
+func (m *Model) Wishes(now time.Time) []EndpointWish {
 	waiting, rank := m.expectedWaiting()
 	waiting /= max(1, len(m.names))
 	wishes := make([]EndpointWish, 0, len(m.places))
@@ -301,6 +306,8 @@
 		p.refresh(m.profile)
 		wishes = append(wishes, EndpointWish{
 			Endpoint: name,
+			Teller:   p.teller(now),
+			Idle:     len(p.running) == 0 && waiting == 0,
 			Wish: Wish{
 				Profile: p.own,
 				Running: len(p.running),
--- a/admission/profile.go
+++ b/admission/profile.go
@@ -57,25 +57,46 @@
 	return p
 }
 
-// Floats gives a profile's parts in the form that messages carry.
-func (p *Profile) Floats() (mean, variance []float32) {
-	mean = make([]float32, HorizonCount)
-	variance = make([]float32, HorizonCount)
+// Floats gives a profile's parts in the form that messages carry: rounded up to
+// what a short float holds, since a plan needs no more than three digits and the
+// codec writes each float as short as it can. The variance goes as its root.
+func (p *Profile) Floats() (mean, deviation []float32) {
+	mean = make([]float32, 0, HorizonCount)
+	deviation = make([]float32, 0, HorizonCount)
 	for i := range p.Mean {
-		mean[i] = float32(p.Mean[i])
-		variance[i] = float32(p.Variance[i])
+		mean = append(mean, shortFloat(p.Mean[i]))
+		deviation = append(deviation, shortFloat(math.Sqrt(p.Variance[i])))
 	}
-	return mean, variance
+	return trimZeros(mean), trimZeros(deviation)
+}
+
+// shortBits are the bits of a float32 that a float16 has no room for.
+const shortBits = 13
+
+func shortFloat(v float64) float32 {
+	bits := math.Float32bits(float32(v))
+	if bits&(1<<shortBits-1) != 0 {
+		bits = bits&^(1<<shortBits-1) + 1<<shortBits
+	}
+	return math.Float32frombits(bits)
+}
+
+// trimZeros leaves out the zeros at the end.
+func trimZeros(values []float32) []float32 {
+	for len(values) > 0 && values[len(values)-1] == 0 {
+		values = values[:len(values)-1]
+	}
+	return values
 }
 
 // ProfileFrom reads a profile from a message; missing parts are zero.
-func ProfileFrom(mean, variance []float32) Profile {
+func ProfileFrom(mean, deviation []float32) Profile {
 	var p Profile
 	for i := range min(len(mean), HorizonCount) {
 		p.Mean[i] = float64(mean[i])
 	}
-	for i := range min(len(variance), HorizonCount) {
-		p.Variance[i] = float64(variance[i])
+	for i := range min(len(deviation), HorizonCount) {
+		p.Variance[i] = float64(deviation[i]) * float64(deviation[i])
 	}
 	return p
 }
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -20,16 +20,18 @@
 			break
 		}
 	}
-	return append(commands, m.wakeUp()...)
+	return append(commands, m.wakeUp(now)...)
 }
 
-// wakeUp asks for a tick when only a pause between prompts holds a request.
-func (m *Model) wakeUp() []core.Command {
+// wakeUp asks for a tick when only a pause between prompts holds a request. One
+// wake-up is under way at a time: each pump would add its own otherwise.
+func (m *Model) wakeUp(now time.Time) []core.Command {
 	after := m.wake
 	m.wake = 0
-	if after <= 0 || m.waiting.length == 0 {
+	if after <= 0 || m.waiting.length == 0 || now.Before(m.wakeAt) {
 		return nil
 	}
+	m.wakeAt = now.Add(after)
 	return []core.Command{Wake{After: after}}
 }
 
--- a/bench/run.go
+++ b/bench/run.go
@@ -277,7 +277,7 @@
 	name := n.list.Boxes[box].Name
 	asked := n.now
 	owners := make(map[string]*wire.LeaseAsk)
-	for _, w := range m.Wishes() {
+	for _, w := range m.Wishes(n.now) {
 		for slot := range core.SlotCount {
 			n.ask(box, name, asked, w, slot, owners)
 		}
@@ -297,26 +297,27 @@
 	if owners[owner] == nil {
 		owners[owner] = &wire.LeaseAsk{}
 	}
-	mean, variance := w.Profile.Floats()
+	mean, deviation := w.Profile.Floats()
 	owners[owner].Wishes = append(owners[owner].Wishes, wire.LeaseWish{
-		Endpoint: w.Endpoint,
-		Mean:     mean,
-		Variance: variance,
-		Running:  w.Running,
-		Waiting:  w.Waiting,
+		Endpoint:  w.Endpoint,
+		Mean:      mean,
+		Deviation: deviation,
+		Running:   w.Running,
+		Waiting:   w.Waiting,
 	})
 	n.after(controlDelay, func() {
 		e.shares[slot].Hold().Step(n.now, core.ListConfirmed{At: n.now})
 		g := e.shares[slot].Grant(n.now, name, w.Wish)
 		n.count(wire.LeaseGrant{
-			Endpoint:      w.Endpoint,
-			OtherMean:     mean,
-			OtherVariance: variance,
+			Endpoint:       w.Endpoint,
+			OtherMean:      mean,
+			OtherDeviation: deviation,
 		})
 		n.after(controlDelay, func() {
 			n.perform(box, n.boxes[box].Step(n.now, admission.LeaseArrived{
 				Slot:         slot,
 				Lease:        core.NewLease(w.Endpoint, asked, g.TTL, g.Tokens, g.Slots),
+				HasOthers:    true,
 				Others:       g.Others,
 				OtherRunning: g.OtherRunning,
 				Growth:       g.Growth,
--- a/core/member.go
+++ b/core/member.go
@@ -70,12 +70,13 @@
 func (l *List) Home(key string, skip func(box string) bool) string {
 	best := ""
 	var high uint64
+	hashed := xxhash.Sum64String(key)
 	for i := range l.Boxes {
 		m := &l.Boxes[i]
 		if m.Leaving || skip != nil && skip(m.Name) {
 			continue
 		}
-		score := Score(key, m.Name)
+		score := mix(hashed, m.Name)
 		if best == "" || score > high || score == high && m.Name < best {
 			best, high = m.Name, score
 		}
@@ -108,13 +109,15 @@
 }
 
 // Score is the rendezvous weight of a box for a key.
-func Score(key, box string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(box)
-	return d.Sum64()
+func Score(key, box string) uint64 { return mix(xxhash.Sum64String(key), box) }
+
+// mix spreads a key's hash with a box's by the finalizer of splitmix64, so that a
+// key is hashed once for all boxes.
+func mix(key uint64, box string) uint64 {
+	x := key ^ xxhash.Sum64String(box)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // Nearest gives the n names with the highest scores for a key, best first.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,7 @@
 	customers *shard.Map[*customer]
 	calls     *shard.Map[*call]
 	homes     *shard.Map[core.Incarnation]
+	owners    watch.Owners
 	drainLock sync.Mutex
 	drain     *core.Drain
 	work      int
--- a/entry/model.go
+++ b/entry/model.go
@@ -15,9 +15,18 @@
 	"dillsaddle.example/dillsaddle/wire"
 )
 
-// subsetSize is how many endpoints of a model one box uses, so that leases
-// don't grow with the fleet on both sides.
-const subsetSize = 16
+// A box uses a subset of each model's endpoints, so that its leases don't grow
+// with the fleet: leaseBudget endpoints in all, but for each model between the
+// two bounds.
+const (
+	leaseBudget  = 96
+	leastSubset  = 3
+	widestSubset = 16
+)
+
+func subsetSize(models int) int {
+	return min(widestSubset, max(leastSubset, leaseBudget/max(1, models)))
+}
 
 // model is one model's admission on this box, under its own lock.
 type model struct {
@@ -141,7 +150,7 @@
 			names = append(names, c.Name)
 		}
 	}
-	return core.Nearest(box, names, subsetSize)
+	return core.Nearest(box, names, subsetSize(len(v.Document.Models)))
 }
 
 func rulesOf(d *config.Document, m *config.Model) admission.Rules {
@@ -200,14 +209,15 @@
 	}
 }
 
+// idleMargin is how long the lease of an endpoint that this box doesn't use may
+// still last when it is renewed; one in use is renewed each time.
+const idleMargin = time.Second
+
 func (e *Entry) wishes(v watch.View, modelName string, asks map[string]*wire.LeaseAsk) {
 	m := e.modelOf(modelName)
-	m.mu.Lock()
-	wishes := m.core.Wishes()
-	m.mu.Unlock()
-	for _, w := range wishes {
+	for _, w := range m.due(time.Now()) {
 		for slot := range core.SlotCount {
-			owner := v.List.Owner(w.Endpoint, slot)
+			owner := e.owners.Of(v.List, w.Endpoint, slot)
 			if asks[owner] == nil {
 				asks[owner] = &wire.LeaseAsk{Box: e.self}
 			}
@@ -216,17 +226,28 @@
 	}
 }
 
+// due gives the wishes to send now.
+func (m *model) due(now time.Time) []admission.EndpointWish {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(m.core.Wishes(now), func(w admission.EndpointWish) bool {
+		return w.Idle && m.until[w.Endpoint].After(now.Add(idleMargin))
+	})
+}
+
 func leaseWish(model string, w admission.EndpointWish, slot int) wire.LeaseWish {
-	mean, variance := w.Profile.Floats()
+	mean, deviation := w.Profile.Floats()
 	return wire.LeaseWish{
-		Endpoint: w.Endpoint,
-		Slot:     slot,
-		Model:    model,
-		Mean:     mean,
-		Variance: variance,
-		Running:  w.Running,
-		Waiting:  w.Waiting,
-		Rank:     w.Rank,
+		Endpoint:  w.Endpoint,
+		Slot:      slot,
+		Model:     model,
+		Mean:      mean,
+		Deviation: deviation,
+		Running:   w.Running,
+		Waiting:   w.Waiting,
+		Rank:      w.Rank,
+
+		WantOthers: slot == w.Teller,
 	}
 }
 
@@ -253,7 +274,8 @@
 	m.step(time.Now(), admission.LeaseArrived{
 		Slot:         g.Slot,
 		Lease:        lease,
-		Others:       admission.ProfileFrom(g.OtherMean, g.OtherVariance),
+		HasOthers:    g.HasOthers,
+		Others:       admission.ProfileFrom(g.OtherMean, g.OtherDeviation),
 		OtherRunning: g.OtherRunning,
 		Growth:       g.Growth,
 		Step:         g.Step,
--- a/lab/slopes_core.go
+++ b/lab/slopes_core.go
@@ -124,31 +124,31 @@
 		full.Mean[i] = 12345.6 + float64(i)
 		full.Variance[i] = 345678.9 + float64(i)
 	}
-	mean, variance := full.Floats()
+	mean, deviation := full.Floats()
 	for i := range wishes {
 		name := fmt.Sprintf("engine-%04d", i)
 		ask.Wishes = append(ask.Wishes, wire.LeaseWish{
-			Endpoint: name,
-			Model:    "model-01",
-			Mean:     mean,
-			Variance: variance,
-			Running:  20,
-			Waiting:  1500,
-			Slot:     1,
+			Endpoint:  name,
+			Model:     "model-01",
+			Mean:      mean,
+			Deviation: deviation,
+			Running:   20,
+			Waiting:   1500,
+			Slot:      1,
 		})
 		grants.Grants = append(grants.Grants, wire.LeaseGrant{
-			Endpoint:      name,
-			Model:         "model-01",
-			TTL:           2 * time.Second,
-			Tokens:        20000,
-			Slots:         30,
-			OtherMean:     mean,
-			OtherVariance: variance,
-			OtherRunning:  20,
-			Growth:        1000,
-			Incarnation:   1 << 60,
-			Step:          20 * time.Millisecond,
-			Slot:          1,
+			Endpoint:       name,
+			Model:          "model-01",
+			TTL:            2 * time.Second,
+			Tokens:         20000,
+			Slots:          30,
+			OtherMean:      mean,
+			OtherDeviation: deviation,
+			OtherRunning:   20,
+			Growth:         1000,
+			Incarnation:    1 << 60,
+			Step:           20 * time.Millisecond,
+			Slot:           1,
 		})
 	}
 	return float64(wire.Size(ask) + wire.Size(grants))
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -23,8 +23,9 @@
 
 // endpoint is the half of one engine that this box may own; its lock is its own.
 type endpoint struct {
-	mu       sync.Mutex
+	name     string
 	slot     int
+	mu       sync.Mutex
 	settings config.Endpoint
 	shares   *admission.Shares
 	owner    bool
@@ -37,6 +38,7 @@
 func newEndpoint(c config.Endpoint, slot int) *endpoint {
 	hold := core.NewHold(c.Name, core.DefaultLeaseRules())
 	return &endpoint{
+		name:     c.Name,
 		slot:     slot,
 		settings: c,
 		shares:   admission.NewShares(hold, c.MemoryTokens, c.BatchSlots, targetStep),
@@ -70,12 +72,18 @@
 	e.shares.Hold().Step(now, core.PredecessorGone{})
 }
 
-func (e *endpoint) follow(now time.Time, c config.Endpoint, leaving bool, confirmed time.Time) {
+// configure follows a new configuration.
+func (e *endpoint) configure(c config.Endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settings = c
 	e.shares.Capacity = c.MemoryTokens
 	e.shares.Slots = c.BatchSlots
+}
+
+func (e *endpoint) follow(now time.Time, leaving bool, confirmed time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.shares.Hold().Step(now, core.HoldTicked{})
 	e.shares.Hold().Step(now, core.EndpointLeaving{Leaving: leaving})
 	e.shares.Hold().Step(now, core.ListConfirmed{At: confirmed})
@@ -88,25 +96,26 @@
 		return wire.LeaseGrant{}, false
 	}
 	g := e.shares.Grant(now, box+"/"+w.Model, admission.Wish{
-		Profile: admission.ProfileFrom(w.Mean, w.Variance),
+		Profile: admission.ProfileFrom(w.Mean, w.Deviation),
 		Running: w.Running,
 		Waiting: w.Waiting,
 		Rank:    w.Rank,
 	})
-	mean, variance := g.Others.Floats()
 	out := wire.LeaseGrant{
-		Endpoint:      w.Endpoint,
-		TTL:           g.TTL,
-		Tokens:        g.Tokens,
-		Slots:         g.Slots,
-		OtherMean:     mean,
-		OtherVariance: variance,
-		OtherRunning:  g.OtherRunning,
-		Growth:        g.Growth,
-		Incarnation:   uint64(e.lastLoad.Incarnation),
-		Step:          e.lastLoad.Step,
-		Model:         w.Model,
-		Slot:          w.Slot,
+		Endpoint:     w.Endpoint,
+		TTL:          g.TTL,
+		Tokens:       g.Tokens,
+		Slots:        g.Slots,
+		OtherRunning: g.OtherRunning,
+		Growth:       g.Growth,
+		Incarnation:  uint64(e.lastLoad.Incarnation),
+		Step:         e.lastLoad.Step,
+		Model:        w.Model,
+		Slot:         w.Slot,
+	}
+	if w.WantOthers {
+		out.OtherMean, out.OtherDeviation = g.Others.Floats()
+		out.HasOthers = true
 	}
 	for _, h := range e.hints {
 		out.Hints = append(out.Hints, wire.CacheHint{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,6 +48,7 @@
 	home       *core.Home
 	drainLock  sync.Mutex
 	drain      *core.Drain
+	basis      basis // of the owners, under drainLock
 	owners     *ownership
 	successors sync.Map // boxes that took the handover of a planned stop
 	left       chan struct{}
@@ -161,7 +162,8 @@
 	s.follow(context.Background())
 }
 
-// follow gives every endpoint its owner, leaving mark and reading age.
+// follow gives the endpoints owned their leaving mark and reading age; owners are
+// worked out anew only for a new list or configuration.
 func (s *Scheduler) follow(context.Context) {
 	v := s.state.View()
 	if v.Document == nil || v.List == nil {
@@ -172,41 +174,62 @@
 		Version: v.List.Version,
 		At:      v.ConfirmedAt,
 	})
-	known := make(map[string]bool, len(v.Document.Endpoints))
+	if s.basisChanged(v) {
+		s.reassign(now, v)
+	}
+	s.endpoints.Each(func(_ string, e *endpoint) { s.followOne(now, v, e) })
+}
+
+// basis is what owners are worked out from.
+type basis struct {
+	list     *core.List
+	document *config.Document
+	taking   bool
+}
+
+func (s *Scheduler) basisChanged(v watch.View) bool {
+	s.drainLock.Lock()
+	defer s.drainLock.Unlock()
+	next := basis{
+		list:     v.List,
+		document: v.Document,
+		taking:   s.drain.Taking(),
+	}
+	changed := next != s.basis
+	s.basis = next
+	return changed
+}
+
+// reassign takes and loses halves.
+func (s *Scheduler) reassign(now time.Time, v watch.View) {
+	taking := s.taking()
+	mine := make(map[string]bool)
 	for _, c := range v.Document.Endpoints {
 		for slot := range core.SlotCount {
-			known[slotKey(c.Name, slot)] = true
-			s.followOne(now, v, c, slot)
+			owner, fresh := s.owners.of(now, v.List, s.settings.Name, c.Name, slot)
+			if owner != s.settings.Name || !taking {
+				continue
+			}
+			key := slotKey(c.Name, slot)
+			mine[key] = true
+			e := s.endpoints.GetOrMake(key, func() *endpoint { return newEndpoint(c, slot) })
+			e.configure(c)
+			e.own(now, true, fresh)
 		}
 	}
 	s.endpoints.Each(func(key string, e *endpoint) {
-		if !known[key] {
+		if !mine[key] {
 			e.own(now, false, false)
 			s.endpoints.Delete(key)
 		}
 	})
 }
 
-func (s *Scheduler) followOne(now time.Time, v watch.View, c config.Endpoint, slot int) {
-	owner, fresh := s.owners.of(now, v.List, s.settings.Name, c.Name, slot)
-	mine := owner == s.settings.Name && s.taking()
-	key := slotKey(c.Name, slot)
-	e, held := s.endpoints.Get(key)
-	if !held && !mine {
-		return
-	}
-	if !held {
-		e = newEndpoint(c, slot)
-		s.endpoints.Put(key, e)
-	}
-	e.follow(now, c, v.List.Leaving(c.Name), v.ConfirmedAt)
-	e.own(now, mine, fresh)
-	if mine && s.owners.gone(now, v.List, c.Name, slot, e.foreign()) {
+func (s *Scheduler) followOne(now time.Time, v watch.View, e *endpoint) {
+	e.follow(now, v.List.Leaving(e.name), v.ConfirmedAt)
+	if s.owners.gone(now, v.List, e.name, e.slot, e.foreign()) {
 		e.predecessorGone(now)
 	}
-	if !mine {
-		s.endpoints.Delete(key)
-	}
 }
 
 // readLoads reads the load and the cache events of the endpoints it owns.
--- a/wire/message.go
+++ b/wire/message.go
@@ -59,14 +59,17 @@
 
 // LeaseWish is what an entry uses of one endpoint and what it wants.
 type LeaseWish struct {
-	Endpoint string    `cbor:"1,keyasint"`
-	Mean     []float32 `cbor:"2,keyasint"` // expected tokens held, by horizon
-	Variance []float32 `cbor:"3,keyasint"`
-	Running  int       `cbor:"4,keyasint"`
-	Waiting  int       `cbor:"5,keyasint"` // expected tokens of waiting requests
-	Rank     int       `cbor:"8,keyasint,omitempty"`
-	Model    string    `cbor:"6,keyasint"`
-	Slot     int       `cbor:"7,keyasint,omitempty"`
+	Endpoint  string    `cbor:"1,keyasint"`
+	Mean      []float32 `cbor:"2,keyasint"` // expected tokens held, by horizon
+	Deviation []float32 `cbor:"3,keyasint"`
+	Running   int       `cbor:"4,keyasint"`
+	Waiting   int       `cbor:"5,keyasint"` // expected tokens of waiting requests
+	Rank      int       `cbor:"8,keyasint,omitempty"`
+
+	// WantOthers asks what other boxes hold; both owners know, one says so.
+	WantOthers bool   `cbor:"10,keyasint,omitempty"`
+	Model      string `cbor:"6,keyasint"`
+	Slot       int    `cbor:"7,keyasint,omitempty"`
 }
 
 // LengthSeen tells the length of an ended generation, for the estimates.
@@ -87,19 +90,20 @@
 
 // LeaseGrant is the right to send to one endpoint for a while.
 type LeaseGrant struct {
-	Endpoint      string        `cbor:"1,keyasint"`
-	TTL           time.Duration `cbor:"2,keyasint"`
-	Tokens        int           `cbor:"3,keyasint"` // memory that may be planned for
-	Slots         int           `cbor:"4,keyasint"`
-	OtherMean     []float32     `cbor:"5,keyasint,omitempty"` // what other boxes hold
-	OtherVariance []float32     `cbor:"6,keyasint,omitempty"`
-	OtherRunning  int           `cbor:"7,keyasint"`
-	Growth        int           `cbor:"8,keyasint"` // tokens that may be added on this lease
-	Incarnation   uint64        `cbor:"9,keyasint"`
-	Step          time.Duration `cbor:"10,keyasint"` // engine's last time between tokens
-	Hints         []CacheHint   `cbor:"11,keyasint,omitempty"`
-	Model         string        `cbor:"12,keyasint"`
-	Slot          int           `cbor:"13,keyasint,omitempty"`
+	Endpoint       string        `cbor:"1,keyasint"`
+	TTL            time.Duration `cbor:"2,keyasint"`
+	Tokens         int           `cbor:"3,keyasint"` // memory that may be planned for
+	Slots          int           `cbor:"4,keyasint"`
+	OtherMean      []float32     `cbor:"5,keyasint,omitempty"` // what other boxes hold
+	OtherDeviation []float32     `cbor:"6,keyasint,omitempty"`
+	OtherRunning   int           `cbor:"7,keyasint"`
+	Growth         int           `cbor:"8,keyasint"` // tokens that may be added on this lease
+	Incarnation    uint64        `cbor:"9,keyasint"`
+	Step           time.Duration `cbor:"10,keyasint"` // engine's last time between tokens
+	Hints          []CacheHint   `cbor:"11,keyasint,omitempty"`
+	Model          string        `cbor:"12,keyasint"`
+	Slot           int           `cbor:"13,keyasint,omitempty"`
+	HasOthers      bool          `cbor:"14,keyasint,omitempty"`
 }
 
 // CacheHint tells that an endpoint kept or dropped a prompt prefix.
