admission: renew leases when they are wanted

Cause: renewing every lease twice a second takes 100 KB/s at 470 boxes with 32 models (192 halves, 197 bytes a wish and grant), against 23 allowed. A lease lasts four seconds now and is renewed with two left while in use, one while idle; a request that finds no room asks at once, within a credit of 14 KB/s. Also: answers of the platform are read packed.

Changelog-changed: a lease lasts four seconds.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= buscodigo
 STATICCHECK := bin/staticcheck
 
-.PHONY: all build run test format lint unit clean
+.PHONY: all build run test format lint unit prove measure slopes plots clean
 
 all: build
 
@@ -32,5 +32,21 @@
 unit:
 	@scripts/test.sh
 
+# Explores the core protocol to its deep bounds, replays the recorded traces and
+# brings about failures on real processes; prints a line for each promise.
+prove: build
+	@bin/dillsaddle-lab prove
+
+# The decision tables, in virtual time.
+measure: build
+	@bin/dillsaddle-lab measure
+
+# What each part costs, worked out for the size of docs/CAPACITY.md.
+slopes: build
+	@bin/dillsaddle-lab slopes
+
+plots: build
+	@bin/dillsaddle-lab plots
+
 clean:
 	rm -rf bin run
--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -61,6 +61,20 @@
 	return r
 }
 
+// due reports whether a lease must be renewed while no request waits.
+func (p *place) due(now time.Time) bool {
+	margin := renewIdle
+	if len(p.running) > 0 {
+		margin = renewInUse
+	}
+	for slot := range p.leases {
+		if p.leases[slot].Until.Sub(now) < margin {
+			return true
+		}
+	}
+	return false
+}
+
 // teller is the first owner whose lease is still good.
 func (p *place) teller(now time.Time) int {
 	for slot := range p.leases {
--- a/admission/event.go
+++ b/admission/event.go
@@ -90,6 +90,10 @@
 	After time.Duration
 }
 
+// WantLeases asks the shell to renew the leases now: a request found no room on
+// those that it has, which may be smaller than what the owners could give.
+type WantLeases struct{ core.CommandBase }
+
 // RefusalReason is the stable code of a refusal.
 type RefusalReason string
 
--- a/admission/model.go
+++ b/admission/model.go
@@ -21,6 +21,7 @@
 	rate      rate
 	wake      time.Duration
 	wakeAt    time.Time
+	wantedAt  time.Time
 }
 
 // NewModel starts with no endpoint.
@@ -198,9 +199,17 @@
 		return append(commands, m.refusal(&r, RefuseOverload))
 	}
 	m.waiting.push(&r)
-	return append(commands, m.pump(now)...)
+	commands = append(commands, m.pump(now)...)
+	if m.waiting.length > 0 && now.Sub(m.wantedAt) >= wantPause {
+		m.wantedAt = now
+		commands = append(commands, WantLeases{})
+	}
+	return commands
 }
 
+// wantPause is the least time between two wishes out of turn.
+const wantPause = 100 * time.Millisecond
+
 // rank sets a request's place in the order; a program that fails falls back to
 // its tier's rank.
 func (m *Model) rank(r *Request, in *policy.Input) []core.Command {
@@ -291,23 +300,32 @@
 type EndpointWish struct {
 	Endpoint string
 	Teller   int // the owner's slot that should say what other boxes hold
-	Idle     bool
 	Wish
 }
 
-// Wishes gives what this box uses of each endpoint; the waiting requests'
-// expected tokens are spread evenly.
-func (m *Model) Wishes(now time.Time) []EndpointWish {
+// A lease is renewed when less of it is left than these: at each turn while
+// requests wait, later while the endpoint is in use, last when it is not.
+const (
+	renewInUse = 2 * time.Second
+	renewIdle  = time.Second
+)
+
+// Wishes gives what this box uses of each endpoint whose lease is due to be
+// renewed, and, if eager, of all endpoints while requests wait. The waiting
+// requests' expected tokens are spread evenly.
+func (m *Model) Wishes(now time.Time, eager bool) []EndpointWish {
 	waiting, rank := m.expectedWaiting()
 	waiting /= max(1, len(m.names))
 	wishes := make([]EndpointWish, 0, len(m.places))
 	for _, name := range slices.Sorted(maps.Keys(m.places)) {
 		p := m.places[name]
+		if !(eager && waiting > 0) && !p.due(now) {
+			continue
+		}
 		p.refresh(m.profile)
 		wishes = append(wishes, EndpointWish{
 			Endpoint: name,
 			Teller:   p.teller(now),
-			Idle:     len(p.running) == 0 && waiting == 0,
 			Wish: Wish{
 				Profile: p.own,
 				Running: len(p.running),
--- a/core/lease.go
+++ b/core/lease.go
@@ -54,7 +54,7 @@
 // DefaultLeaseRules gives the bounds that the processes use.
 func DefaultLeaseRules() LeaseRules {
 	return LeaseRules{
-		TTL:   2 * time.Second,
+		TTL:   4 * time.Second,
 		Fresh: 5 * time.Second,
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	calls     *shard.Map[*call]
 	homes     *shard.Map[core.Incarnation]
 	owners    watch.Owners
+	credit    credit
 	drainLock sync.Mutex
 	drain     *core.Drain
 	work      int
--- /dev/null
+++ b/lab/prove.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/model"
+	"dillsaddle.example/dillsaddle/node"
+	"dillsaddle.example/dillsaddle/proof"
+)
+
+func init() {
+	fs := flag.NewFlagSet("prove", flag.ContinueOnError)
+	programs := fs.String("programs", "bin", "`folder` of the programs")
+	traces := fs.String("traces", "traces", "`folder` of the recorded traces")
+	quick := fs.Bool("quick", false, "explore to CI's bounds only")
+	commands = append(commands, &ffcli.Command{
+		Name:       "prove",
+		ShortUsage: "dillsaddle-lab prove [flags]",
+		ShortHelp:  "explore, replay and bring about failures, and say which promises held",
+		FlagSet:    fs,
+		Exec:       func(context.Context, []string) error { return prove(*programs, *traces, !*quick) },
+	})
+}
+
+// deepAtOnce bounds the explorations that run side by side, for their memory.
+const deepAtOnce = 3
+
+// evidence is what was run for a promise.
+type evidence struct {
+	mu   sync.Mutex
+	ran  map[model.Promise][]string
+	fell map[model.Promise][]string
+}
+
+func (e *evidence) add(promises []model.Promise, what, broke string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range promises {
+		e.ran[p] = append(e.ran[p], what)
+		if broke != "" {
+			e.fell[p] = append(e.fell[p], what+": "+broke)
+		}
+	}
+	if broke != "" {
+		fmt.Printf("fell: %s: %s\n", what, broke)
+		return
+	}
+	fmt.Printf("held: %s\n", what)
+}
+
+func prove(programs, traces string, deep bool) error {
+	e := &evidence{
+		ran:  make(map[model.Promise][]string),
+		fell: make(map[model.Promise][]string),
+	}
+	proveModels(e, deep)
+	if err := proveTraces(e, traces); err != nil {
+		return err
+	}
+	for _, s := range proof.Scenarios() {
+		seen, err := s.Execute(programs)
+		what := "processes, " + s.Name
+		if seen != "" {
+			what += " (" + seen + ")"
+		}
+		e.add(s.Promises, what, textOf(err))
+	}
+	return e.verdict()
+}
+
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func proveModels(e *evidence, deep bool) {
+	room := make(chan struct{}, min(deepAtOnce, runtime.GOMAXPROCS(0)))
+	var wait sync.WaitGroup
+	for _, c := range model.Checks() {
+		wait.Go(func() {
+			room <- struct{}{}
+			proveModel(e, c, deep)
+			<-room
+		})
+	}
+	wait.Wait()
+}
+
+// proveModel explores with every guard on, and with each off, where the break
+// must be found.
+func proveModel(e *evidence, c model.Check, deep bool) {
+	r := c.Run(deep)
+	broke := r.Break
+	if broke != "" {
+		broke += "\n" + model.Readable(r.Trace)
+	}
+	e.add(c.Promises, "model, "+c.Name+" ("+r.String()+")", broke)
+	for _, g := range c.Guards {
+		off := c.Run(false, core.WithoutGuard(g))
+		broke := ""
+		if off.Break == "" {
+			broke = "no break was found without the guard"
+		}
+		e.add(c.Promises, fmt.Sprintf("model, %s, broken without %s in %d steps", c.Name, g, len(off.Trace)), broke)
+	}
+}
+
+// tracePromises tell which promises a recorded trace bears on, by its name.
+var tracePromises = map[string][]model.Promise{
+	"stalled":  {model.TokensOnce, model.WholeAnswer},
+	"vanished": {model.TokensOnce, model.WholeAnswer},
+	"lost":     {model.WholeAnswer, model.NotRunMeansNotRun},
+	"double":   {model.AtMostOnce},
+	"late":     {model.WholeAnswer},
+}
+
+func proveTraces(e *evidence, folder string) error {
+	files, err := filepath.Glob(filepath.Join(folder, "*", "*.jsonl"))
+	if err != nil || len(files) == 0 {
+		return errors.Errorf("no traces in %s; give the folder with -traces", folder)
+	}
+	for _, file := range files {
+		if err := proveTrace(e, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func proveTrace(e *evidence, file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	report, err := node.Replay(f)
+	if err != nil {
+		return errors.Wrap(err, file)
+	}
+	broke := ""
+	if len(report.Mismatches) > 0 {
+		broke = report.Mismatches[0].Error()
+	}
+	name := filepath.Base(file)
+	for word, promises := range tracePromises {
+		if strings.Contains(name, word) {
+			e.add(promises, fmt.Sprintf("replay, %s (%d outcomes)", name, report.Outcomes), broke)
+		}
+	}
+	return nil
+}
+
+func (e *evidence) verdict() error {
+	fell := 0
+	for p := model.TokensOnce; p <= model.NeverOlder; p++ {
+		verdict := "held"
+		detail := fmt.Sprintf("%s; %d runs: %s", model.Promises[p], len(e.ran[p]), strings.Join(e.ran[p], "; "))
+		switch {
+		case len(e.fell[p]) > 0:
+			verdict = "fell"
+			detail = strings.Join(e.fell[p], "; ")
+			fell++
+		case len(e.ran[p]) == 0:
+			verdict = "not proved"
+			detail = "nothing was run"
+		}
+		fmt.Printf("promise %d: %s: %s\n", p, verdict, detail)
+	}
+	if fell > 0 {
+		return errors.Errorf("%d promises fell", fell)
+	}
+	return nil
+}
--- a/settings/box.go
+++ b/settings/box.go
@@ -152,7 +152,7 @@
 		return &Error{
 			Setting: "lease-every",
 			What:    "is " + b.LeaseEvery.String(),
-			Remedy:  "write a time from 50ms to 1s: a lease ends after 2s",
+			Remedy:  "write a time from 50ms to 1s: a lease ends after 4s",
 		}
 	}
 	if b.DrainLimit < time.Second {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/compress"
 
 	"dillsaddle.example/dillsaddle/core"
 )
@@ -172,5 +174,9 @@
 			body, _ = json.Marshal(l)
 		}
 	}
+	if strings.Contains(string(c.GetHeader("Accept-Encoding")), "gzip") {
+		body = compress.AppendGzipBytes(nil, body)
+		c.Response.Header.Set("Content-Encoding", "gzip")
+	}
 	c.Data(http.StatusOK, "application/json", body)
 }
--- a/watch/platform.go
+++ b/watch/platform.go
@@ -43,14 +43,25 @@
 	req.SetMethod(http.MethodGet)
 	req.SetRequestURI("http://" + p.address.String() + "/v1/" + what +
 		"?after=" + strconv.FormatUint(after, 10) + "&wait=" + wait.String())
+	req.Header.Set("Accept-Encoding", "gzip")
 	if err := p.client.Do(ctx, req, resp); err != nil {
 		return nil, errors.Wrap(err, "read the platform's "+what)
 	}
 	switch resp.StatusCode() {
 	case http.StatusOK:
-		return append([]byte(nil), resp.Body()...), nil
+		platformBytes.Add(len(resp.Body()))
+		return plainBody(resp)
 	case http.StatusNotModified:
 		return nil, nil
 	}
 	return nil, errors.Errorf("the platform answered %d for its %s", resp.StatusCode(), what)
 }
+
+// plainBody gives an answer's body, which the platform may have compressed.
+func plainBody(resp *protocol.Response) ([]byte, error) {
+	if string(resp.Header.ContentEncoding()) == "gzip" {
+		body, err := resp.BodyGunzip()
+		return body, errors.Wrap(err, "unpack the platform's answer")
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
