--- a/config/limits.go
+++ b/config/limits.go
@@ -29,5 +29,5 @@
 	o.duration("progress", &l.Progress, 100*time.Millisecond, 10*time.Minute)
 	o.duration("resume_window", &l.ResumeWindow, 100*time.Millisecond, 10*time.Minute)
 	o.duration("max_wait", &l.MaxWait, 10*time.Millisecond, time.Hour)
-	o.duration("claim_guard", &l.ClaimGuard, 30*time.Second, 24*time.Hour)
+	o.duration("claim_guard", &l.ClaimGuard, 150*time.Second, 24*time.Hour)
 }
--- a/core/claim.go
+++ b/core/claim.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// leastGuard is what a guard time must exceed for its purpose.
+func (r *ClaimRules) leastGuard() time.Duration { return r.Fresh + r.GrantTTL + r.Skew }
+
 // ListAdopted tells that a higher list version is in use on this box.
 type ListAdopted struct {
 	EventBase
@@ -138,6 +141,12 @@
 	Box Box
 }
 
+// ClaimGuardSet tells the guard time that the configuration gives.
+type ClaimGuardSet struct {
+	EventBase
+	Guard time.Duration
+}
+
 // ClaimAnswered asks the shell to answer a claim.
 type ClaimAnswered struct {
 	CommandBase
@@ -193,6 +202,8 @@
 		h.settled(now, e)
 	case BoxLost:
 		h.boxLost(now, e)
+	case ClaimGuardSet:
+		h.rules.Guard = max(e.Guard, h.rules.leastGuard())
 	case HandoverAsked:
 		return h.handoverAsked(now, e)
 	case HandoverArrived:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -153,6 +153,9 @@
 
 // changed follows a new configuration or list.
 func (s *Scheduler) changed(v watch.View) {
+	if v.Document != nil {
+		s.stepHomeQuiet(core.ClaimGuardSet{Guard: v.Document.Limits.ClaimGuard})
+	}
 	if v.List != nil {
 		s.stepHome(context.Background(), core.ListAdopted{
 			List: v.List,
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,4 +12,4 @@
   done <KNOWN-RED.txt
 fi
 skip=$(IFS='|'; echo "${known[*]-}")
-go test -race -timeout 40m -ginkgo.seed=1 ${skip:+-ginkgo.skip="$skip"} ./...
+go test -race -timeout 40m ./... -ginkgo.seed=1 ${skip:+-ginkgo.skip="$skip"}
--- a/trace/event.go
+++ b/trace/event.go
@@ -57,6 +57,7 @@
 	core.ListConfirmed{},
 	core.ClaimAsked{},
 	core.ClaimSettled{},
+	core.ClaimGuardSet{},
 	core.BoxLost{},
 	core.HandoverAsked{},
 	core.HandoverArrived{},
