--- a/bench/run.go
+++ b/bench/run.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"slices"
 	"time"
 
 	"dillsaddle.example/dillsaddle/admission"
@@ -37,52 +36,6 @@
 	return rules
 }
 
-// Policy is one way to decide, for a column of the table.
-type Policy struct {
-	Name   string
-	Change func(*admission.Rules, *run)
-	Boxes  int // 1: as if every request asked the owner
-}
-
-// Policies are the columns.
-func Policies() []Policy {
-	return []Policy{
-		{Name: "round robin", Change: roundRobin},
-		{Name: "least reported", Change: leastReported},
-		{Name: "reservation", Change: func(r *admission.Rules, _ *run) { r.LengthBlind = true }},
-		{Name: "dillsaddle", Change: func(*admission.Rules, *run) {}},
-		{Name: "one owner asked", Change: func(*admission.Rules, *run) {}, Boxes: 1},
-		{Name: "oracle", Change: func(r *admission.Rules, n *run) {
-			r.KnownLength = func(id string) int { return n.live[id].arrival.Output }
-		}},
-	}
-}
-
-func roundRobin(r *admission.Rules, n *run) {
-	next := 0
-	r.IgnoreFit = true
-	r.Choose = func(candidates []string) string {
-		if len(candidates) == 0 {
-			return ""
-		}
-		next++
-		return candidates[next%len(candidates)]
-	}
-}
-
-func leastReported(r *admission.Rules, n *run) {
-	r.IgnoreFit = true
-	r.Choose = func(candidates []string) string {
-		best := ""
-		for _, name := range candidates {
-			if best == "" || n.engines[name].reported.Used < n.engines[best].reported.Used {
-				best = name
-			}
-		}
-		return best
-	}
-}
-
 // request is one arrival on its way through a run.
 type request struct {
 	arrival *Arrival
@@ -99,22 +52,6 @@
 	counted int
 }
 
-// engineRun is one engine in virtual time.
-type engineRun struct {
-	name     string
-	batch    *standin.Batch
-	busy     bool
-	dead     bool
-	reported admission.Report
-	reports  []timedReport
-	shares   [core.SlotCount]*admission.Shares
-}
-
-type timedReport struct {
-	at     time.Time
-	report admission.Report
-}
-
 // run is one replay.
 type run struct {
 	c        Case
@@ -131,42 +68,6 @@
 	messages int
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type events struct {
-	items []event
-	count int
-}
-
-func (q *events) Len() int { return len(q.items) }
-func (q *events) Less(i, j int) bool {
-	if q.items[i].at.Equal(q.items[j].at) {
-		return q.items[i].order < q.items[j].order
-	}
-	return q.items[i].at.Before(q.items[j].at)
-}
-func (q *events) Swap(i, j int) { q.items[i], q.items[j] = q.items[j], q.items[i] }
-func (q *events) Push(x any)    { q.items = append(q.items, x.(event)) }
-func (q *events) Pop() any {
-	last := q.items[len(q.items)-1]
-	q.items = q.items[:len(q.items)-1]
-	return last
-}
-
-func (n *run) after(d time.Duration, do func()) {
-	n.queue.count++
-	heap.Push(&n.queue, event{
-		at:    n.now.Add(d),
-		order: n.queue.count,
-		do:    do,
-	})
-}
-
 // Replay runs one deployment, case and policy.
 func Replay(d Deployment, c Case, p Policy, seed uint64) *Outcome {
 	boxes := boxCount
@@ -225,20 +126,6 @@
 	return n
 }
 
-func (n *run) addEngine(name string) {
-	e := &engineRun{
-		name:  name,
-		batch: standin.NewBatch(EngineRules()),
-	}
-	for slot := range e.shares {
-		hold := core.NewHold(name, core.DefaultLeaseRules())
-		hold.Step(n.now, core.HoldTaken{Fresh: true})
-		e.shares[slot] = admission.NewShares(hold, EngineRules().MemoryTokens, slotCount, targetStep)
-	}
-	n.engines[name] = e
-	n.names = append(n.names, name)
-}
-
 // disturb arranges what goes wrong in the case.
 func (n *run) disturb() {
 	if n.c.Death {
@@ -246,17 +133,6 @@
 	}
 }
 
-func (n *run) kill(e *engineRun) {
-	e.dead = true
-	for _, r := range n.live {
-		if r.engine != e.name {
-			continue
-		}
-		r.lost = true
-		n.leave(r, false)
-	}
-}
-
 // cutOff reports whether a box can't reach an owner now.
 func (n *run) cutOff(box, owner string) bool {
 	if !n.c.Cut {
@@ -381,107 +257,3 @@
 		}
 	}
 }
-
-func (n *run) startOn(r *request) {
-	e := n.engines[r.engine]
-	if e.dead {
-		r.lost = true
-		n.leave(r, false)
-		return
-	}
-	r.seq = &standin.Sequence{
-		ID:       r.id,
-		Priority: r.arrival.Customer.Rank,
-		Prompt:   r.arrival.Prompt,
-		Prefix:   r.arrival.Prefix,
-		Length:   r.arrival.Output,
-	}
-	e.batch.Submit(r.seq)
-	if !e.busy {
-		e.busy = true
-		n.step(e)
-	}
-}
-
-func (n *run) step(e *engineRun) {
-	if e.dead || e.batch.Idle() {
-		e.busy = false
-		return
-	}
-	s := e.batch.Step()
-	n.after(s.Took, func() {
-		for _, q := range s.Made {
-			n.token(n.live[q.ID])
-		}
-		for _, q := range s.Ended {
-			if r := n.live[q.ID]; r != nil {
-				r.done = true
-				n.leave(r, true)
-			}
-		}
-		n.report(e, s.Took)
-		n.step(e)
-	})
-}
-
-// report lets owners see an engine's load later.
-func (n *run) report(e *engineRun, took time.Duration) {
-	lag := reportLag + n.c.Lag
-	e.reports = append(e.reports, timedReport{
-		at: n.now,
-		report: admission.Report{
-			Batch: e.batch.Running(),
-			Step:  took,
-			Used:  e.batch.Used(),
-		},
-	})
-	due := 0
-	for due < len(e.reports) && n.now.Sub(e.reports[due].at) >= lag {
-		due++
-	}
-	if due == 0 {
-		return
-	}
-	e.reported = e.reports[due-1].report
-	e.reports = slices.Delete(e.reports, 0, due)
-	for slot := range e.shares {
-		e.shares[slot].Observe(e.reported)
-	}
-}
-
-// stallAfter is the silence between tokens that counts as a stall.
-const stallAfter = 0.25
-
-func (n *run) token(r *request) {
-	if r == nil {
-		return
-	}
-	if r.first.IsZero() {
-		r.first = n.now
-	} else {
-		gap := n.now.Sub(r.last).Seconds()
-		r.gaps = append(r.gaps, gap)
-		r.stall += max(0, gap-stallAfter)
-	}
-	r.last = n.now
-	if r.seq.Made-r.counted >= reportEvery {
-		r.counted = r.seq.Made
-		n.boxes[r.arrival.Box].Step(n.now, admission.TokensMade{
-			ID:        r.id,
-			Generated: r.seq.Made,
-		})
-	}
-}
-
-func (n *run) leave(r *request, whole bool) {
-	delete(n.live, r.id)
-	made := 0
-	if r.seq != nil {
-		made = r.seq.Made
-	}
-	n.perform(r.arrival.Box, n.boxes[r.arrival.Box].Step(n.now, admission.GenerationEnded{
-		ID:        r.id,
-		Generated: made,
-		Whole:     whole,
-	}))
-}
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
 )
 
@@ -23,8 +24,8 @@
 	return i, nil
 }
 
-// continueStream goes on with a stream that any box began.
-func (e *Entry) continueStream(ctx context.Context, c *app.RequestContext) {
+// withStream lets a customer in to a stream of its own, or answers why not.
+func (e *Entry) withStream(c *app.RequestContext, do func(*config.Document, *config.Customer, *identity)) {
 	d, who, problem := e.enter(c)
 	if problem != nil {
 		problem.answer(c)
@@ -36,6 +37,15 @@
 		problem.answer(c)
 		return
 	}
+	do(d, who, i)
+}
+
+// continueStream goes on with a stream that any box began.
+func (e *Entry) continueStream(ctx context.Context, c *app.RequestContext) {
+	e.withStream(c, func(d *config.Document, who *config.Customer, i *identity) { e.goOn(ctx, c, d, who, i) })
+}
+
+func (e *Entry) goOn(ctx context.Context, c *app.RequestContext, d *config.Document, who *config.Customer, i *identity) {
 	id := c.Param("id")
 	next, ok := nextOffset(id, string(c.GetHeader(lastEventHeader)))
 	if !ok {
@@ -86,17 +96,10 @@
 
 // cancelStream cancels a stream from any box.
 func (e *Entry) cancelStream(_ context.Context, c *app.RequestContext) {
-	_, who, problem := e.enter(c)
-	if problem != nil {
-		problem.answer(c)
-		return
-	}
-	defer e.exit()
-	i, problem := e.known(c, who.Name)
-	if problem != nil {
-		problem.answer(c)
-		return
-	}
+	e.withStream(c, func(_ *config.Document, _ *config.Customer, i *identity) { e.cancelKnown(c, i) })
+}
+
+func (e *Entry) cancelKnown(c *app.RequestContext, i *identity) {
 	if k, here := e.calls.Get(c.Param("id")); here {
 		k.cancel()
 	}
--- a/model/drain.go
+++ b/model/drain.go
@@ -57,16 +57,17 @@
 
 // Next gives every step of callers, operators and the handover.
 func (s *drainState) Next() []Transition {
-	var all []Transition
-	add := func(label string, change func(*drainState)) {
-		next := *s
-		next.drain = s.drain.Clone()
-		change(&next)
-		all = append(all, Transition{
-			Label: label,
-			To:    &next,
-		})
-	}
+	return collect(s, s.steps)
+}
+
+func (s *drainState) clone() *drainState {
+	copied := *s
+	copied.drain = s.drain.Clone()
+	return &copied
+}
+
+// steps adds each of them.
+func (s *drainState) steps(add func(string, func(*drainState))) {
 	if s.drain.Taking() && s.begun < s.rules.Streams {
 		add("a stream begins", func(n *drainState) {
 			n.begun++
@@ -94,7 +95,6 @@
 			n.step(core.StopAsked{})
 		})
 	}
-	return all
 }
 
 // Broken checks what planned stops promise.
--- a/model/fence.go
+++ b/model/fence.go
@@ -83,15 +83,11 @@
 
 // Next gives every step of the platform, owners, time and faults.
 func (s *fenceState) Next() []Transition {
-	var all []Transition
-	add := func(label string, change func(*fenceState)) {
-		next := s.clone()
-		change(next)
-		all = append(all, Transition{
-			Label: label,
-			To:    next,
-		})
-	}
+	return collect(s, s.steps)
+}
+
+// steps adds each of them.
+func (s *fenceState) steps(add func(string, func(*fenceState))) {
 	if s.published == 1 {
 		add("the platform publishes list 2", func(n *fenceState) { n.published = 2 })
 	}
@@ -104,7 +100,6 @@
 	if s.now < s.rules.Time {
 		add("time passes", func(n *fenceState) { n.tick() })
 	}
-	return all
 }
 
 func (s *fenceState) nextOwner(i int, add func(string, func(*fenceState))) {
--- a/model/lease.go
+++ b/model/lease.go
@@ -90,15 +90,11 @@
 
 // Next gives every step of platform, owners, entry, time and faults.
 func (s *leaseState) Next() []Transition {
-	var all []Transition
-	add := func(label string, change func(*leaseState)) {
-		next := s.clone()
-		change(next)
-		all = append(all, Transition{
-			Label: label,
-			To:    next,
-		})
-	}
+	return collect(s, s.steps)
+}
+
+// steps adds each of them.
+func (s *leaseState) steps(add func(string, func(*leaseState))) {
 	if s.published == 1 {
 		add("the platform publishes list 2", func(n *leaseState) { n.publish() })
 	}
@@ -117,7 +113,6 @@
 	if s.faults > 0 {
 		s.nextFault(add)
 	}
-	return all
 }
 
 func (s *leaseState) publish() {
--- a/model/stream.go
+++ b/model/stream.go
@@ -151,22 +151,17 @@
 // Next gives every step that callers, entries, engines, links and faults can
 // take.
 func (s *streamState) Next() []Transition {
-	var all []Transition
-	add := func(label string, change func(*streamState)) {
-		next := s.clone()
-		change(next)
-		all = append(all, Transition{
-			Label: label,
-			To:    next,
-		})
-	}
+	return collect(s, s.steps)
+}
+
+// steps adds each of them.
+func (s *streamState) steps(add func(string, func(*streamState))) {
 	for i := range s.callers {
 		s.nextOf(i, add)
 	}
 	if s.faults > 0 {
 		s.nextFaults(add)
 	}
-	return all
 }
 
 type adder func(label string, change func(*streamState))
--- a/model/version.go
+++ b/model/version.go
@@ -108,15 +108,11 @@
 
 // Next gives every step of operators, the platform, boxes and faults.
 func (s *versionState) Next() []Transition {
-	var all []Transition
-	add := func(label string, change func(*versionState)) {
-		next := s.clone()
-		change(next)
-		all = append(all, Transition{
-			Label: label,
-			To:    next,
-		})
-	}
+	return collect(s, s.steps)
+}
+
+// steps adds each of them.
+func (s *versionState) steps(add func(string, func(*versionState))) {
 	if s.published+1 < len(publications) {
 		add(fmt.Sprintf("operators publish document %d", s.published+2), func(n *versionState) { n.published++ })
 	}
@@ -126,7 +122,6 @@
 	if s.faults > 0 {
 		s.nextFault(add)
 	}
-	return all
 }
 
 func (s *versionState) nextBox(i int, add func(string, func(*versionState))) {
--- /dev/null
+++ b/proof/calls.go
@@ -0,0 +1,99 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"dillsaddle.example/dillsaddle/standin"
+)
+
+// callTimeout bounds a short call of the proof's own.
+const callTimeout = 10 * time.Second
+
+func (f *Fleet) get(address netip.AddrPort, path string) (int, []byte, error) {
+	return f.call("GET", address, path, nil, nil)
+}
+
+func (f *Fleet) call(method string, address netip.AddrPort, path string, headers map[string]string, body []byte) (int, []byte, error) {
+	status, _, text, err := f.exchange(method, address, path, headers, body)
+	return status, text, err
+}
+
+func (f *Fleet) exchange(method string, address netip.AddrPort, path string, headers map[string]string, body []byte) (int, map[string]string, []byte, error) {
+	req, resp := &protocol.Request{}, &protocol.Response{}
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + address.String() + path)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	req.SetBody(body)
+	req.SetConnectionClose()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := f.http.DoTimeout(ctx, req, resp, callTimeout); err != nil {
+		return 0, nil, nil, err
+	}
+	answered := make(map[string]string)
+	resp.Header.VisitAll(func(name, value []byte) { answered[string(name)] = string(value) })
+	return resp.StatusCode(), answered, bytes.Clone(resp.Body()), nil
+}
+
+// Fault tells a stand-in what to do wrong from now on.
+func (f *Fleet) Fault(name string, faults standin.Faults) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	_, _, err = f.call("POST", f.address(name), "/control/fault", nil, body)
+	return err
+}
+
+func (f *Fleet) address(name string) netip.AddrPort {
+	switch name {
+	case "platform":
+		return f.platform
+	case "service":
+		return f.service
+	}
+	var n int
+	_, _ = fmt.Sscanf(name, "engine-%d", &n)
+	return f.engines[n-1]
+}
+
+// EngineRecord gives an engine's own record.
+func (f *Fleet) EngineRecord(i int) (standin.Record, error) {
+	var r standin.Record
+	_, body, err := f.get(f.engines[i], "/control/record")
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(body, &r)
+}
+
+// ServiceRecord gives the service's own record.
+func (f *Fleet) ServiceRecord() (standin.ServiceRecord, error) {
+	var r standin.ServiceRecord
+	_, body, err := f.get(f.service, "/control/record")
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(body, &r)
+}
+
+// PlatformCalls gives the platform's own count of calls.
+func (f *Fleet) PlatformCalls() (int, error) {
+	var calls struct {
+		Calls int `json:"calls"`
+	}
+	_, body, err := f.get(f.platform, "/control/calls")
+	if err != nil {
+		return 0, err
+	}
+	return calls.Calls, json.Unmarshal(body, &calls)
+}
--- a/proof/fleet.go
+++ b/proof/fleet.go
@@ -1,12 +1,7 @@
 package proof
 
 import (
-	"bytes"
-	"context"
-	"crypto/sha256"
-	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -17,11 +12,9 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
 	"dillsaddle.example/dillsaddle/core"
-	"dillsaddle.example/dillsaddle/standin"
 )
 
 // Shape says what fleet to start.
@@ -77,29 +70,6 @@
 	done    chan struct{}
 }
 
-type box struct {
-	Name  string         `json:"box"`
-	Zone  string         `json:"zone"`
-	Entry netip.AddrPort `json:"entry"`
-	Sched netip.AddrPort `json:"scheduler"`
-	Watch netip.AddrPort `json:"watch"`
-	Admin netip.AddrPort `json:"entry-admin"`
-	SAdm  netip.AddrPort `json:"scheduler-admin"`
-	WAdm  netip.AddrPort `json:"watch-admin"`
-	Plat  netip.AddrPort `json:"platform"`
-	Fleet string         `json:"secret"`
-}
-
-// freeAddress takes a port that was free a moment ago.
-func freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // Start starts a fleet from the programs in a folder and waits until every box
 // can serve a stream.
 func Start(programs string, shape Shape) (*Fleet, error) {
@@ -131,89 +101,6 @@
 	return f, nil
 }
 
-// lay chooses addresses and documents.
-func (f *Fleet) lay() {
-	f.platform = freeAddress()
-	f.service = freeAddress()
-	endpoints := make([]map[string]any, 0, f.Shape.Engines)
-	for i := range f.Shape.Engines {
-		address := freeAddress()
-		f.engines = append(f.engines, address)
-		name := fmt.Sprintf("engine-%d", i+1)
-		endpoints = append(endpoints, map[string]any{
-			"name":          name,
-			"address":       address.String(),
-			"zone":          "zone-1",
-			"models":        []string{Model},
-			"memory_tokens": f.Shape.Memory,
-			"batch_slots":   f.Shape.Slots,
-		})
-		f.list.Endpoints = append(f.list.Endpoints, core.EndpointStatus{Name: name})
-	}
-	f.config = map[string]any{
-		"version": 1,
-		"customers": []map[string]any{{
-			"name":        "customer-1",
-			"tier":        "tier-1",
-			"key_sha256":  []string{fmt.Sprintf("%x", sha256.Sum256([]byte(Key)))},
-			"max_streams": 100000,
-			"max_waiting": 100000,
-		}},
-		"tiers":     []map[string]any{{"name": "tier-1", "rank": 0, "policy": "policy-1"}},
-		"policies":  []map[string]any{{"name": "policy-1", "decide": "request.fits ? 'run' : 'wait'"}},
-		"models":    []map[string]any{{"name": Model, "max_tokens": 20000}},
-		"endpoints": endpoints,
-		"services": []map[string]any{{
-			"name":             "records",
-			"addresses":        []string{f.service.String()},
-			"deadline":         "2s",
-			"refusal_statuses": []int{503},
-			"not_repeatable":   []map[string]any{{"method": "POST", "path": "/records"}},
-		}},
-		"limits": map[string]any{"progress": "2s", "resume_window": "20s"},
-	}
-	f.list.Version = 1
-	for i := range f.Shape.Boxes {
-		f.addBox(i)
-	}
-}
-
-func (f *Fleet) addBox(i int) {
-	b := box{
-		Name:  fmt.Sprintf("box-%d", i+1),
-		Zone:  fmt.Sprintf("zone-%d", i%3+1),
-		Entry: freeAddress(),
-		Sched: freeAddress(),
-		Watch: freeAddress(),
-		Admin: freeAddress(),
-		SAdm:  freeAddress(),
-		WAdm:  freeAddress(),
-		Plat:  f.platform,
-		Fleet: "the secret of a proof's fleet",
-	}
-	f.boxes = append(f.boxes, b)
-	f.list.Boxes = append(f.list.Boxes, core.Member{
-		Name:      b.Name,
-		Zone:      b.Zone,
-		Region:    "region-1",
-		Entry:     b.Entry,
-		Scheduler: b.Sched,
-		Watch:     b.Watch,
-	})
-}
-
-func (f *Fleet) write(name string, value any) string {
-	path := filepath.Join(f.dir, name)
-	text, err := json.MarshalIndent(value, "", "  ")
-	if err == nil {
-		err = os.WriteFile(path, text, 0o600)
-	}
-	if err != nil {
-		panic(err)
-	}
-	return path
-}
-
 func (f *Fleet) launch() error {
 	f.run("platform", "dillsaddle-standin", f.write("platform.json", map[string]any{
 		"role":    "platform",
@@ -344,118 +231,3 @@
 	}
 	_ = os.RemoveAll(f.dir)
 }
-
-// callTimeout bounds a short call of the proof's own.
-const callTimeout = 10 * time.Second
-
-func (f *Fleet) get(address netip.AddrPort, path string) (int, []byte, error) {
-	return f.call("GET", address, path, nil, nil)
-}
-
-func (f *Fleet) call(method string, address netip.AddrPort, path string, headers map[string]string, body []byte) (int, []byte, error) {
-	status, _, text, err := f.exchange(method, address, path, headers, body)
-	return status, text, err
-}
-
-func (f *Fleet) exchange(method string, address netip.AddrPort, path string, headers map[string]string, body []byte) (int, map[string]string, []byte, error) {
-	req, resp := &protocol.Request{}, &protocol.Response{}
-	req.SetMethod(method)
-	req.SetRequestURI("http://" + address.String() + path)
-	for name, value := range headers {
-		req.Header.Set(name, value)
-	}
-	req.SetBody(body)
-	req.SetConnectionClose()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := f.http.DoTimeout(ctx, req, resp, callTimeout); err != nil {
-		return 0, nil, nil, err
-	}
-	answered := make(map[string]string)
-	resp.Header.VisitAll(func(name, value []byte) { answered[string(name)] = string(value) })
-	return resp.StatusCode(), answered, bytes.Clone(resp.Body()), nil
-}
-
-// Fault tells a stand-in what to do wrong from now on.
-func (f *Fleet) Fault(name string, faults standin.Faults) error {
-	body, err := json.Marshal(faults)
-	if err != nil {
-		return err
-	}
-	_, _, err = f.call("POST", f.address(name), "/control/fault", nil, body)
-	return err
-}
-
-func (f *Fleet) address(name string) netip.AddrPort {
-	switch name {
-	case "platform":
-		return f.platform
-	case "service":
-		return f.service
-	}
-	var n int
-	_, _ = fmt.Sscanf(name, "engine-%d", &n)
-	return f.engines[n-1]
-}
-
-// PublishConfig publishes a version of the configuration, changed by a function.
-func (f *Fleet) PublishConfig(version uint64, change func(map[string]any)) error {
-	copied := make(map[string]any, len(f.config))
-	for key, value := range f.config {
-		copied[key] = value
-	}
-	copied["version"] = version
-	if change != nil {
-		change(copied)
-	}
-	body, err := json.Marshal(copied)
-	if err != nil {
-		return err
-	}
-	_, _, err = f.call("POST", f.platform, "/control/config", nil, body)
-	return err
-}
-
-// PublishList publishes the next version of the list, changed by a function.
-func (f *Fleet) PublishList(change func(*core.List)) error {
-	f.list.Version++
-	change(&f.list)
-	body, err := json.Marshal(f.list)
-	if err != nil {
-		return err
-	}
-	_, _, err = f.call("POST", f.platform, "/control/list", nil, body)
-	return err
-}
-
-// EngineRecord gives an engine's own record.
-func (f *Fleet) EngineRecord(i int) (standin.Record, error) {
-	var r standin.Record
-	_, body, err := f.get(f.engines[i], "/control/record")
-	if err != nil {
-		return r, err
-	}
-	return r, json.Unmarshal(body, &r)
-}
-
-// ServiceRecord gives the service's own record.
-func (f *Fleet) ServiceRecord() (standin.ServiceRecord, error) {
-	var r standin.ServiceRecord
-	_, body, err := f.get(f.service, "/control/record")
-	if err != nil {
-		return r, err
-	}
-	return r, json.Unmarshal(body, &r)
-}
-
-// PlatformCalls gives the platform's own count of calls.
-func (f *Fleet) PlatformCalls() (int, error) {
-	var calls struct {
-		Calls int `json:"calls"`
-	}
-	_, body, err := f.get(f.platform, "/control/calls")
-	if err != nil {
-		return 0, err
-	}
-	return calls.Calls, json.Unmarshal(body, &calls)
-}
