core: keep an endpoint's owners in its region

Cause: owners were drawn from all boxes, so a region cut off for an hour would have lost six sevenths of its leases, and a box could draw its subset of endpoints from another region. Owners are of the endpoint's own region now, in two zones where there are two; a subset is half of the box's zone and half of its region. A test of both regions failed to compile first, then held.

--- a/bench/run.go
+++ b/bench/run.go
@@ -169,7 +169,7 @@
 }
 
 func (n *run) ask(box int, name string, asked time.Time, w admission.EndpointWish, slot int, owners map[string]*wire.LeaseAsk) {
-	owner := n.list.Owner(w.Endpoint, slot)
+	owner := n.list.Owner(w.Endpoint, "", slot)
 	e := n.engines[w.Endpoint]
 	if e.dead || n.cutOff(name, owner) {
 		return
--- a/core/member_test.go
+++ b/core/member_test.go
@@ -41,12 +41,31 @@
 		for i := range 200 {
 			name := fmt.Sprint("engine-", i)
 			l := boxes(5)
-			Expect(l.Owner(name, 0)).NotTo(Equal(l.Owner(name, 1)))
+			Expect(l.Owner(name, "", 0)).NotTo(Equal(l.Owner(name, "", 1)))
 			alone := boxes(1)
-			Expect(alone.Owner(name, 0)).To(Equal(alone.Owner(name, 1)))
+			Expect(alone.Owner(name, "", 0)).To(Equal(alone.Owner(name, "", 1)))
 		}
 	})
 
+	It("keeps an endpoint's owners in its region, in two zones, while the region has a box", func() {
+		l := boxes(24)
+		for i := range l.Boxes {
+			l.Boxes[i].Zone = fmt.Sprint("zone-", i%6)
+			l.Boxes[i].Region = fmt.Sprint("region-", i%6/3)
+		}
+		for i := range 200 {
+			name := fmt.Sprint("engine-", i)
+			first, second := l.Member(l.Owner(name, "zone-1", 0)), l.Member(l.Owner(name, "zone-1", 1))
+			Expect(first.Region).To(Equal("region-0"))
+			Expect(second.Region).To(Equal("region-0"))
+			Expect(second.Zone).NotTo(Equal(first.Zone))
+		}
+		for i := range l.Boxes {
+			l.Boxes[i].Leaving = l.Boxes[i].Region == "region-0"
+		}
+		Expect(l.Member(l.Owner("engine-1", "zone-1", 0)).Region).To(Equal("region-1"))
+	})
+
 	It("passes leaving boxes over", func() {
 		l := boxes(3)
 		l.Boxes[1].Leaving = true
--- a/entry/model.go
+++ b/entry/model.go
@@ -133,10 +133,15 @@
 		return
 	}
 	now := time.Now()
+	self := &core.Member{
+		Name:   e.settings.Name,
+		Zone:   e.settings.Zone,
+		Region: e.settings.Region,
+	}
 	for i := range v.Document.Models {
 		settings := &v.Document.Models[i]
 		m := e.modelOf(settings.Name)
-		names := subset(v, e.settings.Name, settings.Name)
+		names := subset(v, self, settings.Name)
 		m.mu.Lock()
 		m.core.SetRules(rulesOf(v.Document, settings))
 		m.mu.Unlock()
@@ -144,17 +149,38 @@
 	}
 }
 
-// subset gives the endpoints of a model that a box uses: all if they are few,
-// else the nearest by rendezvous.
-func subset(v watch.View, box, model string) []string {
-	var names []string
+// subset gives the endpoints of a model that a box uses: all if they are few.
+// Else half are of the box's zone and half of the rest of its region, each ranked
+// by rendezvous; those beyond fill up where the region has too few.
+func subset(v watch.View, self *core.Member, model string) []string {
+	regions := make(map[string]string)
+	for i := range v.List.Boxes {
+		regions[v.List.Boxes[i].Zone] = v.List.Boxes[i].Region
+	}
+	var zone, region, rest []string
 	for i := range v.Document.Endpoints {
 		c := &v.Document.Endpoints[i]
-		if slices.Contains(c.Models, model) {
-			names = append(names, c.Name)
+		switch {
+		case !slices.Contains(c.Models, model):
+		case c.Zone == self.Zone:
+			zone = append(zone, c.Name)
+		case regions[c.Zone] == self.Region:
+			region = append(region, c.Name)
+		default:
+			rest = append(rest, c.Name)
+		}
+	}
+	size := subsetSize(len(v.Document.Models))
+	chosen := core.Nearest(self.Name, zone, (size+1)/2)
+	chosen = append(chosen, core.Nearest(self.Name, region, size-len(chosen))...)
+	for _, more := range [][]string{zone, rest} {
+		for _, name := range core.Nearest(self.Name, more, len(more)) {
+			if len(chosen) < size && !slices.Contains(chosen, name) {
+				chosen = append(chosen, name)
+			}
 		}
 	}
-	return core.Nearest(box, names, subsetSize(len(v.Document.Models)))
+	return chosen
 }
 
 func rulesOf(d *config.Document, m *config.Model) admission.Rules {
@@ -234,7 +260,7 @@
 	m.mu.Unlock()
 	for _, w := range wishes {
 		for slot := range core.SlotCount {
-			owner := e.owners.Of(v.List, w.Endpoint, slot)
+			owner := e.owners.Of(v, w.Endpoint, slot)
 			if asks[owner] == nil {
 				asks[owner] = &wire.LeaseAsk{Box: e.self}
 			}
--- a/lab/slopes_core.go
+++ b/lab/slopes_core.go
@@ -167,8 +167,9 @@
 	l := listOf(boxes, endpoints)
 	return nanoseconds(func() {
 		for i := range l.Endpoints {
-			l.Owner(l.Endpoints[i].Name, 0)
-			l.Owner(l.Endpoints[i].Name, 1)
+			zone := l.Boxes[i%len(l.Boxes)].Zone
+			l.Owner(l.Endpoints[i].Name, zone, 0)
+			l.Owner(l.Endpoints[i].Name, zone, 1)
 		}
 	})
 }
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
 )
 
@@ -37,17 +38,17 @@
 
 // of gives the owner of a half, and whether nobody can have owned it before. A
 // box that starts takes the list without itself as the one before.
-func (o *ownership) of(now time.Time, list *core.List, self, endpoint string, slot int) (owner string, fresh bool) {
+func (o *ownership) of(now time.Time, list *core.List, self string, c *config.Endpoint, slot int) (owner string, fresh bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	key := slotKey(endpoint, slot)
-	owner = list.Owner(endpoint, slot)
+	key := slotKey(c.Name, slot)
+	owner = list.Owner(c.Name, c.Zone, slot)
 	last, known := o.owner[key]
 	if known && last == owner {
 		return owner, false
 	}
 	if !known {
-		last = list.Without(self).Owner(endpoint, slot)
+		last = list.Without(self).Owner(c.Name, c.Zone, slot)
 	}
 	o.owner[key] = owner
 	o.before[key] = last
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -209,7 +209,7 @@
 	mine := make(map[string]bool)
 	for _, c := range v.Document.Endpoints {
 		for slot := range core.SlotCount {
-			owner, fresh := s.owners.of(now, v.List, s.settings.Name, c.Name, slot)
+			owner, fresh := s.owners.of(now, v.List, s.settings.Name, &c, slot)
 			if owner != s.settings.Name || !taking {
 				continue
 			}
--- a/watch/owners.go
+++ b/watch/owners.go
@@ -3,29 +3,35 @@
 import (
 	"sync"
 
+	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
 )
 
-// Owners remembers the owners of endpoints' halves under one list, since each is
-// worked out over all boxes.
+// Owners remembers the owners of endpoints' halves under one list and
+// configuration, since each is worked out over all boxes.
 type Owners struct {
-	mu   sync.Mutex
-	list *core.List
-	by   map[string][core.SlotCount]string
+	mu       sync.Mutex
+	list     *core.List
+	document *config.Document
+	by       map[string][core.SlotCount]string
 }
 
-// Of gives the owner of a half under a list.
-func (o *Owners) Of(list *core.List, endpoint string, slot int) string {
+// Of gives the owner of a half.
+func (o *Owners) Of(v View, endpoint string, slot int) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.list != list {
-		o.list = list
+	if o.list != v.List || o.document != v.Document {
+		o.list, o.document = v.List, v.Document
 		o.by = make(map[string][core.SlotCount]string)
 	}
 	owners, known := o.by[endpoint]
 	if !known {
+		zone := ""
+		if c := v.Document.Endpoint(endpoint); c != nil {
+			zone = c.Zone
+		}
 		for s := range owners {
-			owners[s] = list.Owner(endpoint, s)
+			owners[s] = v.List.Owner(endpoint, zone, s)
 		}
 		o.by[endpoint] = owners
 	}
