entry: stay ready when an endpoint is lost

A box whose one model had lost its endpoints told its balancer not to be ready, and so would all boxes at once, for all models; found by reading. It is ready once every served model had a lease, and a model that nothing serves is no longer waited for. Retries of calls to services back off with jitter, as the core's rule says.

--- a/config/document.go
+++ b/config/document.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"slices"
+
 	"github.com/tailscale/hujson"
 )
 
@@ -86,6 +88,11 @@
 	return find(d.Models, func(m *Model) bool { return m.Name == name })
 }
 
+// Serves reports whether an endpoint serves a model.
+func (d *Document) Serves(model string) bool {
+	return find(d.Endpoints, func(e *Endpoint) bool { return slices.Contains(e.Models, model) }) != nil
+}
+
 // Tier finds a tier by name, or nil.
 func (d *Document) Tier(name string) *Tier {
 	return find(d.Tiers, func(t *Tier) bool { return t.Name == name })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -43,6 +44,7 @@
 	homes     *shard.Map[core.Incarnation]
 	owners    watch.Owners
 	credit    credit
+	served    atomic.Bool // every model that is served had a lease once
 	drainLock sync.Mutex
 	drain     *core.Drain
 	work      int
@@ -132,11 +134,16 @@
 	if v.Document == nil || v.List == nil {
 		return "no configuration or list of boxes from this box's watch yet"
 	}
+	if e.served.Load() {
+		return "" // an endpoint that is lost later is no reason to send callers elsewhere
+	}
 	for i := range v.Document.Models {
-		if name := v.Document.Models[i].Name; !e.modelOf(name).leased(time.Now()) {
+		name := v.Document.Models[i].Name
+		if v.Document.Serves(name) && !e.modelOf(name).leased(time.Now()) {
 			return "no lease on an endpoint of model " + name + " yet"
 		}
 	}
+	e.served.Store(true)
 	return ""
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -130,6 +131,12 @@
 	}
 }
 
+// The pauses before another try, so that a server that returns meets no storm.
+const (
+	retryPause     = 10 * time.Millisecond
+	mostRetryPause = 200 * time.Millisecond
+)
+
 // place picks a server for the next try, if there is time and budget for one.
 func (k *serviceCall) place(c core.PlaceAgain) {
 	again := c.Avoid != ""
@@ -143,6 +150,7 @@
 	}
 	if again {
 		retries.Inc()
+		time.Sleep(core.Backoff(k.gen.Attempt, retryPause, mostRetryPause, rand.Float64()))
 	}
 	k.last = k.entry.services.choose(time.Now(), k.service.Addresses, k.last)
 	k.step(core.Placed{
