events: end the reader's watch before its stream is let go

Cause: the HTTP library's loop over events starts a goroutine that closes the stream when the context ends, and doesn't wait for it; the stream is pooled, so it may close one that another request has by then. The race detector showed it in the contract's tests; in an entry it would cut an innocent stream, which would then be read again. Ruled out: a fault of the proof's own client alone, since the engine's worker uses the same loop. The goroutine is joined now, in one place for both.

Changelog-fixed: a cancelled stream can no longer cut another's link.

--- a/engine/completions/stream.go
+++ b/engine/completions/stream.go
@@ -14,6 +14,7 @@
 
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/events"
 )
 
 // incarnationHeader names the life of the endpoint that answers.
@@ -53,13 +54,7 @@
 	if !r.send(engine.Opened{Incarnation: core.Incarnation(life)}) {
 		return
 	}
-	events, err := sse.NewReader(resp)
-	if err != nil {
-		r.send(engine.Lost{Cause: errors.Wrap(err, "endpoint answered no event stream")})
-		return
-	}
-	err = events.ForEach(ctx, r.event)
-	r.end(err)
+	r.end(events.Each(ctx, resp, r.event))
 }
 
 func (r *reader) send(m engine.Message) bool {
--- a/proof/metrics.go
+++ b/proof/metrics.go
@@ -12,7 +12,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"dillsaddle.example/dillsaddle/events"
 )
 
 // Metrics are a process's own metrics.
@@ -85,9 +86,5 @@
 		return nil, err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	events, err := sse.NewReader(resp)
-	if err != nil {
-		return nil, err
-	}
-	return s, events.ForEach(ctx, s.event)
+	return s, events.Each(ctx, resp, s.event)
 }
--- a/proof/stream.go
+++ b/proof/stream.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/pkg/errors"
 
+	"dillsaddle.example/dillsaddle/events"
 	"dillsaddle.example/dillsaddle/standin"
 )
 
@@ -95,11 +96,7 @@
 	if opened, ok := ctx.Value(openedKey{}).(chan string); ok {
 		opened <- s.ID
 	}
-	events, err := sse.NewReader(resp)
-	if err != nil {
-		return err
-	}
-	return events.ForEach(ctx, s.event)
+	return events.Each(ctx, resp, s.event)
 }
 
 func (s *Stream) event(e *sse.Event) error {
