admission: give the same figures in every run

Sums go in a kept order now, and the best rank that waits is found before its estimates are asked for.

--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,7 +18,7 @@
 	step     time.Duration
 	sentAt   time.Time
 	own      Profile
-	running  map[string]*running
+	running  []*running // in the order of their placing: sums come out the same in every run
 	prefixes *prefixes
 }
 
@@ -31,7 +32,6 @@
 func newPlace(name string) *place {
 	return &place{
 		name:     name,
-		running:  make(map[string]*running),
 		prefixes: newPrefixes(),
 	}
 }
@@ -139,7 +139,7 @@
 
 func (p *place) add(r *running) {
 	before := p.total(&Profile{}, 0)
-	p.running[r.request.ID] = r
+	p.running = append(p.running, r)
 	p.own.Add(&r.profile)
 	p.spend(max(1, p.total(&Profile{}, 0)-before))
 }
@@ -154,7 +154,9 @@
 }
 
 func (p *place) drop(r *running) {
-	delete(p.running, r.request.ID)
+	if at := slices.Index(p.running, r); at >= 0 {
+		p.running = slices.Delete(p.running, at, at+1)
+	}
 	p.own.Sub(&r.profile)
 }
 
--- a/admission/model.go
+++ b/admission/model.go
@@ -284,7 +284,8 @@
 
 func (m *Model) meanLoad(now time.Time) float64 {
 	sum, n := 0.0, 0
-	for _, p := range m.places {
+	for _, name := range m.names {
+		p := m.places[name]
 		if r := p.room(now); r.tokens > 0 {
 			sum += p.load(r)
 			n++
@@ -340,19 +341,15 @@
 // expectedWaiting gives the expected tokens of the requests of the best rank
 // that wait, and that rank.
 func (m *Model) expectedWaiting() (tokens, rank int) {
-	sum := 0.0
-	found := false
+	rank = m.waiting.bestRank()
 	for _, line := range m.waiting.lines {
 		for _, r := range line {
-			if !found || r.Rank < rank {
-				found, rank, sum = true, r.Rank, 0
-			}
 			if r.Rank == rank {
-				sum += float64(r.PromptTokens) + m.estimator.Curve(r.key()).Remaining(0, r.MaxTokens)
+				tokens += r.PromptTokens + int(m.estimator.Curve(r.key()).Remaining(0, r.MaxTokens))
 			}
 		}
 	}
-	return int(sum), rank
+	return tokens, rank
 }
 
 // Explain gives what the programs would see of a request now.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -132,3 +132,16 @@
 }
 
 func (q *queue) waitingOf(customer string) int { return len(q.lines[customer]) }
+
+// bestRank gives the best rank that waits.
+func (q *queue) bestRank() int {
+	best, found := 0, false
+	for _, line := range q.lines {
+		for _, r := range line {
+			if !found || r.Rank < best {
+				best, found = r.Rank, true
+			}
+		}
+	}
+	return best
+}
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
@@ -33,6 +34,7 @@
 	Slots    int
 	hold     *core.Hold
 	boxes    map[string]*share
+	names    []string // of the boxes, sorted: sums come out the same in every run
 	fit      StepFit
 	target   time.Duration
 	reported int
@@ -77,7 +79,7 @@
 		wish:   w,
 		seenAt: now,
 	}
-	s.boxes[box] = mine
+	s.note(box, mine)
 	if tokens == 0 {
 		return Grant{}
 	}
@@ -98,18 +100,28 @@
 	}
 }
 
+func (s *Shares) note(box string, mine *share) {
+	if s.boxes[box] == nil {
+		at, _ := slices.BinarySearch(s.names, box)
+		s.names = slices.Insert(s.names, at, box)
+	}
+	s.boxes[box] = mine
+}
+
 func (s *Shares) forget(now time.Time, ttl time.Duration) {
 	for name, one := range s.boxes {
 		if ttl > 0 && now.Sub(one.seenAt) > forgetShare*ttl {
 			delete(s.boxes, name)
 		}
 	}
+	s.names = slices.DeleteFunc(s.names, func(name string) bool { return s.boxes[name] == nil })
 }
 
 func (s *Shares) others(box string) (Profile, int) {
 	var sum Profile
 	running := 0
-	for name, one := range s.boxes {
+	for _, name := range s.names {
+		one := s.boxes[name]
 		if name == box {
 			continue
 		}
@@ -146,7 +158,8 @@
 	w := s.boxes[box].wish
 	even := free / float64(len(s.boxes))
 	left := free
-	for name, other := range s.boxes {
+	for _, name := range s.names {
+		other := s.boxes[name]
 		if name != box && other.wish.Waiting > 0 && other.wish.Rank < w.Rank {
 			left -= even
 		}
@@ -188,8 +201,8 @@
 // Used is the memory that all boxes report to hold now.
 func (s *Shares) Used() int {
 	sum := 0.0
-	for _, one := range s.boxes {
-		sum += one.wish.Profile.Mean[0]
+	for _, name := range s.names {
+		sum += s.boxes[name].wish.Profile.Mean[0]
 	}
 	return int(sum)
 }
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -41,8 +41,8 @@
 
 func (n *run) kill(e *engineRun) {
 	e.dead = true
-	for _, r := range n.live {
-		if r.engine != e.name {
+	for _, r := range n.all {
+		if r.engine != e.name || n.live[r.id] == nil {
 			continue
 		}
 		r.lost = true
--- a/bench/run.go
+++ b/bench/run.go
@@ -56,6 +56,7 @@
 type run struct {
 	c        Case
 	list     *core.List
+	owners   *core.Owners
 	start    time.Time
 	now      time.Time
 	queue    events
@@ -111,6 +112,7 @@
 	for i := range boxes {
 		n.list.Boxes = append(n.list.Boxes, core.Member{Name: fmt.Sprintf("box-%d", i+1)})
 	}
+	n.owners = core.NewOwners(n.list)
 	for i := range engineCount {
 		n.addEngine(fmt.Sprintf("engine-%d", i+1))
 	}
@@ -169,7 +171,7 @@
 }
 
 func (n *run) ask(box int, name string, asked time.Time, w admission.EndpointWish, slot int, owners map[string]*wire.LeaseAsk) {
-	owner := n.list.Owner(w.Endpoint, "", slot)
+	owner := n.owners.Of(w.Endpoint, "", slot)
 	e := n.engines[w.Endpoint]
 	if e.dead || n.cutOff(name, owner) {
 		return
--- a/core/member.go
+++ b/core/member.go
@@ -84,58 +84,6 @@
 	return best
 }
 
-// SlotCount is the number of owners of an endpoint.
-const SlotCount = 2
-
-// Owner gives the box that owns a half of an endpoint: one of the endpoint's own
-// region, so that a region that is cut off goes on to own what it reaches. The
-// second half goes to another zone than the first where there is one, else to
-// another box.
-func (l *List) Owner(endpoint, zone string, slot int) string {
-	beyond := l.beyond(zone)
-	first := l.Home("endpoint/0/"+endpoint, beyond)
-	if slot == 0 {
-		return first
-	}
-	firstZone := l.zoneOf(first)
-	for _, skip := range []func(box string) bool{
-		func(box string) bool { return beyond(box) || l.zoneOf(box) == firstZone },
-		func(box string) bool { return beyond(box) || box == first },
-	} {
-		if second := l.Home("endpoint/1/"+endpoint, skip); second != "" {
-			return second
-		}
-	}
-	return first
-}
-
-// beyond tells which boxes are not of a zone's region; none if the region has no
-// live box.
-func (l *List) beyond(zone string) func(box string) bool {
-	region, live := "", make(map[string]bool)
-	for i := range l.Boxes {
-		if l.Boxes[i].Zone == zone {
-			region = l.Boxes[i].Region
-		}
-	}
-	for i := range l.Boxes {
-		if m := &l.Boxes[i]; m.Region == region && !m.Leaving {
-			live[m.Name] = true
-		}
-	}
-	if len(live) == 0 {
-		return func(string) bool { return false }
-	}
-	return func(box string) bool { return !live[box] }
-}
-
-func (l *List) zoneOf(box string) string {
-	if m := l.Member(box); m != nil {
-		return m.Zone
-	}
-	return ""
-}
-
 // Without gives the list as it is without a box.
 func (l *List) Without(box string) *List {
 	shorter := *l
--- a/core/member_test.go
+++ b/core/member_test.go
@@ -41,9 +41,9 @@
 		for i := range 200 {
 			name := fmt.Sprint("engine-", i)
 			l := boxes(5)
-			Expect(l.Owner(name, "", 0)).NotTo(Equal(l.Owner(name, "", 1)))
+			Expect(core.NewOwners(l).Of(name, "", 0)).NotTo(Equal(core.NewOwners(l).Of(name, "", 1)))
 			alone := boxes(1)
-			Expect(alone.Owner(name, "", 0)).To(Equal(alone.Owner(name, "", 1)))
+			Expect(core.NewOwners(alone).Of(name, "", 0)).To(Equal(core.NewOwners(alone).Of(name, "", 1)))
 		}
 	})
 
@@ -55,7 +55,7 @@
 		}
 		for i := range 200 {
 			name := fmt.Sprint("engine-", i)
-			first, second := l.Member(l.Owner(name, "zone-1", 0)), l.Member(l.Owner(name, "zone-1", 1))
+			first, second := l.Member(core.NewOwners(l).Of(name, "zone-1", 0)), l.Member(core.NewOwners(l).Of(name, "zone-1", 1))
 			Expect(first.Region).To(Equal("region-0"))
 			Expect(second.Region).To(Equal("region-0"))
 			Expect(second.Zone).NotTo(Equal(first.Zone))
@@ -63,7 +63,7 @@
 		for i := range l.Boxes {
 			l.Boxes[i].Leaving = l.Boxes[i].Region == "region-0"
 		}
-		Expect(l.Member(l.Owner("engine-1", "zone-1", 0)).Region).To(Equal("region-1"))
+		Expect(l.Member(core.NewOwners(l).Of("engine-1", "zone-1", 0)).Region).To(Equal("region-1"))
 	})
 
 	It("passes leaving boxes over", func() {
--- a/lab/slopes_core.go
+++ b/lab/slopes_core.go
@@ -166,10 +166,11 @@
 func ownerCostOf(boxes, endpoints int) float64 {
 	l := listOf(boxes, endpoints)
 	return nanoseconds(func() {
+		owners := core.NewOwners(l)
 		for i := range l.Endpoints {
 			zone := l.Boxes[i%len(l.Boxes)].Zone
-			l.Owner(l.Endpoints[i].Name, zone, 0)
-			l.Owner(l.Endpoints[i].Name, zone, 1)
+			owners.Of(l.Endpoints[i].Name, zone, 0)
+			owners.Of(l.Endpoints[i].Name, zone, 1)
 		}
 	})
 }
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -36,25 +36,40 @@
 	}
 }
 
+// succession is a list with its owners, and those without this box.
+type succession struct {
+	list    *core.List
+	owners  *core.Owners
+	without *core.Owners
+}
+
+func newSuccession(list *core.List, self string) *succession {
+	return &succession{
+		list:    list,
+		owners:  core.NewOwners(list),
+		without: core.NewOwners(list.Without(self)),
+	}
+}
+
 // of gives the owner of a half, and whether nobody can have owned it before. A
 // box that starts takes the list without itself as the one before.
-func (o *ownership) of(now time.Time, list *core.List, self string, c *config.Endpoint, slot int) (owner string, fresh bool) {
+func (o *ownership) of(now time.Time, s *succession, c *config.Endpoint, slot int) (owner string, fresh bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	key := slotKey(c.Name, slot)
-	owner = list.Owner(c.Name, c.Zone, slot)
+	owner = s.owners.Of(c.Name, c.Zone, slot)
 	last, known := o.owner[key]
 	if known && last == owner {
 		return owner, false
 	}
 	if !known {
-		last = list.Without(self).Owner(c.Name, c.Zone, slot)
+		last = s.without.Of(c.Name, c.Zone, slot)
 	}
 	o.owner[key] = owner
 	o.before[key] = last
 	o.since[key] = now
-	o.version[key] = list.Version
-	return owner, !known && list.Age < youngFleet
+	o.version[key] = s.list.Version
+	return owner, !known && s.list.Age < youngFleet
 }
 
 // told notes that a box has adopted a list.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -207,9 +207,10 @@
 func (s *Scheduler) reassign(now time.Time, v watch.View) {
 	taking := s.taking()
 	mine := make(map[string]bool)
+	next := newSuccession(v.List, s.settings.Name)
 	for _, c := range v.Document.Endpoints {
 		for slot := range core.SlotCount {
-			owner, fresh := s.owners.of(now, v.List, s.settings.Name, &c, slot)
+			owner, fresh := s.owners.of(now, next, &c, slot)
 			if owner != s.settings.Name || !taking {
 				continue
 			}
--- a/watch/owners.go
+++ b/watch/owners.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	list     *core.List
 	document *config.Document
+	owners   *core.Owners
 	by       map[string][core.SlotCount]string
 }
 
@@ -22,6 +23,7 @@
 	defer o.mu.Unlock()
 	if o.list != v.List || o.document != v.Document {
 		o.list, o.document = v.List, v.Document
+		o.owners = core.NewOwners(v.List)
 		o.by = make(map[string][core.SlotCount]string)
 	}
 	owners, known := o.by[endpoint]
@@ -31,7 +33,7 @@
 			zone = c.Zone
 		}
 		for s := range owners {
-			owners[s] = v.List.Owner(endpoint, zone, s)
+			owners[s] = o.owners.Of(endpoint, zone, s)
 		}
 		o.by[endpoint] = owners
 	}
