--- a/model/proof.go
+++ b/model/proof.go
@@ -44,7 +44,7 @@
 }
 
 // deepStates bounds the deep runs.
-const deepStates = 600000
+const deepStates = 700000
 
 // guardStates bounds the runs with a guard off, which end at the break.
 const guardStates = 400000
