--- a/admission/pump.go
+++ b/admission/pump.go
@@ -119,7 +119,7 @@
 	bound := m.meanLoad(now) * m.rules.BoundedLoad
 	best := candidate{load: math.Inf(1)}
 	affine := candidate{}
-	any := candidate{load: math.Inf(1)}
+	least := candidate{load: math.Inf(1)}
 	var usable []string
 	for _, name := range m.names {
 		p := m.places[name]
@@ -133,8 +133,8 @@
 			load:  p.load(space),
 			score: p.affinity(r.Prefix),
 		}
-		if c.load < any.load {
-			any = c
+		if c.load < least.load {
+			least = c
 		}
 		if !p.fits(space, &with, z, kept) {
 			continue
@@ -151,17 +151,17 @@
 		}
 	}
 	if m.rules.Choose != nil {
-		any.name = m.rules.Choose(usable)
+		least.name = m.rules.Choose(usable)
 	}
 	switch {
 	case m.rules.IgnoreFit:
-		return any.name, any.name != ""
+		return least.name, least.name != ""
 	case affine.name != "":
 		return affine.name, true
 	case best.name != "":
 		return best.name, true
 	}
-	return any.name, false
+	return least.name, false
 }
 
 // candidate is an endpoint that may take a request.
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -62,10 +62,10 @@
 // Fingerprint writes what decides a hold's later answers.
 func (h *Hold) Fingerprint(b []byte, now time.Time) []byte {
 	wait := max(0, h.waitUntil.Sub(now))
-	clear := max(0, h.clearAt.Sub(now))
+	untilClear := max(0, h.clearAt.Sub(now))
 	age := min(now.Sub(h.reading), h.rules.Fresh+1)
 	tick := min(now.Sub(h.tickedAt), h.rules.Fresh+1)
-	return fmt.Appendf(b, "L%s,%v,%v,%d,%d,%d,%d,%v|", h.State, h.leaving, h.cleared, wait, clear, age, tick, h.wokeAt.IsZero())
+	return fmt.Appendf(b, "L%s,%v,%v,%d,%d,%d,%d,%v|", h.State, h.leaving, h.cleared, wait, untilClear, age, tick, h.wokeAt.IsZero())
 }
 
 // Clone copies a generation.
