entry: bound what is held for a caller that reads nothing

Cause of the red proof "a caller takes nothing of its stream": the system's send buffer grew to its 4 MB before a write ever waited, so the time to notice such a caller hung on how fast the engine made 19,000 tokens; at 30 ms between tokens it would be minutes. Ruled out: the limit slow_caller itself (1 s, kept) and memory (33 MB). Now a caller's link has a buffer of 64 KB (the system doubles it) and its own patience, for whole answers and services' answers too, which had none. Once a caller is found slow the buffer grows to 256 KB, so that the typed end slow_caller fits behind what was left; the caller continues with Last-Event-ID.

--- a/core/generation.go
+++ b/core/generation.go
@@ -67,6 +67,7 @@
 	EndNotRepeatable EndCode = "not_repeatable"
 	EndCancelled     EndCode = "cancelled"
 	EndRetriesSpent  EndCode = "retries_spent"
+	EndSlowCaller    EndCode = "slow_caller"
 )
 
 // DropReason says why a frame is not forwarded.
@@ -148,7 +149,9 @@
 	case CallerGone:
 		return g.callerGone()
 	case CallerLeft:
-		return g.callerLeft()
+		return g.callerLeft(EndCancelled)
+	case CallerSlow:
+		return g.callerLeft(EndSlowCaller)
 	}
 	return nil
 }
@@ -333,11 +336,11 @@
 	return append([]Command{CancelAttempt{Origin: g.Origin}}, g.end(outcome, EndCancelled)...)
 }
 
-func (g *Generation) callerLeft() []Command {
+func (g *Generation) callerLeft(code EndCode) []Command {
 	if g.State != GenerationStreaming && g.State != GenerationResuming {
 		return g.callerGone()
 	}
-	return append([]Command{ReleaseStream{Origin: g.Origin}}, g.end(Ran, EndCancelled)...)
+	return append([]Command{ReleaseStream{Origin: g.Origin}}, g.end(Ran, code)...)
 }
 
 func (g *Generation) end(outcome Outcome, code EndCode) []Command {
--- a/core/generation_event.go
+++ b/core/generation_event.go
@@ -51,6 +51,10 @@
 // newer link, continues the stream.
 type CallerLeft struct{ EventBase }
 
+// CallerSlow tells that the caller took nothing of its stream for too long; it
+// may continue the stream as one whose link was lost.
+type CallerSlow struct{ EventBase }
+
 // SendAttempt asks the shell to send the request to the endpoint.
 type SendAttempt struct {
 	CommandBase
--- a/entry/call_attempt.go
+++ b/entry/call_attempt.go
@@ -145,8 +145,8 @@
 		k.pace.tokens(time.Now(), count)
 		k.customer.spend(count)
 		k.report()
-		if k.out.flush() != nil {
-			k.callerLost()
+		if err := k.out.flush(); err != nil {
+			k.notTaken(err)
 			return
 		}
 	}
--- a/entry/call_end.go
+++ b/entry/call_end.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dillsaddle.example/dillsaddle/admission"
 	"dillsaddle.example/dillsaddle/core"
 )
@@ -18,6 +20,15 @@
 	k.step(core.CallerLeft{})
 }
 
+// notTaken tells why the caller did not take what was written.
+func (k *call) notTaken(err error) {
+	if errors.Is(err, errSlowCaller) {
+		k.step(core.CallerSlow{})
+		return
+	}
+	k.callerLost()
+}
+
 // release leaves the generation running for a while: its caller may come back
 // through any box.
 func (k *call) release(origin core.Origin) {
@@ -94,6 +105,8 @@
 	case core.EndCancelled:
 		p.Status = statusClientClosed
 		p.Message = "the request was cancelled"
+	case core.EndSlowCaller:
+		p.Message = "the stream was not read for the time slow_caller; continue it soon at GET /v1/streams/ID with Last-Event-ID, and read faster"
 	case core.EndRetriesSpent:
 		p.Message = "every attempt was lost before its first token; come back after the time in Retry-After"
 	}
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -21,7 +21,7 @@
 
 func (e *Entry) complete(chat bool) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
-		d, who, problem := e.enter(c)
+		d, who, problem := e.enter(ctx, c)
 		if problem != nil {
 			problem.answer(c)
 			return
@@ -111,7 +111,7 @@
 		Rules:      k.rules,
 	})
 	if p.stream {
-		k.out = newStreamWriter(c, d.Limits.SlowCaller, p)
+		k.out = newStreamWriter(c, linkOf(ctx), p)
 	} else {
 		k.out = newWholeWriter(c, p)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/config"
@@ -83,14 +85,20 @@
 	e.state.OnChange(e.changed)
 	watch.Follow(ctx, b.Watch, e.state)
 	go e.renewLeases(ctx)
-	e.http = e.routes()
+	callers, err := net.Listen("tcp", b.Entry.String())
+	if err != nil {
+		cancel()
+		return nil, errors.Wrap(err, "listen for callers; free the address or change the setting entry")
+	}
+	e.http = e.routes(callers)
 	go func() { _ = e.http.Run() }()
 	return e, nil
 }
 
-func (e *Entry) routes() *server.Hertz {
+func (e *Entry) routes(callers net.Listener) *server.Hertz {
 	h := server.New(
-		server.WithHostPorts(e.settings.Entry.String()),
+		server.WithListener(callerListener{Listener: callers}),
+		server.WithOnAccept(withLink),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
@@ -148,7 +156,7 @@
 }
 
 // enter starts a caller's request, or says why not.
-func (e *Entry) enter(c *app.RequestContext) (*config.Document, *config.Customer, *Problem) {
+func (e *Entry) enter(ctx context.Context, c *app.RequestContext) (*config.Document, *config.Customer, *Problem) {
 	e.drainLock.Lock()
 	taking := e.drain.Taking()
 	if taking {
@@ -163,6 +171,7 @@
 		e.exit()
 		return nil, nil, refused(http.StatusServiceUnavailable, "not_ready", "this box has no configuration yet; ask again shortly", time.Second)
 	}
+	linkOf(ctx).patience.Store(int64(d.Limits.SlowCaller))
 	key := bearer(c)
 	who := d.Authenticate(key)
 	if who == nil {
@@ -204,8 +213,8 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-func (e *Entry) listModels(_ context.Context, c *app.RequestContext) {
-	d, _, problem := e.enter(c)
+func (e *Entry) listModels(ctx context.Context, c *app.RequestContext) {
+	d, _, problem := e.enter(ctx, c)
 	if problem != nil {
 		problem.answer(c)
 		return
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -25,8 +25,8 @@
 }
 
 // withStream lets a customer in to a stream of its own, or answers why not.
-func (e *Entry) withStream(c *app.RequestContext, do func(*config.Document, *config.Customer, *identity)) {
-	d, who, problem := e.enter(c)
+func (e *Entry) withStream(ctx context.Context, c *app.RequestContext, do func(*config.Document, *config.Customer, *identity)) {
+	d, who, problem := e.enter(ctx, c)
 	if problem != nil {
 		problem.answer(c)
 		return
@@ -42,7 +42,7 @@
 
 // continueStream goes on with a stream that any box began.
 func (e *Entry) continueStream(ctx context.Context, c *app.RequestContext) {
-	e.withStream(c, func(d *config.Document, who *config.Customer, i *identity) { e.goOn(ctx, c, d, who, i) })
+	e.withStream(ctx, c, func(d *config.Document, who *config.Customer, i *identity) { e.goOn(ctx, c, d, who, i) })
 }
 
 func (e *Entry) goOn(ctx context.Context, c *app.RequestContext, d *config.Document, who *config.Customer, i *identity) {
@@ -95,8 +95,8 @@
 }
 
 // cancelStream cancels a stream from any box.
-func (e *Entry) cancelStream(_ context.Context, c *app.RequestContext) {
-	e.withStream(c, func(_ *config.Document, _ *config.Customer, i *identity) { e.cancelKnown(c, i) })
+func (e *Entry) cancelStream(ctx context.Context, c *app.RequestContext) {
+	e.withStream(ctx, c, func(_ *config.Document, _ *config.Customer, i *identity) { e.cancelKnown(c, i) })
 }
 
 func (e *Entry) cancelKnown(c *app.RequestContext, i *identity) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -36,7 +36,7 @@
 
 // passCall passes a call to a service.
 func (e *Entry) passCall(ctx context.Context, c *app.RequestContext) {
-	d, who, problem := e.enter(c)
+	d, who, problem := e.enter(ctx, c)
 	if problem != nil {
 		problem.answer(c)
 		return
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -20,16 +20,16 @@
 // when they are there together.
 type streamWriter struct {
 	c      *app.RequestContext
+	link   *callerLink
 	body   network.ExtWriter
-	slow   time.Duration
 	p      *parsed
 	buffer []byte
 }
 
-func newStreamWriter(c *app.RequestContext, slow time.Duration, p *parsed) *streamWriter {
+func newStreamWriter(c *app.RequestContext, link *callerLink, p *parsed) *streamWriter {
 	return &streamWriter{
 		c:    c,
-		slow: slow,
+		link: link,
 		p:    p,
 	}
 }
@@ -54,18 +54,23 @@
 	w.buffer = append(b, "\n\n"...)
 }
 
-// flush writes what is there; a caller that takes nothing for too long makes it
-// fail, and until then holds its endpoint's link up.
+// flush writes what is there; a caller that takes nothing is found slow after
+// its time, and until then holds its endpoint's link up.
 func (w *streamWriter) flush() error {
 	if len(w.buffer) == 0 {
 		return nil
 	}
-	_ = w.c.GetConn().SetWriteTimeout(w.slow)
 	if _, err := w.body.Write(w.buffer); err != nil {
 		return err
 	}
 	w.buffer = w.buffer[:0]
-	return w.body.Flush()
+	if err := w.body.Flush(); err != nil {
+		return err
+	}
+	if w.link.slow.Load() {
+		return errSlowCaller
+	}
+	return nil
 }
 
 // usageChunk is the last chunk of a stream whose caller asked for usage.
@@ -152,6 +157,9 @@
 	}
 	w.token(id, last, text)
 	_ = w.done(id, last, p.Outcome)
+	if w.link.slow.Load() {
+		w.c.Response.SetConnectionClose()
+	}
 	return true
 }
 
--- a/trace/event.go
+++ b/trace/event.go
@@ -53,6 +53,8 @@
 	core.LinkLost{},
 	core.GenerationGone{},
 	core.CallerGone{},
+	core.CallerLeft{},
+	core.CallerSlow{},
 	core.ListAdopted{},
 	core.ListConfirmed{},
 	core.ClaimAsked{},
