engine: keep a worker's panic to the attempt it happened in

Workers run behind engine.Guard now: the attempt counts as lost (its bytes may have left), the sink is closed in one place, and the scheduler's reads of loads are covered too. A handler that panics gives back what its call holds and cancels its generation; that path has no test, since nothing a test can send makes a handler panic. Before: the entry died.

Changelog-fixed: a panic in an engine's worker ends one attempt and not the entry.

--- a/engine/completions/worker.go
+++ b/engine/completions/worker.go
@@ -65,7 +65,6 @@
 
 // Start sends a request and tells what comes back.
 func (w *Worker) Start(ctx context.Context, c engine.Call, sink chan<- engine.Message) {
-	defer close(sink)
 	body, err := extend(c)
 	if err != nil {
 		sink <- engine.Unsent{Cause: err}
@@ -142,7 +141,6 @@
 
 // Resume reads a generation again from an offset.
 func (w *Worker) Resume(ctx context.Context, c engine.ResumeCall, sink chan<- engine.Message) {
-	defer close(sink)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer release(req, resp)
 	req.SetMethod(http.MethodGet)
--- a/engine/message.go
+++ b/engine/message.go
@@ -114,9 +114,9 @@
 	What  string
 }
 
-// Worker speaks one engine protocol. Start and Resume tell what happens until
-// the attempt ends or the context does, and close the sink. Cancel with onlyIdle
-// leaves a generation that somebody reads.
+// Worker speaks one engine protocol. Start and Resume tell what happens and
+// return when the attempt ends or the context does; Guard closes the sink then.
+// Cancel with onlyIdle leaves a generation that somebody reads.
 type Worker interface {
 	Start(ctx context.Context, c Call, sink chan<- Message)
 	Resume(ctx context.Context, c ResumeCall, sink chan<- Message)
--- a/entry/call.go
+++ b/entry/call.go
@@ -68,12 +68,18 @@
 // run carries the call to its end; a problem is for the caller to be told while
 // nothing was sent.
 func (k *call) run() *Problem {
-	k.perform(core.PlaceAgain{})
+	k.carry(core.PlaceAgain{})
+	return k.problem
+}
+
+// carry begins with a command and goes on until the generation has ended; what
+// the call holds is given back also when a panic cuts it short.
+func (k *call) carry(first core.Command) {
+	defer k.close()
+	k.perform(first)
 	for k.gen.State != core.GenerationEnded {
 		k.next()
 	}
-	k.close()
-	return k.problem
 }
 
 // cancel ends the call from outside.
--- a/entry/call_end.go
+++ b/entry/call_end.go
@@ -72,8 +72,20 @@
 	k.problem = problem
 }
 
+// abandon ends a generation whose call was cut short by a panic.
+func (k *call) abandon() {
+	for _, command := range k.gen.Step(time.Now(), core.CallerGone{}) {
+		if c, ok := command.(core.CancelAttempt); ok {
+			go k.entry.cancelGeneration(c.Origin, false)
+		}
+	}
+}
+
 // close settles what the call holds beside its stream.
 func (k *call) close() {
+	if k.gen.State != core.GenerationEnded {
+		k.abandon()
+	}
 	if held, _ := k.entry.calls.Get(k.id); held == k {
 		k.entry.calls.Delete(k.id)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,7 +70,7 @@
 		log:       log,
 		recorder:  recorder,
 		state:     watch.NewState(log),
-		worker:    worker,
+		worker:    engine.Guard(worker, panicSeen(log, "worker")),
 		services:  services,
 		models:    shard.NewMap[*model](),
 		customers: shard.NewMap[*customer](),
@@ -123,8 +123,7 @@
 
 // recovered ends one request whose handler panicked, and that request alone.
 func (e *Entry) recovered(_ context.Context, c *app.RequestContext, fault any, stack []byte) {
-	panics.Inc()
-	e.log.Error("a request's handler panicked", zap.Any("fault", fault), zap.ByteString("stack", stack))
+	panicSeen(e.log, "handler")(fault, stack)
 	(&Problem{
 		Status:  http.StatusInternalServerError,
 		Code:    "internal_error",
@@ -133,6 +132,14 @@
 	}).answer(c)
 }
 
+// panicSeen counts a panic and logs where it was.
+func panicSeen(log *zap.Logger, where string) engine.PanicSeen {
+	return func(fault any, stack []byte) {
+		panics.Inc()
+		log.Error("a request's "+where+" panicked", zap.Any("fault", fault), zap.ByteString("stack", stack))
+	}
+}
+
 // Ready says what is missing before a stream can be served.
 func (e *Entry) Ready() string {
 	if !e.taking() {
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -83,15 +83,11 @@
 }
 
 func (k *call) runResumed() {
-	k.perform(core.Resume{
+	k.carry(core.Resume{
 		Attempt: k.gen.Attempt,
 		Origin:  k.gen.Origin,
 		From:    k.gen.Next,
 	})
-	for k.gen.State != core.GenerationEnded {
-		k.next()
-	}
-	k.close()
 }
 
 // cancelStream cancels a stream from any box.
--- /dev/null
+++ b/entry/suite_test.go
@@ -0,0 +1,13 @@
+package entry_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestEntry(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "entry")
+}
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -9,6 +9,7 @@
 var (
 	leasesGranted  = metrics.NewCounter("dillsaddle_leases_granted_total")
 	leasesWithheld = metrics.NewCounter("dillsaddle_leases_withheld_total")
+	workerPanics   = metrics.NewCounter("dillsaddle_worker_panics_total")
 	loadFaults     = metrics.NewCounter("dillsaddle_load_faults_total")
 )
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -69,7 +69,7 @@
 		log:       log,
 		recorder:  recorder,
 		state:     watch.NewState(log),
-		worker:    worker,
+		worker:    engine.Guard(worker, panicSeen(log)),
 		endpoints: shard.NewMap[*endpoint](),
 		home:      core.NewHome(self, core.DefaultClaimRules(), now),
 		drain:     core.NewDrain(),
@@ -100,6 +100,14 @@
 	return s, nil
 }
 
+// panicSeen counts a worker's panic and logs where it was.
+func panicSeen(log *zap.Logger) engine.PanicSeen {
+	return func(fault any, stack []byte) {
+		workerPanics.Inc()
+		log.Error("a worker panicked", zap.Any("fault", fault), zap.ByteString("stack", stack))
+	}
+}
+
 func every(ctx context.Context, pause time.Duration, do func(context.Context)) {
 	tick := time.NewTicker(pause)
 	defer tick.Stop()
