core: wait for a claims' predecessor that may still hand over

Found by the proof of a parted fleet, whose writes were told "unknown" before any cut: on a fleet that had just started, 5 to 17 of 30 new keys got claim_unknown. Cause: a home took "has not handed over yet" for "will never": each box starts with the list without itself as the one before, and until all had met, its keys counted as lost. Ruled out: the cut (the scenario of repeated writes shows it without one), restarts (no life was replaced), and the guard time. A predecessor that is still listed is waited for now ("not yet"), as long as the guard.

Changelog-fixed: a new key is not told unknown while a fleet's boxes have yet to meet.

--- a/core/claim.go
+++ b/core/claim.go
@@ -216,6 +216,9 @@
 	return nil
 }
 
+// Self gives the life of the box that this home is on.
+func (h *Home) Self() Box { return h.self }
+
 // Len gives the number of records held.
 func (h *Home) Len() int { return len(h.records) }
 
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -107,21 +107,38 @@
 	if !h.take.settled && now.Sub(h.started) <= h.rules.Guard {
 		return proofPending
 	}
+	result := proofWhole
 	for i := range h.take.epochs {
-		ep := &h.take.epochs[i]
-		before := ep.List.Home(ClaimScope(e.Key), nil)
-		if before == "" || before == h.self.Name {
-			continue
-		}
-		lost := ep.at
-		if from := h.take.heirOf[before]; from.version >= ep.Next {
-			lost = from.blindSince
-		}
-		if !lost.IsZero() && h.lostAt(now, e, lost) {
+		switch h.provableSince(now, e, &h.take.epochs[i]) {
+		case proofMissing:
 			return proofMissing
+		case proofPending:
+			result = proofPending
 		}
 	}
-	return proofWhole
+	return result
+}
+
+// provableSince is provable for the key's home under one replaced list. One that
+// is still listed may yet hand over, and is waited for.
+func (h *Home) provableSince(now time.Time, e *ClaimAsked, ep *Epoch) proof {
+	before := ep.List.Home(ClaimScope(e.Key), nil)
+	if before == "" || before == h.self.Name {
+		return proofWhole
+	}
+	from := h.take.heirOf[before]
+	handedOver := from.version >= ep.Next
+	lost := ep.at
+	if handedOver {
+		lost = from.blindSince
+	}
+	if lost.IsZero() || !h.lostAt(now, e, lost) {
+		return proofWhole
+	}
+	if !handedOver && h.reading.List.Member(before) != nil && now.Sub(ep.at) <= h.rules.Guard {
+		return proofPending
+	}
+	return proofMissing
 }
 
 // meet notes a life of another box and tells whether an earlier one was known.
--- a/proof/claims.go
+++ b/proof/claims.go
@@ -107,26 +107,58 @@
 	return fmt.Sprintf("%d writes of %d bodies, %d ran", len(writes), len(told), ran), nil
 }
 
+// writesRepeated sends each write through every box at once, on a fleet that has
+// just started, until all have run: its boxes can vouch for every key.
 func writesRepeated(f *Fleet) (string, error) {
-	var mu sync.Mutex
-	var all []write
-	var wait sync.WaitGroup
-	for n := range 30 {
-		key := newKey()
+	keys := make([]string, 30)
+	for n := range keys {
+		keys[n] = newKey()
 		if n%2 == 0 {
-			key = fmt.Sprintf("plain-key-%d", n)
+			keys[n] = fmt.Sprintf("plain-key-%d", n)
+		}
+	}
+	var all []write
+	done := until(startLimit, func() bool {
+		all = append(all, f.writesThroughAll(keys)...)
+		return len(ranKeys(all)) == len(keys)
+	})
+	for _, w := range all {
+		if strings.Contains(w.answer, "claim_unknown") {
+			return "", errors.New("a new key was told unknown on a fleet that lost nothing")
+		}
+	}
+	if !done {
+		return "", errors.Errorf("%d of %d writes ran within %s", len(ranKeys(all)), len(keys), startLimit)
+	}
+	return f.judgeWrites(all)
+}
+
+// startLimit is the time within which every claims' home of a starting fleet must
+// grant.
+const startLimit = 20 * time.Second
+
+// ranKeys gives the keys of the writes that a caller was told to have run.
+func ranKeys(all []write) map[string]bool {
+	ran := make(map[string]bool)
+	for _, w := range all {
+		if w.outcome == "ran" {
+			ran[w.key] = true
 		}
+	}
+	return ran
+}
+
+// writesThroughAll sends the write of each key through every box at once.
+func (f *Fleet) writesThroughAll(keys []string) []write {
+	all := make([]write, len(keys)*len(f.boxes))
+	var wait sync.WaitGroup
+	for n, key := range keys {
 		for i := range f.boxes {
-			wait.Go(func() {
-				w := f.writeRecord(i, key, fmt.Sprintf("reading-%d", n))
-				mu.Lock()
-				defer mu.Unlock()
-				all = append(all, w)
-			})
+			wait.Go(func() { all[n*len(f.boxes)+i] = f.writeRecord(i, key, "reading-"+key) })
 		}
 	}
 	wait.Wait()
-	return f.judgeWrites(all)
+	return all
 }
 
 // homeOf gives the index of the box that keeps a key.
