proof: part a fleet of real processes and let it meet again

Cuts between boxes were explored by the model and in virtual time only. Each box now reads a platform of its own that lists the others at ways which can be closed in both directions: nothing passes, nothing is said, and what was on its way arrives late. Two of the first eight runs were no proof: a box had taken the list of a peer before its own platform's, with that peer's ways, and was not apart. The scenario checks that it is, and the ways open only once each box has its own list.

--- a/proof/calls.go
+++ b/proof/calls.go
@@ -62,6 +62,9 @@
 		return f.service
 	}
 	var n int
+	if _, err := fmt.Sscanf(name, "platform-%d", &n); err == nil {
+		return f.boxes[n-1].Plat
+	}
 	_, _ = fmt.Sscanf(name, "engine-%d", &n)
 	return f.engines[n-1]
 }
--- a/proof/configs.go
+++ b/proof/configs.go
@@ -44,6 +44,15 @@
 	return s.Version
 }
 
+// versions gives the versions in force by box.
+func (f *Fleet) versions() []uint64 {
+	all := make([]uint64, 0, len(f.boxes))
+	for i := range f.boxes {
+		all = append(all, f.versionAt(i))
+	}
+	return all
+}
+
 // everywhere waits until every box has a version in force, and gives the time.
 func (f *Fleet) everywhere(version uint64, within time.Duration) (time.Duration, error) {
 	began := time.Now()
--- a/proof/documents.go
+++ b/proof/documents.go
@@ -137,6 +137,27 @@
 
 // PublishConfig publishes a version of the configuration, changed by a function.
 func (f *Fleet) PublishConfig(version uint64, change func(map[string]any)) error {
+	body, err := f.configText(version, change)
+	if err != nil {
+		return err
+	}
+	_, _, err = f.call("POST", f.platform, "/control/config", nil, body)
+	return err
+}
+
+// publishTo publishes a version of the configuration to the platforms of some
+// boxes only.
+func (f *Fleet) publishTo(version uint64, boxes ...int) error {
+	body, err := f.configText(version, nil)
+	for _, i := range boxes {
+		if err == nil {
+			_, _, err = f.call("POST", f.boxes[i].Plat, "/control/config", nil, body)
+		}
+	}
+	return err
+}
+
+func (f *Fleet) configText(version uint64, change func(map[string]any)) ([]byte, error) {
 	copied := make(map[string]any, len(f.config))
 	for key, value := range f.config {
 		copied[key] = value
@@ -145,12 +166,7 @@
 	if change != nil {
 		change(copied)
 	}
-	body, err := json.Marshal(copied)
-	if err != nil {
-		return err
-	}
-	_, _, err = f.call("POST", f.platform, "/control/config", nil, body)
-	return err
+	return json.Marshal(copied)
 }
 
 // PublishList publishes the next version of the list, changed by a function.
--- a/proof/fleet.go
+++ b/proof/fleet.go
@@ -26,6 +26,7 @@
 	Memory  int
 	PerSeq  time.Duration // added to a step by each sequence
 	Slots   int
+	Ways    bool // boxes reach each other by ways that can be cut, each with its own platform
 }
 
 // DefaultShape is a small fleet whose streams take a few seconds.
@@ -61,6 +62,7 @@
 	boxes     []box
 	config    map[string]any
 	list      core.List
+	ways      *ways
 }
 
 type running struct {
@@ -94,6 +96,12 @@
 		processes: make(map[string]*running),
 	}
 	f.lay()
+	if shape.Ways {
+		if err := f.layWays(); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
 	if err := f.launch(); err != nil {
 		f.Close()
 		return nil, err
@@ -102,12 +110,12 @@
 }
 
 func (f *Fleet) launch() error {
-	f.run("platform", "dillsaddle-standin", f.write("platform.json", map[string]any{
-		"role":    "platform",
-		"address": f.platform.String(),
-		"config":  f.write("config.json", f.config),
-		"list":    f.write("list.json", f.list),
-	}))
+	f.runPlatform("platform", f.platform, &f.list)
+	if f.ways != nil {
+		for i := range f.boxes {
+			f.runPlatform(fmt.Sprintf("platform-%d", i+1), f.boxes[i].Plat, &f.ways.lists[i])
+		}
+	}
 	for i, address := range f.engines {
 		name := fmt.Sprintf("engine-%d", i+1)
 		f.run(name, "dillsaddle-standin", f.write(name+".json", map[string]any{
@@ -131,9 +139,23 @@
 	for i := range f.boxes {
 		f.StartBox(i)
 	}
+	if f.ways != nil {
+		if err := f.listed(30 * time.Second); err != nil {
+			return err
+		}
+	}
 	return f.Ready(30 * time.Second)
 }
 
+func (f *Fleet) runPlatform(name string, address netip.AddrPort, list *core.List) {
+	f.run(name, "dillsaddle-standin", f.write(name+".json", map[string]any{
+		"role":    "platform",
+		"address": address.String(),
+		"config":  f.write("config.json", f.config),
+		"list":    f.write(name+"-list.json", list),
+	}))
+}
+
 // StartBox starts the three processes of a box.
 func (f *Fleet) StartBox(i int) {
 	b := &f.boxes[i]
@@ -238,6 +260,9 @@
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.ways != nil {
+		f.ways.close()
+	}
 	for _, r := range f.processes {
 		_ = r.command.Process.Signal(syscall.SIGCONT)
 		_ = r.command.Process.Kill()
--- a/proof/scenario.go
+++ b/proof/scenario.go
@@ -21,6 +21,7 @@
 	all := append(streamScenarios(), slowScenario())
 	all = append(all, claimScenarios()...)
 	all = append(all, configScenarios()...)
+	all = append(all, partedScenarios()...)
 	return append(all, stopScenarios()...)
 }
 
