--- a/bench/outcome.go
+++ b/bench/outcome.go
@@ -42,6 +42,7 @@
 	ByCustomer map[string]float64
 	Bytes      float64 // control bytes a second and box
 	Messages   float64
+	Computed   float64 // part of the prompts' tokens that engines computed
 }
 
 // Tier finds a tier's part.
@@ -83,6 +84,7 @@
 		ByCustomer: make(map[string]float64),
 	}
 	tiers := make(map[string]*gathered)
+	computed, prompts := 0, 0
 	var order []string
 	for _, r := range n.all {
 		tier := r.arrival.Customer.Tier
@@ -91,6 +93,10 @@
 			order = append(order, tier)
 		}
 		n.gather(tiers[tier], r, out)
+		if r.seq != nil {
+			computed += r.seq.Computed
+			prompts += r.seq.Prompt
+		}
 	}
 	slices.SortFunc(order, func(a, b string) int { return rankOf(d, a) - rankOf(d, b) })
 	for _, tier := range order {
@@ -99,6 +105,7 @@
 	for i := range out.Tiers {
 		out.Goodput += out.Tiers[i].Goodput
 	}
+	out.Computed = float64(computed) / float64(max(1, prompts))
 	seconds := n.c.Duration.Seconds() * float64(len(n.boxes))
 	out.Bytes = float64(n.bytes) / seconds
 	out.Messages = float64(n.messages) / seconds
--- a/bench/summary.go
+++ b/bench/summary.go
@@ -26,6 +26,7 @@
 	GoldStall       float64
 	ControlBytes    float64
 	BronzePreempted int
+	Computed        float64 // part of the prompts' tokens that engines computed
 }
 
 // noisyCase and quietCase differ in the noisy customer alone.
@@ -101,16 +102,17 @@
 		GoldFirst95:     gold.First95,
 		GoldStall:       gold.StallMean,
 		ControlBytes:    ours.Bytes,
+		Computed:        ours.Computed,
 	}
 }
 
 // PrintSummary writes the distances to the aims.
 func PrintSummary(out io.Writer, deployment string, all []Summary) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "deployment\tcase\tof oracle\tof reservation\tof least rep.\ttop preempted\tbronze preempted\tgold p99 ms\tgold first p95 s\tgold stall ms\tcontrol B/s\t")
+	fmt.Fprintln(w, "deployment\tcase\tof oracle\tof reservation\tof least rep.\ttop preempted\tbronze preempted\tgold p99 ms\tgold first p95 s\tgold stall ms\tcontrol B/s\tprompts computed\t")
 	for _, s := range all {
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.2f\t%.2f\t%d\t%d\t%.1f\t%.2f\t%.0f\t%.0f\t\n", deployment, s.Case, s.OfOracle, s.OfReservation,
-			s.OfLeast, s.TopPreempted, s.BronzePreempted, 1000*s.GoldBetween99, s.GoldFirst95, 1000*s.GoldStall, s.ControlBytes)
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.2f\t%.2f\t%d\t%d\t%.1f\t%.2f\t%.0f\t%.0f\t%.2f\t\n", deployment, s.Case, s.OfOracle, s.OfReservation,
+			s.OfLeast, s.TopPreempted, s.BronzePreempted, 1000*s.GoldBetween99, s.GoldFirst95, 1000*s.GoldStall, s.ControlBytes, s.Computed)
 	}
 	return w.Flush()
 }
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -40,7 +40,7 @@
 	Made      int
 	Preempted int
 	arrival   int
-	prefill   int
+	Computed  int // prompt tokens computed, those after a preemption included
 }
 
 func (s *Sequence) blocks(size int) int { return (s.Prompt + s.Made + size) / size }
@@ -145,8 +145,9 @@
 		b.waiting = b.waiting[1:]
 		b.used += need
 		b.running = append(b.running, next)
-		next.prefill = max(0, next.Prompt+next.Made-b.cache.hit(next.Prefix, next.Prompt))
-		prefill += next.prefill
+		missing := max(0, next.Prompt+next.Made-b.cache.hit(next.Prefix, next.Prompt))
+		next.Computed += missing
+		prefill += missing
 	}
 	return prefill
 }
