admission: plan what generations hold between horizons

A profile looked at eight moments, 1,024 and 3,072 tokens ahead among them; a generation with 3,000 left counted as 1,024 longer, then as gone. Each horizon now stands for the time since the one before, with the moment at which the generation is expected to hold most. A test with known lengths failed first (three generations of 2,081, 1,341 and 2,617 tokens planned below what they hold).

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -3,10 +3,14 @@
 // fixedProfile is the profile of a generation whose length is known.
 func fixedProfile(prompt, generated, length int) Profile {
 	var p Profile
-	for i, ahead := range horizons {
-		if float64(generated)+ahead <= float64(length) {
-			p.Mean[i] = float64(prompt+generated) + ahead
+	left := float64(length - generated)
+	low := 0.0
+	for i, high := range horizons {
+		if left < low {
+			break
 		}
+		p.expect(i, float64(prompt+generated)+min(high, left), 1)
+		low = high
 	}
 	return p
 }
--- a/admission/profile.go
+++ b/admission/profile.go
@@ -40,23 +40,41 @@
 	return peak
 }
 
+// momentCount is how many moments up to a horizon, since the one before, a
+// profile looks at: a generation that ends between two horizons holds most
+// there.
+const momentCount = 3
+
 // profileOf is the profile of one generation with prompt and generated tokens.
-// A generation that outlives a horizon holds what it has and what it made.
+// Each horizon stands for the time since the one before, with the moment at which
+// the generation is expected to hold most.
 func profileOf(c *Curve, prompt, generated, most int) Profile {
 	var p Profile
-	held := float64(prompt + generated)
-	for i, ahead := range horizons {
-		alive := 0.0
-		if float64(generated)+ahead <= float64(most) {
-			alive = c.Beyond(float64(generated), ahead)
+	left := float64(most - generated)
+	low := 0.0
+	for i, high := range horizons {
+		for n := 1; n <= momentCount; n++ {
+			ahead := min(low+(high-low)*float64(n)/momentCount, left)
+			if ahead < low {
+				break
+			}
+			p.expect(i, float64(prompt+generated)+ahead, c.Beyond(float64(generated), ahead))
 		}
-		size := held + ahead
-		p.Mean[i] = size * alive
-		p.Variance[i] = size * size * alive * (1 - alive)
+		low = high
 	}
 	return p
 }
 
+// expect notes that a generation holds a size with a chance, if that is more than
+// what the horizon has.
+func (p *Profile) expect(horizon int, size, alive float64) {
+	if size*alive <= p.Mean[horizon] {
+		return
+	}
+	p.Mean[horizon] = size * alive
+	p.Variance[horizon] = size * size * alive * (1 - alive)
+}
+
 // Floats gives a profile's parts in the form that messages carry: rounded up to
 // what a short float holds, since a plan needs no more than three digits and the
 // codec writes each float as short as it can. The variance goes as its root.
