admission: let owners plan at a risk of one in fifty

With profiles that see between their horizons the owner's risk was weighed anew: 2, 5, 10 and 20%. Users count preemptions, stalls and tails; goodput pays for them.

Changelog-changed: owners plan an endpoint's peak at a risk of one in fifty.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -50,7 +50,7 @@
 const forgetShare = 3
 
 // ownerRisk is the risk at which an owner plans an endpoint's peak.
-const ownerRisk = 0.05
+const ownerRisk = 0.02
 
 // NewShares divides an endpoint on whose hold it depends. Target is the longest
 // wanted time between tokens.
