entry: hedge late repeatable calls of services that ask for it

A lookup whose server was late had to wait for half of its deadline. Off unless the configuration asks: both servers run the call.

Changelog-added: hedging of late repeatable calls, for services that ask for it.

--- a/config/service.go
+++ b/config/service.go
@@ -12,6 +12,7 @@
 	Addresses     []netip.AddrPort
 	Deadline      time.Duration
 	Concurrency   int
+	Hedge         bool // a repeatable call that is late goes to a second server too
 	NotRepeatable []CallPattern
 	Refusals      []int // statuses by which the service says that it did not act
 	line          int
@@ -45,6 +46,7 @@
 	}
 	o.duration("deadline", &s.Deadline, time.Millisecond, 10*time.Minute)
 	o.whole("concurrency", &s.Concurrency, 1, 100000)
+	o.flag("hedge", &s.Hedge)
 	scalar(o, "refusal_statuses", &s.Refusals, "write a list of HTTP statuses")
 	s.NotRepeatable = list(o, "not_repeatable", "call of service "+s.Name, parseCallPattern)
 	return s
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	customers *shard.Map[*customer]
 	calls     *shard.Map[*call]
 	homes     *shard.Map[core.Incarnation]
+	answers   *shard.Map[*answerTimes]
 	owners    watch.Owners
 	credit    credit
 	served    atomic.Bool // every model that is served had a lease once
@@ -76,6 +77,7 @@
 		customers: shard.NewMap[*customer](),
 		calls:     shard.NewMap[*call](),
 		homes:     shard.NewMap[core.Incarnation](),
+		answers:   shard.NewMap[*answerTimes](),
 		drain:     core.NewDrain(),
 		left:      make(chan struct{}),
 		stop:      cancel,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,7 @@
 	droppedLate    = metrics.NewCounter("dillsaddle_dropped_late_answers_total")
 	callersLeft    = metrics.NewCounter("dillsaddle_callers_left_total")
 	policyFailures = metrics.NewCounter("dillsaddle_policy_failures_total")
+	hedges         = metrics.NewCounter("dillsaddle_hedges_total")
 	retries        = metrics.NewCounter("dillsaddle_retries_total")
 	resumes        = metrics.NewCounter("dillsaddle_resumes_total")
 	leaseFaults    = metrics.NewCounter("dillsaddle_lease_faults_total")
--- a/entry/services.go
+++ b/entry/services.go
@@ -170,33 +170,62 @@
 }
 
 func (k *serviceCall) send(c core.SendAttempt) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	k.fill(req, c)
 	if k.claim != nil && time.Now().After(k.claim.until) || k.tryTime() <= 0 {
 		k.entry.services.done(k.last, 0, false)
-		protocol.ReleaseResponse(resp)
 		k.step(core.CallerGone{})
 		return
 	}
 	k.step(core.Sending{Attempt: c.Attempt})
+	r := k.exchange(c)
+	k.judge(c, r.resp, r.err)
+}
+
+// exchange sends the call and waits for what comes back.
+func (k *serviceCall) exchange(c core.SendAttempt) tried {
+	if k.mayHedge() {
+		return k.hedged(c)
+	}
+	req := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(req)
+	k.fill(req, c, k.last)
+	return k.try(k.ctx, req, k.last, k.tryTime())
+}
+
+func (k *serviceCall) mayHedge() bool {
+	return k.service.Hedge && k.gen.Repeatable && len(k.service.Addresses) > 1 && k.times().hedgeAfter() > 0
+}
+
+func (k *serviceCall) times() *answerTimes {
+	return k.entry.answers.GetOrMake(k.service.Name, newAnswerTimes)
+}
+
+// try sends the call to one server and learns how long its answer took.
+func (k *serviceCall) try(ctx context.Context, req *protocol.Request, server netip.AddrPort, timeout time.Duration) tried {
+	resp := protocol.AcquireResponse()
 	began := time.Now()
-	err := k.entry.services.do(k.ctx, req, resp, k.tryTime(), k.gen.Repeatable)
-	k.entry.services.done(k.last, time.Since(began), err != nil)
-	k.judge(c, resp, err)
+	err := k.entry.services.do(ctx, req, resp, timeout, k.gen.Repeatable)
+	took := time.Since(began)
+	k.entry.services.done(server, took, err != nil && ctx.Err() == nil)
+	if err == nil {
+		k.times().observe(took)
+	}
+	return tried{
+		resp: resp,
+		err:  err,
+	}
 }
 
-func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt) {
+func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt, server netip.AddrPort) {
 	k.c.Request.Header.CopyTo(&req.Header)
 	req.SetBody(k.body)
 	req.Header.Del("Authorization")
 	req.Header.Del("Connection")
-	uri := "http://" + k.last.String() + k.path
+	uri := "http://" + server.String() + k.path
 	if query := string(k.c.URI().QueryString()); query != "" {
 		uri += "?" + query
 	}
 	req.SetRequestURI(uri)
-	req.Header.SetHost(k.last.String())
+	req.Header.SetHost(server.String())
 	req.Header.Set(requestIDHeader, c.Origin.Generation)
 	if !k.gen.Repeatable {
 		req.SetConnectionClose()
--- /dev/null
+++ b/lab/lookups.go
@@ -0,0 +1,87 @@
+package lab
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"gonum.org/v1/gonum/stat"
+
+	"dillsaddle.example/dillsaddle/proof"
+	"dillsaddle.example/dillsaddle/standin"
+)
+
+func init() {
+	fs := flag.NewFlagSet("lookups", flag.ContinueOnError)
+	programs := fs.String("programs", "bin", "`folder` of the programs")
+	lasting := fs.Duration("lasting", 8*time.Second, "`time` of each load")
+	commands = append(commands, &ffcli.Command{
+		Name:       "lookups",
+		ShortUsage: "dillsaddle-lab lookups [flags]",
+		ShortHelp:  "measure lookups of a service whose servers are late now and then, with hedging and without",
+		FlagSet:    fs,
+		Exec:       func(context.Context, []string) error { return lookups(os.Stdout, *programs, *lasting) },
+	})
+}
+
+// The load of lookups.
+const (
+	lookupCallers = 16
+	lookupServers = 3
+)
+
+// lateness is how a service's servers are late.
+type lateness struct {
+	name   string
+	faults standin.Faults
+}
+
+var latenesses = []lateness{
+	{name: "sound"},
+	{name: "each 20th answer 400 ms late", faults: standin.Faults{DelayMS: 400, DelayNth: 20}},
+	{name: "each 50th answer 1.5 s late", faults: standin.Faults{DelayMS: 1500, DelayNth: 50}},
+	{name: "each answer 30 ms late", faults: standin.Faults{DelayMS: 30}},
+}
+
+func lookups(out io.Writer, programs string, lasting time.Duration) error {
+	for _, l := range latenesses {
+		for _, hedge := range []bool{false, true} {
+			if err := printLookups(out, programs, l, hedge, lasting); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func printLookups(out io.Writer, programs string, l lateness, hedge bool, lasting time.Duration) error {
+	shape := proof.DefaultShape()
+	shape.Boxes = 1
+	shape.Engines = 1
+	shape.Servers = lookupServers
+	shape.Hedge = hedge
+	f, err := proof.Start(programs, shape)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.FaultServers(l.faults); err != nil {
+		return err
+	}
+	all, err := f.Lookups(lookupCallers, lasting)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "lookups, %s, hedge %t: %d, %d not answered, p50 %.1f, p95 %.1f, p99 %.1f, p99.9 %.1f ms, %.3f calls a lookup\n",
+		l.name, hedge, len(all.Took), all.Failed, lookupTime(all, 0.5), lookupTime(all, 0.95), lookupTime(all, 0.99), lookupTime(all, 0.999), float64(all.Calls)/float64(len(all.Took)))
+	return err
+}
+
+// lookupTime gives a quantile in milliseconds.
+func lookupTime(all *proof.Lookups, part float64) float64 {
+	return 1000 * stat.Quantile(part, stat.Empirical, all.Took, nil)
+}
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -33,5 +33,8 @@
 	if err := printControl(os.Stdout, programs, lasting); err != nil {
 		return err
 	}
-	return printPath(os.Stdout, programs, lasting)
+	if err := printPath(os.Stdout, programs, lasting); err != nil {
+		return err
+	}
+	return printTail(os.Stdout, programs, lasting)
 }
--- a/lab/slopes_path.go
+++ b/lab/slopes_path.go
@@ -160,7 +160,7 @@
 
 // printControl tells what control costs boxes that carry no stream.
 func printControl(out io.Writer, programs string, lasting time.Duration) error {
-	for _, boxes := range []int{1, 2, 4, 8} {
+	for _, boxes := range []int{1, 2, 4, 8, 16, 24} {
 		shape := proof.DefaultShape()
 		shape.Boxes = boxes
 		f, err := proof.Start(programs, shape)
--- a/proof/calls.go
+++ b/proof/calls.go
@@ -62,6 +62,9 @@
 		return f.service
 	}
 	var n int
+	if _, err := fmt.Sscanf(name, "service-%d", &n); err == nil {
+		return f.servers[n-1]
+	}
 	if _, err := fmt.Sscanf(name, "platform-%d", &n); err == nil {
 		return f.boxes[n-1].Plat
 	}
@@ -79,14 +82,31 @@
 	return r, json.Unmarshal(body, &r)
 }
 
-// ServiceRecord gives the service's own record.
-func (f *Fleet) ServiceRecord() (standin.ServiceRecord, error) {
-	var r standin.ServiceRecord
-	_, body, err := f.get(f.service, "/control/record")
-	if err != nil {
-		return r, err
+// ServerRecords gives the own records of the service's servers.
+func (f *Fleet) ServerRecords() ([]standin.ServiceRecord, error) {
+	all := make([]standin.ServiceRecord, len(f.servers))
+	for i, address := range f.servers {
+		_, body, err := f.get(address, "/control/record")
+		if err == nil {
+			err = json.Unmarshal(body, &all[i])
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	return r, json.Unmarshal(body, &r)
+	return all, nil
+}
+
+// ServiceEffects counts the effects by request on all servers of the service.
+func (f *Fleet) ServiceEffects() (map[string]int, error) {
+	records, err := f.ServerRecords()
+	effects := make(map[string]int)
+	for _, r := range records {
+		for request, n := range r.Effects {
+			effects[request] += n
+		}
+	}
+	return effects, err
 }
 
 // PlatformCalls gives the platform's own count of calls.
--- a/proof/claims.go
+++ b/proof/claims.go
@@ -80,7 +80,7 @@
 // judgeWrites checks the service's own record: each body at most once; once if
 // any caller was told that it ran; not at all if all were told that it didn't.
 func (f *Fleet) judgeWrites(writes []write) (string, error) {
-	record, err := f.ServiceRecord()
+	counted, err := f.ServiceEffects()
 	if err != nil {
 		return "", err
 	}
@@ -93,7 +93,7 @@
 	}
 	ran := 0
 	for body, outcomes := range told {
-		effects := record.Effects["POST /records "+body]
+		effects := counted["POST /records "+body]
 		ran += effects
 		switch {
 		case effects > 1:
--- a/proof/documents.go
+++ b/proof/documents.go
@@ -55,7 +55,12 @@
 // lay chooses addresses and documents.
 func (f *Fleet) lay() {
 	f.platform = freeAddress()
-	f.service = freeAddress()
+	var servers []string
+	for range max(1, f.Shape.Servers) {
+		f.servers = append(f.servers, freeAddress())
+		servers = append(servers, f.servers[len(f.servers)-1].String())
+	}
+	f.service = f.servers[0]
 	endpoints := make([]map[string]any, 0, f.Shape.Engines)
 	for i := range f.Shape.Engines {
 		address := freeAddress()
@@ -86,7 +91,8 @@
 		"endpoints": endpoints,
 		"services": []map[string]any{{
 			"name":             "records",
-			"addresses":        []string{f.service.String()},
+			"addresses":        servers,
+			"hedge":            f.Shape.Hedge,
 			"deadline":         "2s",
 			"refusal_statuses": []int{503},
 			"not_repeatable":   []map[string]any{{"method": "POST", "path": "/records"}},
--- a/proof/fleet.go
+++ b/proof/fleet.go
@@ -26,6 +26,8 @@
 	Memory  int
 	PerSeq  time.Duration // added to a step by each sequence
 	Slots   int
+	Servers int  // of the service; one if left out
+	Hedge   bool // of the service
 	Ways    bool // boxes reach each other by ways that can be cut, each with its own platform
 }
 
@@ -58,7 +60,8 @@
 	processes map[string]*running
 	platform  netip.AddrPort
 	engines   []netip.AddrPort
-	service   netip.AddrPort
+	service   netip.AddrPort // the first of its servers
+	servers   []netip.AddrPort
 	boxes     []box
 	config    map[string]any
 	list      core.List
@@ -132,10 +135,13 @@
 			"seed":          i + 1,
 		}))
 	}
-	f.run("service", "dillsaddle-standin", f.write("service.json", map[string]any{
-		"role":    "service",
-		"address": f.service.String(),
-	}))
+	for i, address := range f.servers {
+		name := fmt.Sprintf("service-%d", i+1)
+		f.run(name, "dillsaddle-standin", f.write(name+".json", map[string]any{
+			"role":    "service",
+			"address": address.String(),
+		}))
+	}
 	for i := range f.boxes {
 		f.StartBox(i)
 	}
--- /dev/null
+++ b/proof/lookups.go
@@ -0,0 +1,123 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/model"
+	"dillsaddle.example/dillsaddle/standin"
+)
+
+func lookupScenarios() []Scenario {
+	shape := DefaultShape()
+	shape.Servers = 3
+	shape.Hedge = true
+	return []Scenario{{
+		Name:     "a service's servers are late now and then, and late lookups go to a second one",
+		Promises: []model.Promise{model.WholeAnswer, model.AtMostOnce},
+		Shape:    shape,
+		Run:      lookupsLate,
+	}}
+}
+
+// Lookups are calls of a service that may be repeated.
+type Lookups struct {
+	Took   []float64 // seconds, sorted
+	Failed int
+	Calls  int // that the service's servers counted
+}
+
+// FaultServers tells all servers of the service what to do wrong from now on.
+func (f *Fleet) FaultServers(faults standin.Faults) error {
+	for i := range f.servers {
+		if err := f.Fault(fmt.Sprintf("service-%d", i+1), faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Lookups has some callers look up one thing after the other for a while.
+func (f *Fleet) Lookups(callers int, lasting time.Duration) (*Lookups, error) {
+	out := &Lookups{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	end := time.Now().Add(lasting)
+	for i := range callers {
+		wait.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				began := time.Now()
+				whole := f.lookup(i%len(f.boxes), fmt.Sprintf("/records/%d-%d", i, n))
+				mu.Lock()
+				out.Took = append(out.Took, time.Since(began).Seconds())
+				if !whole {
+					out.Failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	slices.Sort(out.Took)
+	records, err := f.ServerRecords()
+	for _, r := range records {
+		out.Calls += r.Calls
+	}
+	return out, err
+}
+
+// lookup reports whether a lookup got its own answer.
+func (f *Fleet) lookup(boxIndex int, path string) bool {
+	headers := map[string]string{"Authorization": "Bearer " + Key}
+	status, answered, text, err := f.exchange("GET", f.boxes[boxIndex].Entry, "/v1/services/records"+path, headers, nil)
+	return err == nil && status == 200 && answered["Dillsaddle-Outcome"] == "ran" && strings.Contains(string(text), path)
+}
+
+// hedgedAtMost bounds the servers' calls for each lookup: the budget of retries is
+// a tenth, with a start of ten calls a customer and box.
+const hedgedAtMost = 1.15
+
+func lookupsLate(f *Fleet) (string, error) {
+	if err := f.FaultServers(standin.Faults{DelayMS: 300, DelayNth: 20}); err != nil {
+		return "", err
+	}
+	writes := make(chan []write, 1)
+	go func() {
+		var all []write
+		for n := range 60 {
+			all = append(all, f.writeRecord(n%len(f.boxes), newKey(), fmt.Sprintf("reading-%d", n)))
+		}
+		writes <- all
+	}()
+	all, err := f.Lookups(12, 6*time.Second)
+	if err != nil {
+		return "", err
+	}
+	said, err := f.judgeWrites(<-writes)
+	if err != nil {
+		return "", err
+	}
+	hedges := 0.0
+	for i := range f.boxes {
+		m, err := f.Metrics(i, "entry")
+		if err != nil {
+			return "", err
+		}
+		hedges += m.Sum("dillsaddle_hedges_total")
+	}
+	looked := len(all.Took)
+	switch {
+	case hedges == 0:
+		return "", errors.New("no lookup went to a second server; the proof showed nothing")
+	case all.Failed > 0:
+		return "", errors.Errorf("%d of %d lookups did not get their own answer", all.Failed, looked)
+	case float64(all.Calls) > hedgedAtMost*float64(looked+60):
+		return "", errors.Errorf("%d calls for %d lookups and 60 writes", all.Calls, looked)
+	}
+	return fmt.Sprintf("%d lookups whole, %.0f sent to a second server; %s", looked, hedges, said), nil
+}
--- a/proof/metrics.go
+++ b/proof/metrics.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +32,30 @@
 	return sum
 }
 
+// Quantile gives the upper bound of the bucket in which a part of a histogram's
+// values ends.
+func (m Metrics) Quantile(name string, part float64) float64 {
+	type bucket struct{ bound, count float64 }
+	var all []bucket
+	for key, count := range m {
+		text, found := strings.CutPrefix(key, name+`_bucket{le="`)
+		bound, err := strconv.ParseFloat(strings.TrimSuffix(text, `"}`), 64)
+		if found && err == nil {
+			all = append(all, bucket{
+				bound: bound,
+				count: count,
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, b bucket) int { return cmp.Compare(a.bound, b.bound) })
+	for _, b := range all {
+		if b.count >= part*all[len(all)-1].count {
+			return b.bound
+		}
+	}
+	return 0
+}
+
 // Metrics reads the metrics of a box's process.
 func (f *Fleet) Metrics(i int, part string) (Metrics, error) {
 	address := map[string]netip.AddrPort{
--- a/proof/scenario.go
+++ b/proof/scenario.go
@@ -22,6 +22,7 @@
 	all = append(all, claimScenarios()...)
 	all = append(all, configScenarios()...)
 	all = append(all, partedScenarios()...)
+	all = append(all, lookupScenarios()...)
 	return append(all, stopScenarios()...)
 }
 
--- a/proof/stream.go
+++ b/proof/stream.go
@@ -29,7 +29,7 @@
 	Status     int
 	Body       string
 	FirstAfter time.Duration
-	LongestGap time.Duration
+	Gaps       []float64 // seconds between tokens
 	began      time.Time
 	last       time.Time
 }
@@ -130,7 +130,7 @@
 	if len(s.Tokens) == 0 {
 		s.FirstAfter = now.Sub(s.began)
 	} else {
-		s.LongestGap = max(s.LongestGap, now.Sub(s.last))
+		s.Gaps = append(s.Gaps, now.Sub(s.last).Seconds())
 	}
 	s.last = now
 	s.Tokens = append(s.Tokens, strings.TrimSpace(text))
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -9,6 +9,7 @@
 type Faults struct {
 	Stall     bool `json:"stall"`      // stop answering without closing
 	DelayMS   int  `json:"delay_ms"`   // answer so much later
+	DelayNth  int  `json:"delay_nth"`  // a service delays every n-th answer only
 	Duplicate int  `json:"duplicate"`  // send every n-th frame twice
 	Reorder   int  `json:"reorder"`    // swap every n-th frame with the next
 	Cut       int  `json:"cut"`        // break the link after so many frames
--- a/standin/service.go
+++ b/standin/service.go
@@ -73,11 +73,13 @@
 	}
 	id := string(c.GetHeader(requestIDHeader))
 	text := strings.Join([]string{string(c.Method()), string(c.Path()), string(c.Request.Body())}, " ")
-	previous := s.note(text, id)
+	previous, calls := s.note(text, id)
 	if f.LateAfter {
 		time.Sleep(lateAnswer)
 	}
-	s.faults.hold(ctx.Done())
+	if f.DelayNth <= 1 || calls%f.DelayNth == 0 {
+		s.faults.hold(ctx.Done())
+	}
 	if f.Cross {
 		id = previous
 	}
@@ -88,12 +90,12 @@
 	})
 }
 
-func (s *Service) note(text, id string) string {
+func (s *Service) note(text, id string) (previous string, calls int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	s.effects[text]++
-	previous := s.last
+	previous = s.last
 	s.last = id
-	return previous
+	return previous, s.calls
 }
