entry: pass no header on that concerns one connection

Headers of RFC 9110, 7.6.1, and those that Connection names stay behind, in both directions; an answer in chunks comes whole. The in-process box of the entry's tests has a file of its own.

--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -3,35 +3,18 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 
-	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/engine/completions"
-	"dillsaddle.example/dillsaddle/entry"
-	"dillsaddle.example/dillsaddle/scheduler"
-	"dillsaddle.example/dillsaddle/settings"
-	"dillsaddle.example/dillsaddle/standin"
-	"dillsaddle.example/dillsaddle/watch"
 )
 
-const (
-	testKey   = "test-key"
-	poison    = "poison"
-	modelName = "model-1"
-)
+// poison is in the prompts that make the worker panic.
+const poison = "poison"
 
 // faultyWorker panics on requests whose prompt is poisoned, before or after the
 // engine took them.
@@ -48,92 +31,6 @@
 	panic("another fault of the worker's")
 }
 
-func freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
-func testBox(platform netip.AddrPort) *settings.Box {
-	return &settings.Box{
-		Name:       "box-1",
-		Zone:       "zone-1",
-		Entry:      freeAddress(),
-		Scheduler:  freeAddress(),
-		Watch:      freeAddress(),
-		Platform:   platform,
-		Secret:     "the secret of a test's fleet",
-		DrainLimit: time.Minute,
-		LeaseEvery: 100 * time.Millisecond,
-	}
-}
-
-func testConfig(address netip.AddrPort) []byte {
-	return fmt.Appendf(nil, `{"version":1,
-		"customers":[{"name":"customer-1","tier":"tier-1","key_sha256":["%x"]}],
-		"tiers":[{"name":"tier-1","rank":0,"policy":"policy-1"}],
-		"policies":[{"name":"policy-1","decide":"request.fits ? 'run' : 'wait'"}],
-		"models":[{"name":%q}],
-		"endpoints":[{"name":"engine-1","address":%q,"zone":"zone-1","models":[%q],"memory_tokens":20000}]}`,
-		sha256.Sum256([]byte(testKey)), modelName, address, modelName)
-}
-
-// startBox starts a whole box in this process, with a worker of the test's.
-func startBox(worker engine.Worker) *settings.Box {
-	platformAt, engineAt := freeAddress(), freeAddress()
-	b := testBox(platformAt)
-	list, err := json.Marshal(core.List{
-		Version: 1,
-		Boxes: []core.Member{{
-			Name:      b.Name,
-			Zone:      b.Zone,
-			Entry:     b.Entry,
-			Scheduler: b.Scheduler,
-			Watch:     b.Watch,
-		}},
-		Endpoints: []core.EndpointStatus{{Name: "engine-1"}},
-	})
-	Expect(err).NotTo(HaveOccurred())
-	platform, err := standin.NewPlatform(testConfig(engineAt), list)
-	Expect(err).NotTo(HaveOccurred())
-	go platform.Serve(platformAt).Spin()
-	rules := standin.EngineRules{
-		Name:   "engine-1",
-		Models: []string{modelName},
-		Batch:  standin.DefaultBatchRules(),
-		Length: standin.LengthRules{
-			Median: 20,
-			Spread: 0.1,
-			Most:   100,
-		},
-	}
-	go standin.NewEngine(rules).Serve(engineAt).Spin()
-	log := zap.NewNop()
-	_, err = watch.Start(b, log)
-	Expect(err).NotTo(HaveOccurred())
-	_, err = scheduler.Start(b, log, worker, nil)
-	Expect(err).NotTo(HaveOccurred())
-	e, err := entry.Start(b, log, worker, nil)
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(e.Close)
-	Eventually(e.Ready, "30s", "20ms").Should(BeEmpty())
-	return b
-}
-
-func post(b *settings.Box, prompt string) (int, http.Header, string) {
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":true}`, modelName, prompt)
-	q, err := http.NewRequest(http.MethodPost, "http://"+b.Entry.String()+"/v1/completions", strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	q.Header.Set("Authorization", "Bearer "+testKey)
-	answer, err := http.DefaultClient.Do(q)
-	Expect(err).NotTo(HaveOccurred())
-	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
-	Expect(err).NotTo(HaveOccurred())
-	return answer.StatusCode, answer.Header, string(text)
-}
-
 var _ = Describe("a panic in a worker", func() {
 	It("ends the request in which it happened with a final answer, and no other", func() {
 		worker, err := completions.New()
--- a/entry/services.go
+++ b/entry/services.go
@@ -217,9 +217,9 @@
 
 func (k *serviceCall) fill(req *protocol.Request, c core.SendAttempt, server netip.AddrPort) {
 	k.c.Request.Header.CopyTo(&req.Header)
-	req.SetBody(k.body)
+	dropHopHeaders(&req.Header)
 	req.Header.Del("Authorization")
-	req.Header.Del("Connection")
+	req.SetBody(k.body)
 	uri := "http://" + server.String() + k.path
 	if query := string(k.c.URI().QueryString()); query != "" {
 		uri += "?" + query
@@ -264,8 +264,8 @@
 }
 
 func (k *serviceCall) deliver() {
+	dropHopHeaders(&k.answer.Header)
 	k.answer.CopyTo(&k.c.Response)
-	k.c.Response.Header.Del("Connection")
 	k.c.Response.Header.Set(outcomeHeader, string(core.Ran))
 }
 
