core: ask only those for handovers from whom keys can have come

Growth at tens of processes showed it: a box of 8 sent 1,792 bytes/s while idle, one of 16 and of 24 4,275 and 4,332, with no more messages: handovers, which carry lists. Each box asked every other one after each change of the list, 81 questions among 9 boxes for one that left (the test, failing first), 470 x 469 at full size. By rendezvous a key comes to a box that was listed before only from one that no longer is (or is leaving), and to a newcomer from any. Only these are asked now: 9 questions. What may be granted is judged as before, key by key, so that asking too few could only make keys wait.

--- a/core/claim_start_test.go
+++ b/core/claim_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -120,6 +121,45 @@
 		})
 	}
 
+	It("are handed over by the boxes from which keys can have come, and by no other", func() {
+		h := startHomes(start, time.Second, 10)
+		for round := range 3 {
+			h.meet(start.Add(time.Duration(round) * time.Second))
+		}
+		asks := func(now time.Time, version uint64, members []core.Member) int {
+			h.list = &core.List{
+				Version: version,
+				Age:     time.Hour,
+				Boxes:   members,
+			}
+			count := 0
+			for _, m := range members {
+				if h.homes[m.Name] == nil {
+					h.start(now, m.Name)
+				}
+				commands := h.homes[m.Name].Step(now, core.ListAdopted{
+					List: h.list,
+					At:   now,
+				})
+				for _, command := range commands {
+					if wanted, ok := command.(core.HandoverWanted); ok {
+						count++
+						h.ask(now, m.Name, wanted)
+					}
+				}
+			}
+			return count
+		}
+		all := h.list.Boxes
+		Expect(asks(start.Add(time.Hour), 2, all[1:])).To(Equal(9), "each asks the box that left")
+		joined := append(slices.Clone(all[1:]), core.Member{Name: "box-new"})
+		Expect(asks(start.Add(2*time.Hour), 3, joined)).To(BeNumerically("<=", 9), "the newcomer asks the others")
+		for round := range 3 {
+			h.meet(start.Add(2*time.Hour + time.Duration(round)*time.Second))
+		}
+		Expect(h.verdicts(start.Add(2*time.Hour+3*time.Second), false)).To(Equal(map[core.ClaimVerdict]int{core.VerdictGranted: 60}))
+	})
+
 	It("are told unknown once a box that may have granted them has left the list", func() {
 		h := startHomes(start, time.Second, 3)
 		for round := range 3 {
--- a/core/member.go
+++ b/core/member.go
@@ -55,6 +55,17 @@
 	return nil
 }
 
+// Homes are the boxes that can be home to claims: all that are not leaving.
+func (l *List) Homes() map[string]bool {
+	homes := make(map[string]bool, len(l.Boxes))
+	for i := range l.Boxes {
+		if !l.Boxes[i].Leaving {
+			homes[l.Boxes[i].Name] = true
+		}
+	}
+	return homes
+}
+
 // Leaving reports whether an endpoint is leaving or is not listed at all.
 func (l *List) Leaving(endpoint string) bool {
 	for i := range l.Endpoints {
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -219,15 +219,10 @@
 	h.sweep(now)
 	h.take.epochs = slices.DeleteFunc(h.take.epochs, func(ep Epoch) bool { return now.Sub(ep.at) > h.rules.Retention })
 	wanted := make(map[string]bool)
-	for _, ep := range h.take.epochs {
-		if now.Sub(ep.at) > h.rules.Guard {
-			continue
-		}
-		for i := range ep.List.Boxes {
-			m := &ep.List.Boxes[i]
-			if m.Name != h.self.Name && h.take.heirOf[m.Name].version < ep.Next {
-				wanted[m.Name] = true
-			}
+	homes := h.reading.List.Homes()
+	for i := range h.take.epochs {
+		if ep := &h.take.epochs[i]; now.Sub(ep.at) <= h.rules.Guard {
+			h.wantFrom(ep, homes, wanted)
 		}
 	}
 	if !h.take.settled {
@@ -239,6 +234,20 @@
 	return h.ask(wanted)
 }
 
+// wantFrom adds the boxes of a replaced list that haven't handed over and from
+// which keys can have come to this one. Rendezvous moves a key to a box that was
+// listed before only from one that no longer is; to a newcomer from any.
+func (h *Home) wantFrom(ep *Epoch, homes, wanted map[string]bool) {
+	self := ep.List.Member(h.self.Name)
+	newcomer := self == nil || self.Leaving
+	for i := range ep.List.Boxes {
+		name := ep.List.Boxes[i].Name
+		if h.take.heirOf[name].version < ep.Next && (newcomer || !homes[name]) {
+			wanted[name] = true
+		}
+	}
+}
+
 func (h *Home) ask(wanted map[string]bool) []Command {
 	names := make([]string, 0, len(wanted))
 	for name := range wanted {
