core: hand over of a replaced list only what claims need

A handover carried each list of the past hour whole, endpoints and addresses too, and a home kept them: 74 bytes a box and 18 an endpoint, 130 KB a list at full size, 172 lists an hour. Names and leaving marks are what finds a home. Still, handovers to newcomers grow with the cube of the fleet: see docs/CAPACITY.md.

--- a/core/member.go
+++ b/core/member.go
@@ -20,11 +20,11 @@
 // Member is one box as the platform lists it.
 type Member struct {
 	Name      string         `json:"name"`
-	Zone      string         `json:"zone"`
-	Region    string         `json:"region"`
-	Entry     netip.AddrPort `json:"entry"`
-	Scheduler netip.AddrPort `json:"scheduler"`
-	Watch     netip.AddrPort `json:"watch"`
+	Zone      string         `json:"zone,omitzero"`
+	Region    string         `json:"region,omitzero"`
+	Entry     netip.AddrPort `json:"entry,omitzero"`
+	Scheduler netip.AddrPort `json:"scheduler,omitzero"`
+	Watch     netip.AddrPort `json:"watch,omitzero"`
 	Leaving   bool           `json:"leaving,omitempty"`
 }
 
@@ -39,7 +39,7 @@
 	Version   uint64           `json:"version"`
 	Age       time.Duration    `json:"age"`
 	Boxes     []Member         `json:"boxes"`
-	Endpoints []EndpointStatus `json:"endpoints"`
+	Endpoints []EndpointStatus `json:"endpoints,omitempty"`
 }
 
 // Member finds a box by name, or nil.
@@ -55,6 +55,23 @@
 	return nil
 }
 
+// forHomes is the part of a list by which claims find their homes. It is what is
+// kept and handed over of a replaced list, for an hour and to every newcomer.
+func (l *List) forHomes() *List {
+	short := &List{
+		Version: l.Version,
+		Age:     l.Age,
+		Boxes:   make([]Member, 0, len(l.Boxes)),
+	}
+	for i := range l.Boxes {
+		short.Boxes = append(short.Boxes, Member{
+			Name:    l.Boxes[i].Name,
+			Leaving: l.Boxes[i].Leaving,
+		})
+	}
+	return short
+}
+
 // Homes are the boxes that can be home to claims: all that are not leaving.
 func (l *List) Homes() map[string]bool {
 	homes := make(map[string]bool, len(l.Boxes))
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -68,7 +68,7 @@
 		h.take.blindSince = now
 	}
 	h.take.epochs = append(h.take.epochs, Epoch{
-		List: old,
+		List: old.forHomes(),
 		Next: next.Version,
 		at:   now,
 	})
--- a/lab/slopes_core.go
+++ b/lab/slopes_core.go
@@ -34,6 +34,7 @@
 		fitSlope("a heartbeat on the wire, by suspects", "bytes", growth(2), heartbeatBytes),
 		fitSlope("a list on the wire, by boxes", "bytes", growth(55), func(n int) float64 { return float64(wire.Size(listOf(n, 0))) }),
 		fitSlope("a list on the wire, by endpoints", "bytes", growth(600), func(n int) float64 { return float64(wire.Size(listOf(1, n))) }),
+		fitSlope("a handover on the wire, by boxes of ten lists", "bytes", growth(55), handoverBytes),
 		fitSlope("peers of a box, by boxes", "count", growth(55), peerCount),
 		fitSlope("a lookup in the shards, by threads at once", "ns", growth(1), shardCost),
 	}
@@ -121,6 +122,29 @@
 	})
 }
 
+// handoverBytes is a handover without claims that tells of ten replaced lists.
+func handoverBytes(boxes int) float64 {
+	self := core.Box{Name: "box-000"}
+	home := core.NewHome(self, core.DefaultClaimRules(), epoch)
+	for version := range uint64(11) {
+		l := listOf(boxes, 0)
+		l.Version = version + 1
+		home.Step(epoch, core.ListAdopted{
+			List: l,
+			At:   epoch,
+		})
+	}
+	for _, command := range home.Step(epoch, core.HandoverAsked{
+		From:        core.Box{Name: "box-001"},
+		ListVersion: 11,
+	}) {
+		if sent, ok := command.(core.HandoverSent); ok {
+			return float64(wire.Size(wire.HandoverGive{Handover: sent.Handover}))
+		}
+	}
+	return 0
+}
+
 func leaseBytes(wishes int) float64 {
 	var ask wire.LeaseAsk
 	var grants wire.LeaseGrants
