--- a/standin/engine.go
+++ b/standin/engine.go
@@ -18,6 +18,24 @@
 	LoadLag      time.Duration
 	ChecksFences bool
 	Linger       time.Duration // how long an ended generation can be resumed
+	Cache        CacheRules
+}
+
+// CacheRules say how an engine's cache events fall short.
+type CacheRules struct {
+	Lag int // the newest events that are not told yet
+	Gap int // each event of so many is never told; 0 tells all
+}
+
+// seen gives the events after a number that are told by now.
+func (r CacheRules) seen(log []CacheEvent, after int) []CacheEvent {
+	told := make([]CacheEvent, 0, len(log))
+	for _, e := range log[:max(0, len(log)-r.Lag)] {
+		if e.Sequence > after && (r.Gap == 0 || e.Sequence%r.Gap != 0) {
+			told = append(told, e)
+		}
+	}
+	return told
 }
 
 // Engine is a stand-in model engine that runs in real time.
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -114,8 +114,7 @@
 	after, _ := strconv.Atoi(c.Query("after"))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	log := e.batch.cache.log
-	c.JSON(http.StatusOK, log[min(max(after, 0), len(log)):])
+	c.JSON(http.StatusOK, e.rules.Cache.seen(e.batch.cache.log, after))
 }
 
 func (e *Engine) takeOrder(_ context.Context, c *app.RequestContext) {
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -59,6 +59,8 @@
 	fs.IntVar(&e.Length.Most, "longest", 20000, "engine: longest output in `tokens`")
 	fs.Uint64Var(&e.Seed, "seed", 1, "engine: `seed` of the output lengths")
 	fs.DurationVar(&e.LoadLag, "load-lag", 200*time.Millisecond, "engine: `lag` of the load report")
+	fs.IntVar(&e.Cache.Lag, "cache-lag", 2, "engine: newest cache `events` that are not told yet")
+	fs.IntVar(&e.Cache.Gap, "cache-gap", 7, "engine: each cache event of so `many` is never told; 0 tells all")
 	fs.BoolVar(&e.ChecksFences, "checks-fences", true, "engine: refuse an order with an older fence")
 	fs.DurationVar(&e.Linger, "linger", time.Minute, "engine: `time` for which an ended generation can be read")
 }
