gateway: serve the operators' platform by a thin path

One process a box follows the store, places requests over the published endpoints, carries them over connections of its own, and sends each stream's memory along to a second engine of its zone, from which the stream goes on when its engine ends.

Changelog-added: one process a box on the operators' platform

--- /dev/null
+++ b/box/box.go
@@ -0,0 +1,199 @@
+package box
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/eventlog"
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/gateway"
+	"dillsaddle.example/dillsaddle/platform"
+)
+
+const (
+	// upkeepEvery spaces the box's housekeeping.
+	upkeepEvery = 250 * time.Millisecond
+	// retrySafety is the part of the retry budget that boxes spend: their
+	// windows and their counts of each other don't agree to the last request.
+	retrySafety = 0.75
+	// balancerTime is how long the balancer may still send new connections to
+	// a box that says it isn't ready: two questions, a second apart, and a bit.
+	balancerTime = 2500 * time.Millisecond
+	// graceMargin is kept to the kill at the end of a planned stop.
+	graceMargin = 350 * time.Millisecond
+	// logFlush bounds the wait for a slow reader of the log at the end.
+	logFlush = 100 * time.Millisecond
+	// headerTime and restTime bound callers before a configuration is known.
+	headerTime = 5 * time.Second
+	callerRest = 60 * time.Second
+	// headerBytes is far above the configuration's limit, which callers keep.
+	headerBytes = 64 << 10
+)
+
+// Box is the one process of a box.
+type Box struct {
+	options  *Options
+	settings *platform.Settings
+	log      *zap.Logger
+	sink     *eventlog.Sink
+	belief   *fleet.Belief
+	gateway  *gateway.Gateway
+	front    *http.Server
+	cancel   context.CancelFunc
+	once     sync.Once
+	stopping atomic.Bool
+	left     chan struct{}
+	loaded   time.Time // the settings file's own time at the last reading
+}
+
+func start(o *Options, s *platform.Settings, log *zap.Logger, sink *eventlog.Sink) (*Box, error) {
+	b := &Box{
+		options:  o,
+		settings: s,
+		log:      log,
+		sink:     sink,
+		left:     make(chan struct{}),
+	}
+	log.Info("start",
+		zap.String("box", s.Box),
+		zap.String("zone", s.Zone),
+		zap.Stringer("front", s.Front),
+		zap.Stringer("store", s.Store),
+		zap.Bool("first", s.FirstStart),
+	)
+	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
+	protocol := platform.Protocol{}
+	b.gateway = gateway.New(s.Zone, protocol, b.belief.View, gateway.Rules{
+		Retry: core.BudgetRules{
+			Ratio:  s.RetryRatio,
+			Slack:  s.RetrySlack,
+			Window: s.RetryWindow,
+			Safety: retrySafety,
+		},
+		MemoryBytes: s.MemoryBytes,
+	}, gateway.WithLog(log.Named("gateway")), gateway.WithCopier(protocol), gateway.WithBoxes(func() int { return 8 }))
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	if err := b.listen(); err != nil {
+		return nil, err
+	}
+	follower := fleet.NewFollower(platform.NewStore(s.Store), b.belief, fleet.WithFollowerLog(log.Named("store")))
+	go follower.Run(ctx)
+	go b.upkeep(ctx)
+	return b, nil
+}
+
+func (b *Box) listen() error {
+	b.front = &http.Server{
+		Handler:           b.gateway,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       callerRest,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          log.New(serverErrors{b.log}, "", 0),
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("/ready", b.answerReady)
+	operators := http.NewServeMux()
+	operators.HandleFunc("/metrics", b.answerMetrics)
+	operators.HandleFunc("/status", b.answerStatus)
+	for _, l := range []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{b.settings.Front, b.front},
+		{b.settings.Ready, &http.Server{Handler: ready}},
+		{netip.AddrPortFrom(b.settings.Front.Addr(), uint16(b.options.MetricsPort)), &http.Server{Handler: operators}},
+	} {
+		socket, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return errors.Wrap(err, "listen on "+l.address.String())
+		}
+		go func() {
+			if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+				b.log.Error("a listener ended", zap.Stringer("address", l.address), zap.Error(err))
+			}
+		}()
+	}
+	return nil
+}
+
+// serverErrors gives the standard library's server errors a line in the log.
+type serverErrors struct{ log *zap.Logger }
+
+// Write takes one message of the server.
+func (e serverErrors) Write(line []byte) (int, error) {
+	e.log.Debug("caller's connection", zap.ByteString("what", line))
+	return len(line), nil
+}
+
+// changed logs a change of belief and tells the gateway.
+func (b *Box) changed(c fleet.Change) {
+	b.log.Info(string(c.Kind),
+		zap.String("endpoint", c.Endpoint.ID),
+		zap.String("service", c.Endpoint.Service),
+		zap.Uint64("version", c.Version),
+		zap.Uint64("revision", c.Revision),
+		zap.String("from", c.From),
+	)
+	if b.gateway != nil {
+		b.gateway.Changed(c)
+	}
+}
+
+func (b *Box) upkeep(ctx context.Context) {
+	t := time.NewTicker(upkeepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			b.belief.Tick(now)
+			b.gateway.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload reads the settings file anew; the addresses of a running process stay.
+func (b *Box) reload() {
+	s, err := platform.LoadSettings(b.options.Settings)
+	if err != nil {
+		b.log.Error("reload failed, the settings before stay in force", zap.Error(err))
+		return
+	}
+	b.log.Info("reload", zap.String("box", s.Box), zap.Int("seeds", len(s.Seeds)))
+}
+
+// stop begins the planned stop, once.
+func (b *Box) stop() {
+	b.once.Do(func() {
+		b.stopping.Store(true)
+		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
+		b.gateway.Stop()
+		go b.leave(time.Now().Add(b.settings.Grace - graceMargin))
+	})
+}
+
+// leave waits until the balancer sends no more callers and the requests under
+// way have ended, but not beyond the time of the kill.
+func (b *Box) leave(limit time.Time) {
+	time.Sleep(min(balancerTime, time.Until(limit)))
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	if err := b.front.Shutdown(ctx); err != nil {
+		b.log.Warn("requests were still under way at the end", zap.Int("active", b.gateway.Active()), zap.Error(err))
+	}
+	b.cancel()
+	b.log.Info("left", zap.Int64("log_lines_left_out", b.sink.LeftOut()))
+	close(b.left)
+}
--- /dev/null
+++ b/box/main.go
@@ -0,0 +1,103 @@
+package box
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/eventlog"
+	"dillsaddle.example/dillsaddle/platform"
+)
+
+// The exit codes of the process.
+const (
+	exitDone  = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+// memoryPart is the share of a box's memory beyond which the collector works
+// harder; the rest is for stacks, sockets' buffers and the log's queue.
+const memoryPart = 0.7
+
+// Options are the flags of the process; everything else comes from the
+// platform's settings file.
+type Options struct {
+	Settings    string
+	MetricsPort int
+	LogLevel    string
+	Check       bool
+}
+
+func parse(arguments []string) (*Options, error) {
+	o := &Options{}
+	fs := flag.NewFlagSet("dillsaddle-node", flag.ContinueOnError)
+	fs.StringVar(&o.Settings, "settings", os.Getenv(platform.SettingsVariable), "platform's settings `FILE`")
+	fs.IntVar(&o.MetricsPort, "metrics-port", 9464, "`port` of metrics and status on the box's address")
+	fs.StringVar(&o.LogLevel, "log-level", "info", "least `level` of log lines: debug, info, warn, error")
+	fs.BoolVar(&o.Check, "check", false, "check the settings and end")
+	return o, ff.Parse(fs, arguments)
+}
+
+// Main runs the process until its planned stop and gives its exit code.
+func Main(arguments []string, out io.Writer) int {
+	o, err := parse(arguments)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		return fault(err, exitUsage)
+	}
+	s, err := platform.LoadSettings(o.Settings)
+	if err != nil {
+		return fault(err, exitUsage)
+	}
+	if o.Check {
+		fmt.Fprintln(out, "the settings are sound")
+		return exitDone
+	}
+	level, err := zap.ParseAtomicLevel(o.LogLevel)
+	if err != nil {
+		return fault(errors.Wrap(err, "read -log-level"), exitUsage)
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	sink := eventlog.NewSink(out)
+	b, err := start(o, s, eventlog.New(sink, level.Level()), sink)
+	if err != nil {
+		return fault(err, exitFault)
+	}
+	b.wait()
+	sink.Close(logFlush)
+	return exitDone
+}
+
+func fault(err error, code int) int {
+	fmt.Fprintf(os.Stderr, "dillsaddle-node: %v\n", err)
+	return code
+}
+
+// wait serves until a planned stop is over. A second signal changes nothing.
+func (b *Box) wait() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				b.reload()
+				continue
+			}
+			b.stop()
+		case <-b.left:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/box/operators.go
@@ -0,0 +1,59 @@
+package box
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// Status is what a box tells its operators of itself.
+type Status struct {
+	Box           string `json:"box"`
+	Zone          string `json:"zone"`
+	Ready         bool   `json:"ready"`
+	Configuration uint64 `json:"configuration"`
+	Revision      uint64 `json:"revision"`
+	ListAge       string `json:"list_age"`
+	Active        int    `json:"active"`
+	LeftOut       int64  `json:"log_lines_left_out"`
+}
+
+// ready tells whether the box can serve: it knows a configuration and the
+// endpoints, and isn't leaving.
+func (b *Box) ready() bool {
+	v := b.belief.View()
+	return v.Table != nil && v.Listed && !b.stopping.Load()
+}
+
+func (b *Box) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !b.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (b *Box) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+}
+
+func (b *Box) answerStatus(w http.ResponseWriter, _ *http.Request) {
+	v := b.belief.View()
+	s := Status{
+		Box:      b.settings.Box,
+		Zone:     b.settings.Zone,
+		Ready:    b.ready(),
+		Revision: v.Revision,
+		ListAge:  time.Since(v.Confirmed).Round(time.Millisecond).String(),
+		Active:   b.gateway.Active(),
+		LeftOut:  b.sink.LeftOut(),
+	}
+	if v.Table != nil {
+		s.Configuration = v.Table.Version()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		b.log.Warn("status was not taken", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/fleet/source.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// Source is a store that publishes the configuration and the endpoints.
+type Source interface {
+	// Read gives all that is published now.
+	Read(ctx context.Context) (*Snapshot, error)
+	// Watch gives what changed after a revision, as soon as there is something
+	// or the wait is over.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+}
+
+// Snapshot is all that the store published at a revision.
+type Snapshot struct {
+	Revision  uint64
+	Document  *routing.Document // nil before the operator published one
+	Endpoints []routing.Endpoint
+}
+
+// Changes is what the store published since a revision.
+type Changes struct {
+	Revision uint64
+	Document *routing.Document // the newest, or nil
+	Updated  []routing.Endpoint
+	Removed  []Removal
+}
+
+// Removal is an endpoint's entry that went.
+type Removal struct {
+	ID       string
+	Revision uint64
+}
+
+// ErrHistoryLost reports that the store no longer knows what changed since the
+// revision asked for; the remedy is to read everything again.
+var ErrHistoryLost = errors.New("the store dropped its history; read everything again")
+
+// RefusedError reports that the store answered and turned the call away.
+type RefusedError struct {
+	Status int
+}
+
+// Error names the status and the remedy.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the store answered %d; try again later or ask a peer", e.Status)
+}
--- /dev/null
+++ b/gateway/counts.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counts are the gateway's counters; each has its unit in its name.
+type counts struct {
+	connections *metrics.Counter
+	overBudget  *metrics.Counter
+	continued   *metrics.Counter
+	strays      *metrics.Counter
+}
+
+func newCounts() *counts {
+	return &counts{
+		connections: metrics.GetOrCreateCounter("dillsaddle_endpoint_connections_opened_total"),
+		overBudget:  metrics.GetOrCreateCounter("dillsaddle_retry_budget_refusals_total"),
+		continued:   metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
+		strays:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
+	}
+}
+
+// ended counts a request's end and how long it took, by route and customer.
+func (c *counts) ended(route, customer, outcome string, took time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_requests_total{route=%q,customer=%q,outcome=%q}", route, customer, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_request_seconds{route=%q}", route)).Update(took.Seconds())
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
+)
+
+// bufferPart is the part of a box's memory that request bodies may take.
+const bufferPart = 6
+
+// Rules bound what a gateway holds and spends.
+type Rules struct {
+	Retry       core.BudgetRules
+	MemoryBytes int64 // of the box
+}
+
+// Gateway carries requests between callers and endpoints.
+type Gateway struct {
+	rules    Rules
+	protocol Protocol
+	copier   Copier
+	view     func() *fleet.View
+	boxes    func() int
+	spread   *admission.Spread
+	pool     *Pool
+	log      *zap.Logger
+	counts   *counts
+	mu       sync.Mutex
+	budgets  map[string]*core.SharedBudget
+	streams  map[string]*passage
+	buffered atomic.Int64
+	active   atomic.Int64
+	stopping atomic.Bool
+}
+
+// Option changes how a gateway is built.
+type Option func(*Gateway)
+
+// WithLog gives the log for decisions on requests.
+func WithLog(log *zap.Logger) Option {
+	return func(g *Gateway) { g.log = log }
+}
+
+// WithBoxes tells how many boxes share the retry budget.
+func WithBoxes(boxes func() int) Option {
+	return func(g *Gateway) { g.boxes = boxes }
+}
+
+// WithCopier names the copies of runs; without it no run is copied.
+func WithCopier(c Copier) Option {
+	return func(g *Gateway) { g.copier = c }
+}
+
+// New builds a gateway in an availability zone.
+func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
+	g := &Gateway{
+		rules:    rules,
+		protocol: protocol,
+		view:     view,
+		boxes:    func() int { return 1 },
+		spread:   admission.NewSpread(zone, rand.Float64),
+		log:      zap.NewNop(),
+		counts:   newCounts(),
+		budgets:  make(map[string]*core.SharedBudget),
+		streams:  make(map[string]*passage),
+	}
+	g.pool = NewPool(g.counts.connections.Inc)
+	for _, o := range options {
+		o(g)
+	}
+	return g
+}
+
+// Active counts the requests under way.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// Stop asks callers to close their connections with the answers that follow.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// ServeHTTP carries one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p := &passage{
+		gateway: g,
+		writer:  w,
+		request: r,
+		start:   time.Now(),
+		tried:   make(map[string]bool),
+	}
+	p.serve()
+}
+
+// Sweep closes connections that rested too long or lead to endpoints that are
+// gone.
+func (g *Gateway) Sweep(now time.Time) {
+	v := g.view()
+	g.pool.Sweep(now, func(id string) bool {
+		e, ok := v.Endpoint(id)
+		return ok && !e.Leaving
+	})
+}
+
+// Changed takes a change of belief about endpoints.
+func (g *Gateway) Changed(c fleet.Change) {
+	if c.Kind == fleet.EndpointGone {
+		g.spread.Forget(c.Endpoint.ID)
+	}
+}
+
+// budget runs an action on a service's part of the retry budget.
+func (g *Gateway) budget(service string, now time.Time, action func(*core.SharedBudget)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = core.NewSharedBudget(now, g.rules.Retry)
+		g.budgets[service] = b
+	}
+	action(b)
+}
+
+func (g *Gateway) mayRepeat(service string) bool {
+	now := time.Now()
+	allowed := false
+	g.budget(service, now, func(b *core.SharedBudget) { allowed = b.Allow(now, g.boxes()) })
+	if !allowed {
+		g.counts.overBudget.Inc()
+	}
+	return allowed
+}
+
+// reserve takes memory for a body, or tells that there is none left.
+func (g *Gateway) reserve(n int64) bool {
+	if g.buffered.Add(n) > g.rules.MemoryBytes/bufferPart {
+		g.buffered.Add(-n)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/gateway/passage.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+const (
+	// sendMost bounds the sends of one request, refused ones included: more
+	// would only add load where all endpoints are full.
+	sendMost = 3
+	// unknownTimeout is for routes without a time-out of their own.
+	unknownTimeout = time.Minute
+)
+
+// passage is one request on its way through the gateway.
+type passage struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	request  *http.Request
+	start    time.Time
+	limit    time.Time // nobody waits beyond it
+	in       Inbound
+	view     *fleet.View
+	route    *routing.Route
+	service  *routing.Service
+	customer *routing.Customer
+	body     []byte
+	reserved int64
+	call     *core.Call
+	endpoint routing.Endpoint // of the current send
+	backup   routing.Endpoint // where the run's memory goes as it grows
+	tried    map[string]bool
+	answer   *answer
+	last     string // the id of the last event that the caller has
+	begun    bool   // whether the head of the answer went to the caller
+	placedAt time.Time
+}
+
+func (p *passage) serve() {
+	p.in = p.gateway.protocol.Inbound(p.request.Header)
+	p.view = p.gateway.view()
+	if !p.admit() {
+		return
+	}
+	p.limit = p.start.Add(p.timeout())
+	if !p.readBody() {
+		return
+	}
+	defer p.gateway.buffered.Add(-p.reserved)
+	name := p.service.Name
+	p.gateway.budget(name, p.start, func(b *core.SharedBudget) { b.Request(p.start) })
+	p.call = core.NewCall(core.CallRules{
+		Repeatable:   p.route.Kind == routing.Repeatable,
+		MaxEndpoints: max(p.route.MaxEndpoints, 1),
+		MaxSends:     sendMost,
+	}, func() bool { return p.gateway.mayRepeat(name) })
+	p.carry()
+}
+
+// admit finds the route, the customer and the service, or answers the caller.
+func (p *passage) admit() bool {
+	t := p.view.Table
+	if t == nil {
+		p.refuse(http.StatusServiceUnavailable, "no configuration is known yet")
+		return false
+	}
+	p.route = t.Match(p.request.Host, rawPath(p.request))
+	if p.route == nil {
+		p.refuse(http.StatusNotFound, "no route leads there")
+		return false
+	}
+	if t.Keyed() && !p.route.Anonymous {
+		p.customer = t.Customer(p.in.Key)
+		if p.customer == nil {
+			p.refuse(http.StatusUnauthorized, "the key is not known")
+			return false
+		}
+	}
+	p.service = t.Service(p.route.Pick(p.in.ID))
+	if p.service == nil {
+		p.refuse(http.StatusServiceUnavailable, "the route's service is not known")
+		return false
+	}
+	return true
+}
+
+// rawPath gives the path as it was sent, without the query.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+func (p *passage) timeout() time.Duration {
+	t := p.route.Timeout
+	if t <= 0 {
+		t = unknownTimeout
+	}
+	if p.in.Patience > 0 {
+		t = min(t, p.in.Patience)
+	}
+	return t
+}
+
+// rank is what orders the request against others; a customer's goes first.
+func (p *passage) rank() int {
+	if p.customer != nil && p.customer.Rank != nil {
+		return *p.customer.Rank
+	}
+	return p.route.Rank
+}
+
+// readBody takes the whole body, within the configuration's limit and the
+// box's memory.
+func (p *passage) readBody() bool {
+	most := int64(p.view.Table.Limits().BodyBytes)
+	length := p.request.ContentLength
+	if length == 0 {
+		return true
+	}
+	if most > 0 && length > most {
+		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
+		return false
+	}
+	p.reserved = length
+	if length < 0 {
+		p.reserved = most
+	}
+	if !p.gateway.reserve(p.reserved) {
+		p.reserved = 0
+		p.refuse(http.StatusServiceUnavailable, "no memory is left for bodies")
+		return false
+	}
+	_ = http.NewResponseController(p.writer).SetReadDeadline(p.limit)
+	body, err := io.ReadAll(http.MaxBytesReader(p.writer, p.request.Body, max(most, 1)))
+	_ = http.NewResponseController(p.writer).SetReadDeadline(time.Time{})
+	if err == nil {
+		p.body = body
+		return true
+	}
+	p.gateway.buffered.Add(-p.reserved)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
+		return false
+	}
+	p.decided("caller's body broke off", zap.Error(err))
+	panic(http.ErrAbortHandler)
+}
+
+// carry steps the call until it has ended.
+func (p *passage) carry() {
+	var command core.Command = core.PlaceCall{}
+	for command != nil {
+		ev := p.perform(command)
+		if ev == nil {
+			return
+		}
+		commands := p.call.Step(time.Now(), ev)
+		command = nil
+		if len(commands) > 0 {
+			command = commands[0]
+		}
+	}
+}
+
+// perform carries out one command and gives the event that follows, or nil at
+// the end.
+func (p *passage) perform(command core.Command) core.Event {
+	switch c := command.(type) {
+	case core.PlaceCall:
+		return p.place()
+	case core.SendCall:
+		return p.send("")
+	case core.ContinueCall:
+		return p.goOn()
+	case core.PassAnswer:
+		p.pass()
+	case core.RefuseCall:
+		p.giveUp(c)
+	case core.CutAnswer:
+		p.ended("cut", http.StatusOK)
+		panic(http.ErrAbortHandler)
+	case core.CancelCall:
+		p.ended("caller left", 0)
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// over tells whether the passage must end now, and by which event.
+func (p *passage) over() core.Event {
+	if p.request.Context().Err() != nil {
+		return core.CallAbandoned{}
+	}
+	if !time.Now().Before(p.limit) {
+		return core.CallExpired{}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/place.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// defaultRetryAfter is when a caller that was turned away may come back; long
+// enough for another endpoint to have become free.
+const defaultRetryAfter = 300 * time.Millisecond
+
+// place chooses an endpoint for the next send.
+func (p *passage) place() core.Event {
+	if ev := p.over(); ev != nil {
+		return ev
+	}
+	p.view = p.gateway.view()
+	now := time.Now()
+	e, ok := p.gateway.spread.Pick(now, p.view.Serving(p.service.Name), p.want(p.tried))
+	if !ok {
+		return core.CallUnplaced{}
+	}
+	p.endpoint = e
+	p.tried[e.ID] = true
+	p.placedAt = now
+	p.chooseBackup(now)
+	p.decided("placed",
+		zap.String("endpoint", e.ID),
+		zap.String("endpoint_zone", e.Zone),
+		zap.String("backup", p.backup.ID),
+		zap.Duration("list_age", now.Sub(p.view.Confirmed)),
+	)
+	return core.CallPlaced{}
+}
+
+func (p *passage) want(exclude map[string]bool) admission.Want {
+	w := admission.Want{Exclude: exclude}
+	if engine := p.service.Engine; engine != nil {
+		w.Tokens = p.tokens()
+		w.Memory = engine.MemoryTokens
+	}
+	return w
+}
+
+// tokens estimates what a run holds at its end.
+func (p *passage) tokens() int {
+	out := p.in.MaxTokens
+	if p.in.LengthHint > 0 {
+		out = min(p.in.LengthHint, out)
+	}
+	return p.in.PromptTokens + out
+}
+
+// chooseBackup picks where the run's memory is sent as it grows: another engine
+// of the same zone, since bytes between zones have a price.
+func (p *passage) chooseBackup(now time.Time) {
+	p.backup = routing.Endpoint{}
+	engine := p.service.Engine
+	if p.gateway.copier == nil || engine == nil || !engine.Backups || p.route.Kind != routing.Streaming {
+		return
+	}
+	var near []routing.Endpoint
+	for _, e := range p.view.Serving(p.service.Name) {
+		if e.Zone == p.endpoint.Zone && e.ID != p.endpoint.ID {
+			near = append(near, e)
+		}
+	}
+	w := p.want(nil)
+	w.Zone = p.endpoint.Zone
+	if e, ok := p.gateway.spread.Pick(now, near, w); ok {
+		p.backup = e
+	}
+}
+
+// refuse answers a request that was not sent anywhere.
+func (p *passage) refuse(status int, why string) {
+	p.decided("refused", zap.Int("status", status), zap.String("why", why))
+	p.problem(status, why)
+	p.count("refused")
+}
+
+// giveUp answers a request whose sends all failed. What may have run is never
+// told with a status that promises the opposite.
+func (p *passage) giveUp(c core.RefuseCall) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case c.Outcome == core.NotRun:
+	case c.Reason == core.ReasonExpired:
+		status = http.StatusGatewayTimeout
+	default:
+		status = http.StatusBadGateway
+	}
+	p.decided("given up",
+		zap.Int("status", status),
+		zap.String("outcome", string(c.Outcome)),
+		zap.String("why", string(c.Reason)),
+		zap.String("endpoint", p.endpoint.ID),
+		zap.Int("sends", p.call.Sends()),
+		zap.Duration("took", time.Since(p.start)),
+	)
+	p.problem(status, string(c.Reason))
+	p.count("given up")
+}
+
+func (p *passage) problem(status int, why string) {
+	h := p.writer.Header()
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', -1, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	p.writer.WriteHeader(status)
+	if _, err := p.writer.Write([]byte(why + "\n")); err != nil {
+		p.decided("caller left before its refusal", zap.Error(err))
+	}
+}
+
+// ended logs and counts an end that has an answer of its own.
+func (p *passage) ended(outcome string, status int) {
+	p.decided(outcome,
+		zap.Int("status", status),
+		zap.String("endpoint", p.endpoint.ID),
+		zap.Int("sends", p.call.Sends()),
+		zap.String("last_event", p.last),
+		zap.Duration("took", time.Since(p.start)),
+	)
+	p.count(outcome)
+}
+
+func (p *passage) count(outcome string) {
+	route, customer := "", ""
+	if p.route != nil {
+		route = p.route.Name
+	}
+	if p.customer != nil {
+		customer = p.customer.Name
+	}
+	p.gateway.counts.ended(route, customer, outcome, time.Since(p.start))
+}
+
+// decided logs one decision on the request, with the configuration's version.
+func (p *passage) decided(event string, fields ...zap.Field) {
+	all := make([]zap.Field, 0, len(fields)+3)
+	all = append(all, zap.String("request", p.in.ID))
+	if p.route != nil {
+		all = append(all, zap.String("route", p.route.Name))
+	}
+	if p.view.Table != nil {
+		all = append(all, zap.Uint64("configuration", p.view.Table.Version()))
+	}
+	p.gateway.log.Info(event, append(all, fields...)...)
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+const (
+	// eventBuffer is for reading events; one is some hundred bytes.
+	eventBuffer = 2 << 10
+	// largestEvent bounds one event.
+	largestEvent = 1 << 20
+)
+
+// event is one event of a stream, with the bytes as they came.
+type event struct {
+	id  string
+	raw []byte
+}
+
+// errEventTooLarge reports an event over the bound.
+var errEventTooLarge = errors.New("an event is over a megabyte")
+
+// readEvent reads one whole event. At a clean end between events it gives
+// io.EOF; an end within one gives io.ErrUnexpectedEOF.
+func readEvent(r *bufio.Reader) (event, error) {
+	var e event
+	for {
+		line, err := r.ReadSlice('\n')
+		e.raw = append(e.raw, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if len(e.raw) > largestEvent {
+				return e, errEventTooLarge
+			}
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+				return e, io.ErrUnexpectedEOF
+			}
+			return e, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return e, nil
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// stream passes events on until the stream's end or its break.
+func (p *passage) stream() core.Event {
+	a := p.answer
+	run, tokens, backup := p.endpoint.ID, p.want(nil).Tokens, p.backup.ID
+	if backup != "" {
+		p.gateway.spread.Backup(backup, tokens)
+		defer p.gateway.spread.Backup(backup, -tokens)
+	}
+	defer p.gateway.spread.End(run, tokens)
+	events := bufio.NewReaderSize(a.head.Body, eventBuffer)
+	for {
+		e, err := readEvent(events)
+		if errors.Is(err, io.EOF) {
+			return p.complete(a)
+		}
+		if err != nil {
+			a.close()
+			return p.broken(err)
+		}
+		if p.begun && e.id != "" && e.id == p.last {
+			continue
+		}
+		if err := p.passEvent(a, e); err != nil {
+			a.close()
+			p.decided("caller left its stream", zap.String("last_event", p.last), zap.Error(err))
+			return core.CallAbandoned{}
+		}
+	}
+}
+
+func (p *passage) passEvent(a *answer, e event) error {
+	if !p.begun {
+		p.begun = true
+		p.copyHead(a.head)
+		p.writer.WriteHeader(a.head.StatusCode)
+	}
+	p.call.Step(time.Now(), core.CallProgressed{})
+	if _, err := p.writer.Write(e.raw); err != nil {
+		return err
+	}
+	p.last = e.id
+	return http.NewResponseController(p.writer).Flush()
+}
+
+func (p *passage) complete(a *answer) core.Event {
+	if !p.begun {
+		p.begun = true
+		p.copyHead(a.head)
+		p.writer.WriteHeader(a.head.StatusCode)
+	}
+	a.release(p, true)
+	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID)
+	p.ended("streamed", a.head.StatusCode)
+	return core.CallCompleted{}
+}
+
+func (p *passage) broken(err error) core.Event {
+	return p.failed("the stream broke off", err, core.CallBroken{Copy: p.begun && p.backup.ID != ""})
+}
+
+// goOn continues the run at the endpoint that holds its copy.
+func (p *passage) goOn() core.Event {
+	name := p.gateway.copier.CopyName(p.in.ID, p.endpoint, p.backup)
+	p.decided("continued from a copy",
+		zap.String("broken", p.endpoint.ID),
+		zap.String("endpoint", p.backup.ID),
+		zap.String("last_event", p.last),
+	)
+	p.gateway.counts.continued.Inc()
+	p.endpoint = p.backup
+	p.placedAt = time.Now()
+	p.chooseBackup(p.placedAt)
+	return p.send(name)
+}
