gateway, fleet, admission: move runs off leaving engines, place by memory

Ruled out: the continuation itself (a moved run goes on after some 20 ms). Change: one box an engine asks for its report and greetings hand it on; placement counts memory at its later peak; copies go only where half of the memory stays free; runs of an engine that leaves are copied while they run, stopped, and continued. A request compares three endpoints drawn at random, and another zone weighs 0.03 of the slots, not 0.12.

Changelog-added: runs of engines that leave are moved to others

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -9,19 +9,21 @@
 )
 
 const (
-	// reportLife is how long an endpoint's own word on its load counts; beyond
-	// it only what this box sent itself is known. Reports come with answers,
-	// and runs last from tens of milliseconds to some seconds.
-	reportLife = 2 * time.Second
+	// answerLife is how long the load that came with an answer counts; beyond
+	// it only what this box sent itself is known. Answers come every few tens
+	// of milliseconds, and runs last from that to some seconds.
+	answerLife = 2 * time.Second
+	// memoryLife is how long a report of an engine's memory counts; engines are
+	// asked twice a second, and a generation lasts some seconds.
+	memoryLife = 5 * time.Second
 	// zoneCost is what another availability zone adds to an endpoint's load, as
-	// a part of its slots: bytes between zones have a price, but a waiting
-	// request costs more.
-	zoneCost = 0.12
-	// coldCost is what a cold start adds, as a part of its slots.
+	// a part of its slots or memory: bytes between zones have a price, but a
+	// waiting request costs more.
+	zoneCost = 0.03
+	// coldCost is what a cold start adds, in the same measure.
 	coldCost = 0.5
 	// failureDecay is the time in which an endpoint's record of failures
-	// loses all but a third; failureCost is what a full record adds, as a part
-	// of its slots.
+	// loses all but a third; failureCost is what a full record adds.
 	failureDecay = 3 * time.Second
 	failureCost  = 3.0
 	// failureStep is what one failure adds to the record, which is at most 1.
@@ -29,31 +31,51 @@
 	// silentTime is how long an endpoint that didn't answer gets no work while
 	// another one can take it.
 	silentTime = 2 * time.Second
+	// fullCost is what each part of memory beyond the whole adds: a preempted
+	// generation is read anew.
+	fullCost = 8.0
+	// choiceCount is how many endpoints one request compares.
+	choiceCount = 3
+	// learnWeight is the weight of the newest generation in the learned means.
+	learnWeight = 0.05
 )
 
 // Spread places requests over the endpoints of services by what this box sent
 // to each, what each last told, and how its last requests ended.
 type Spread struct {
-	mu    sync.Mutex
-	zone  string
-	draw  func() float64
-	known map[string]*endpointLoad
+	mu     sync.Mutex
+	zone   string
+	draw   func() float64
+	known  map[string]*endpointLoad
+	prompt float64 // mean tokens of a prompt, learned
+	output float64 // mean tokens generated, learned
 }
 
 type endpointLoad struct {
 	running  int // of this box
-	tokens   int // of this box's runs, at their expected end
-	backups  int // tokens of copies that this box sends there
-	reported int
-	slots    int
-	at       time.Time // of the report
-	since    int       // started by this box since the report
+	answered int // running and waiting, as an answer told
+	answerAt time.Time
+	since    int // started by this box since that answer
+	memory   routing.Report
+	memoryAt time.Time
+	recent   []begun // by this box, not yet in the report
+	tokens   int     // of this box's runs, at their expected end
+	copies   int     // tokens of copies that this box sends there
 	failures float64
 	failedAt time.Time
 	silentTo time.Time
 	used     time.Time
 }
 
+// begun is memory that a run of this box takes, and since when.
+type begun struct {
+	at     time.Time
+	tokens int
+}
+
+// reportLag is how old an engine's word is when it is given.
+const reportLag = 500 * time.Millisecond
+
 // NewSpread builds a spread for a box in an availability zone. Draw gives
 // numbers from 0 to 1 that break ties.
 func NewSpread(zone string, draw func() float64) *Spread {
@@ -70,6 +92,7 @@
 	Memory  int             // tokens that an engine holds; 0 elsewhere
 	Exclude map[string]bool // endpoints that had the request already
 	Zone    string          // the zone to prefer; empty for the box's own
+	Most    float64         // the fullest that an engine's memory may get; 0 for any
 }
 
 // Pick chooses an endpoint, or tells that there is none.
@@ -78,10 +101,8 @@
 	defer s.mu.Unlock()
 	best := -1
 	least := math.Inf(1)
-	for i, e := range endpoints {
-		if w.Exclude[e.ID] {
-			continue
-		}
+	choices := s.choices(now, endpoints, w)
+	for i, e := range choices {
 		score := s.score(now, e, w)
 		if score < least {
 			best = i
@@ -91,25 +112,44 @@
 	if best < 0 {
 		return routing.Endpoint{}, false
 	}
-	return endpoints[best], true
+	return choices[best], true
+}
+
+// choices draws some of the endpoints that can take the request. Every box
+// reads the same reports, which are old by then: if all took the best one, all
+// would take the same.
+func (s *Spread) choices(now time.Time, endpoints []routing.Endpoint, w Want) []routing.Endpoint {
+	var fit []routing.Endpoint
+	for _, e := range endpoints {
+		if w.Exclude[e.ID] {
+			continue
+		}
+		l := s.load(e.ID)
+		if w.Most > 0 && s.fullness(now, l, w) > w.Most {
+			continue
+		}
+		fit = append(fit, e)
+	}
+	for i := 0; i < min(len(fit), choiceCount); i++ {
+		j := i + int(s.draw()*float64(len(fit)-i))
+		fit[i], fit[j] = fit[j], fit[i]
+	}
+	return fit[:min(len(fit), choiceCount)]
 }
 
 func (s *Spread) score(now time.Time, e routing.Endpoint, w Want) float64 {
 	l := s.load(e.ID)
 	slots := float64(max(e.Slots, 1))
 	load := float64(l.running)
-	if now.Sub(l.at) < reportLife {
-		load = math.Max(load, float64(l.reported+l.since))
+	if now.Sub(l.answerAt) < answerLife {
+		load = math.Max(load, float64(l.answered+l.since))
 	}
 	score := load / slots
 	if w.Memory > 0 {
-		score += float64(l.tokens+l.backups) / float64(w.Memory)
+		full := s.fullness(now, l, w)
+		score += full + fullCost*math.Max(0, full-1)
 	}
-	zone := w.Zone
-	if zone == "" {
-		zone = s.zone
-	}
-	if e.Zone != zone {
+	if e.Zone != w.zone(s) {
 		score += zoneCost
 	}
 	if e.Cold > 0 && l.used.IsZero() {
@@ -122,6 +162,32 @@
 	return score + s.draw()/(4*slots)
 }
 
+func (w Want) zone(s *Spread) string {
+	if w.Zone != "" {
+		return w.Zone
+	}
+	return s.zone
+}
+
+// fullness estimates how full an engine's memory gets, as a part of it: what
+// it told, what this box added since, and how its runs will still grow.
+func (s *Spread) fullness(now time.Time, l *endpointLoad, w Want) float64 {
+	total := float64(max(w.Memory, 1))
+	if now.Sub(l.memoryAt) > memoryLife {
+		return float64(l.tokens+l.copies+w.Tokens) / total
+	}
+	if l.memory.Total > 0 {
+		total = float64(l.memory.Total)
+	}
+	used := float64(l.memory.Used)
+	used += float64(l.memory.Running) * s.output / 2
+	used += float64(l.memory.Waiting) * (s.prompt + s.output)
+	for _, b := range l.recent {
+		used += float64(b.tokens)
+	}
+	return (used + float64(w.Tokens)) / total
+}
+
 func (l *endpointLoad) record(now time.Time) float64 {
 	if l.failures == 0 {
 		return 0
@@ -147,6 +213,16 @@
 	l.since++
 	l.tokens += tokens
 	l.used = now
+	l.add(now, tokens)
+}
+
+func (l *endpointLoad) add(now time.Time, tokens int) {
+	if tokens > 0 {
+		l.recent = append(l.recent, begun{
+			at:     now,
+			tokens: tokens,
+		})
+	}
 }
 
 // End takes a send back when it is over.
@@ -158,23 +234,55 @@
 	l.tokens -= tokens
 }
 
-// Backup counts a copy of a run's memory at an endpoint; a negative number of
+// Copy counts a copy of a run's memory at an endpoint; a negative number of
 // tokens takes it back.
-func (s *Spread) Backup(id string, tokens int) {
+func (s *Spread) Copy(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(id).backups += tokens
+	l := s.load(id)
+	l.copies += tokens
+	l.add(now, tokens)
 }
 
-// Reported takes an endpoint's word on its load.
-func (s *Spread) Reported(now time.Time, id string, busy, slots int) {
+// Answered takes the load that an endpoint told with an answer.
+func (s *Spread) Answered(now time.Time, id string, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.load(id)
-	l.reported = busy
-	l.slots = slots
+	l.answered = busy
 	l.since = 0
-	l.at = now
+	l.answerAt = now
+}
+
+// Memory takes an engine's report and when it was given.
+func (s *Spread) Memory(at time.Time, r routing.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(r.Endpoint)
+	if !at.After(l.memoryAt) {
+		return
+	}
+	l.memory = r
+	l.memoryAt = at
+	kept := l.recent[:0]
+	for _, b := range l.recent {
+		if b.at.After(at.Add(-reportLag)) {
+			kept = append(kept, b)
+		}
+	}
+	l.recent = kept
+}
+
+// Learn takes what a whole generation came to.
+func (s *Spread) Learn(prompt, output int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.prompt == 0 {
+		s.prompt = float64(prompt)
+		s.output = float64(output)
+	}
+	s.prompt += learnWeight * (float64(prompt) - s.prompt)
+	s.output += learnWeight * (float64(output) - s.output)
 }
 
 // Succeeded notes a good answer.
@@ -203,7 +311,7 @@
 func (s *Spread) Forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := s.known[id]; l != nil && l.running <= 0 && l.backups <= 0 {
+	if l := s.known[id]; l != nil && l.running <= 0 && l.copies <= 0 {
 		delete(s.known, id)
 	}
 }
--- a/box/box.go
+++ b/box/box.go
@@ -19,6 +19,7 @@
 	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 const (
@@ -74,12 +75,14 @@
 		zap.Bool("first", s.FirstStart),
 	)
 	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
+	engines := platform.NewEngines()
+	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
 	peers, err := fleet.NewPeers(core.Peer{
 		Box:     s.Box,
 		Zone:    s.Zone,
 		Address: s.Peer,
 		Life:    rand.Uint64(),
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports))
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +96,7 @@
 			Safety: retrySafety,
 		},
 		MemoryBytes: s.MemoryBytes,
-	}, gateway.WithLog(log.Named("gateway")), gateway.WithCopier(protocol), gateway.WithBoxes(b.peers.Sharers))
+	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers))
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	if err := b.listen(); err != nil {
@@ -102,6 +105,7 @@
 	follower := fleet.NewFollower(platform.NewStore(s.Store), b.belief, fleet.WithFollowerLog(log.Named("store")))
 	go follower.Run(ctx)
 	go b.peers.Run(ctx)
+	go reports.Run(ctx)
 	go b.upkeep(ctx)
 	return b, nil
 }
@@ -163,6 +167,13 @@
 	}
 }
 
+// reported hands an engine's report to the gateway.
+func (b *Box) reported(at time.Time, r routing.Report) {
+	if b.gateway != nil {
+		b.gateway.Reported(at, r)
+	}
+}
+
 func (b *Box) upkeep(ctx context.Context) {
 	t := time.NewTicker(upkeepEvery)
 	defer t.Stop()
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -12,7 +12,7 @@
 const (
 	// restBetween spaces the watches: each call to the store has a price, and
 	// a change may be known this much later than it could.
-	restBetween = 400 * time.Millisecond
+	restBetween = 200 * time.Millisecond
 	// watchWait is the longest that a watch is held; servers renew their
 	// entries about every second, so that a well store answers sooner.
 	watchWait = 2 * time.Second
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -8,10 +8,11 @@
 // Greeting is what two boxes tell each other: who they are, whom they heard of,
 // and how new their views are.
 type Greeting struct {
-	From          core.Peer   `cbor:"1,keyasint"`
-	Members       []core.Peer `cbor:"2,keyasint,omitempty"`
-	Configuration uint64      `cbor:"3,keyasint"` // version in force; 0 for none
-	Revision      uint64      `cbor:"4,keyasint"` // of the list of endpoints; 0 for none
+	From          core.Peer        `cbor:"1,keyasint"`
+	Members       []core.Peer      `cbor:"2,keyasint,omitempty"`
+	Configuration uint64           `cbor:"3,keyasint"` // version in force; 0 for none
+	Revision      uint64           `cbor:"4,keyasint"` // of the list of endpoints; 0 for none
+	Reports       []routing.Report `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind names the message.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -19,8 +19,8 @@
 const (
 	// greetEvery spaces a box's greetings; greetLost does so while the store
 	// is away, when peers are the only source.
-	greetEvery = 400 * time.Millisecond
-	greetLost  = 200 * time.Millisecond
+	greetEvery = 250 * time.Millisecond
+	greetLost  = 150 * time.Millisecond
 	// greetTime bounds one greeting or fetch.
 	greetTime = 800 * time.Millisecond
 	// partnerCount is how many boxes one box keeps connections to; news reach
@@ -44,6 +44,7 @@
 	turn     int
 	rotated  time.Time
 	alive    map[string]bool
+	reports  *Reports
 }
 
 // PeersOption changes how peers are built.
@@ -54,6 +55,14 @@
 	return func(p *Peers) { p.log = log }
 }
 
+// WithReports lets greetings carry the engines' reports.
+func WithReports(r *Reports) PeersOption {
+	return func(p *Peers) {
+		p.reports = r
+		r.peers = p
+	}
+}
+
 // NewPeers listens on the box's own address for others; seeds are addresses to
 // begin with, which may be stale.
 func NewPeers(self core.Peer, seeds []netip.AddrPort, belief *Belief, options ...PeersOption) (*Peers, error) {
@@ -113,6 +122,16 @@
 	return p.roster.Sharers(time.Now())
 }
 
+// AliveNames gives the name of this box and those of the others that are there.
+func (p *Peers) AliveNames() (self string, others []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.roster.Alive(time.Now()) {
+		others = append(others, m.Box)
+	}
+	return p.roster.Self().Box, others
+}
+
 // Members gives all boxes that are known but this one.
 func (p *Peers) Members() []core.Peer {
 	p.mu.Lock()
@@ -198,14 +217,19 @@
 
 func (p *Peers) greeting() Greeting {
 	v := p.belief.View()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return Greeting{
-		From:          p.roster.Self(),
-		Members:       p.roster.Sample(time.Now()),
+	now := time.Now()
+	g := Greeting{
 		Configuration: v.Configuration(),
 		Revision:      v.Revision,
 	}
+	if p.reports != nil {
+		g.Reports = p.reports.Sample(now)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.From = p.roster.Self()
+	g.Members = p.roster.Sample(now)
+	return g
 }
 
 func (p *Peers) greeted(g Greeting) Greeting {
@@ -214,9 +238,12 @@
 }
 
 func (p *Peers) take(g Greeting) {
+	now := time.Now()
+	if p.reports != nil {
+		p.reports.Hear(now, g.Reports)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	p.roster.Hear(now, g.Members)
 	p.roster.Meet(now, g.From)
 }
--- /dev/null
+++ b/fleet/reports.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+const (
+	// reportEvery spaces the questions to one engine; each has a price, and an
+	// engine's word is half a second old when it is given.
+	reportEvery = 500 * time.Millisecond
+	// reportTime bounds one question.
+	reportTime = 700 * time.Millisecond
+	// reportLife is how long a report is handed on.
+	reportLife = 3 * time.Second
+	// reportSample bounds the reports in one greeting.
+	reportSample = 64
+)
+
+// Reporter asks an engine for its load.
+type Reporter interface {
+	Report(ctx context.Context, e routing.Endpoint) (routing.Report, error)
+}
+
+// Reports knows the load of engines. Each engine is asked by one box, which
+// follows from the roster, and that box's greetings tell the others.
+type Reports struct {
+	mu       sync.Mutex
+	reporter Reporter
+	belief   *Belief
+	peers    *Peers
+	log      *zap.Logger
+	onReport func(time.Time, routing.Report)
+	known    map[string]timedReport
+}
+
+type timedReport struct {
+	routing.Report
+	at time.Time
+}
+
+// NewReports builds an empty table; onReport is called with each report that is
+// newer than the one before, and with when it was true.
+func NewReports(reporter Reporter, belief *Belief, log *zap.Logger, onReport func(time.Time, routing.Report)) *Reports {
+	return &Reports{
+		reporter: reporter,
+		belief:   belief,
+		log:      log,
+		onReport: onReport,
+		known:    make(map[string]timedReport),
+	}
+}
+
+// Run asks the engines that fall to this box until the context ends.
+func (r *Reports) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, e := range r.mine() {
+			go r.ask(ctx, e)
+		}
+		sleep(ctx, reportEvery)
+	}
+}
+
+// mine gives the engines that this box asks: those for which its name hashes
+// highest among the boxes that are there.
+func (r *Reports) mine() []routing.Endpoint {
+	v := r.belief.View()
+	if v.Table == nil {
+		return nil
+	}
+	self, others := r.peers.AliveNames()
+	var mine []routing.Endpoint
+	for _, s := range v.Table.Document().Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, e := range v.Serving(s.Name) {
+			if owns(self, others, e.ID) {
+				mine = append(mine, e)
+			}
+		}
+	}
+	return mine
+}
+
+// owns is rendezvous hashing.
+func owns(self string, others []string, key string) bool {
+	weight := xxhash.Sum64String(self + "/" + key)
+	for _, other := range others {
+		if xxhash.Sum64String(other+"/"+key) > weight {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Reports) ask(ctx context.Context, e routing.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	report, err := r.reporter.Report(ctx, e)
+	if err != nil {
+		r.log.Debug("engine gave no report", zap.String("endpoint", e.ID), zap.Error(err))
+		return
+	}
+	r.take(time.Now(), report)
+}
+
+// Hear takes reports that another box handed on.
+func (r *Reports) Hear(now time.Time, reports []routing.Report) {
+	for _, report := range reports {
+		if report.Age >= 0 && report.Age < reportLife {
+			r.take(now, report)
+		}
+	}
+}
+
+func (r *Reports) take(now time.Time, report routing.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := now.Add(-report.Age)
+	if !at.After(r.known[report.Endpoint].at) {
+		return
+	}
+	r.known[report.Endpoint] = timedReport{
+		Report: report,
+		at:     at,
+	}
+	r.onReport(at, report)
+}
+
+// Sample gives the reports to hand on, with their ages.
+func (r *Reports) Sample(now time.Time) []routing.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []routing.Report
+	for id, known := range r.known {
+		age := now.Sub(known.at)
+		if age >= reportLife {
+			delete(r.known, id)
+			continue
+		}
+		if len(out) < reportSample {
+			known.Report.Age = age
+			out = append(out, known.Report)
+		}
+	}
+	return out
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -97,7 +97,7 @@
 		return p.turnedAway(a)
 	}
 	if a.says.Load != nil {
-		p.gateway.spread.Reported(time.Now(), p.endpoint.ID, a.says.Load.Running+a.says.Load.Waiting, a.says.Load.Slots)
+		p.gateway.spread.Answered(time.Now(), p.endpoint.ID, a.says.Load.Running+a.says.Load.Waiting)
 	}
 	if fault := a.fault(); fault != "" {
 		a.close()
@@ -238,7 +238,7 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(a.head.Body, heldAnswer))
 	a.release(p, err == nil)
 	if a.says.Load != nil {
-		p.gateway.spread.Reported(time.Now(), p.endpoint.ID, a.says.Load.Running+a.says.Load.Waiting, a.says.Load.Slots)
+		p.gateway.spread.Answered(time.Now(), p.endpoint.ID, a.says.Load.Running+a.says.Load.Waiting)
 	}
 	p.gateway.spread.Failed(time.Now(), p.endpoint.ID, status == http.StatusMisdirectedRequest)
 	p.decided("endpoint refused", zap.String("endpoint", p.endpoint.ID), zap.Int("status", status))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"dillsaddle.example/dillsaddle/admission"
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // bufferPart is the part of a box's memory that request bodies may take.
@@ -27,7 +28,7 @@
 type Gateway struct {
 	rules    Rules
 	protocol Protocol
-	copier   Copier
+	mover    Mover
 	view     func() *fleet.View
 	boxes    func() int
 	spread   *admission.Spread
@@ -36,7 +37,7 @@
 	counts   *counts
 	mu       sync.Mutex
 	budgets  map[string]*core.SharedBudget
-	streams  map[string]*passage
+	streams  map[string]map[*passage]bool // by the endpoint that runs them
 	buffered atomic.Int64
 	active   atomic.Int64
 	stopping atomic.Bool
@@ -55,9 +56,9 @@
 	return func(g *Gateway) { g.boxes = boxes }
 }
 
-// WithCopier names the copies of runs; without it no run is copied.
-func WithCopier(c Copier) Option {
-	return func(g *Gateway) { g.copier = c }
+// WithMover copies runs between engines; without it no run is copied.
+func WithMover(m Mover) Option {
+	return func(g *Gateway) { g.mover = m }
 }
 
 // New builds a gateway in an availability zone.
@@ -71,7 +72,7 @@
 		log:      zap.NewNop(),
 		counts:   newCounts(),
 		budgets:  make(map[string]*core.SharedBudget),
-		streams:  make(map[string]*passage),
+		streams:  make(map[string]map[*passage]bool),
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
 	for _, o := range options {
@@ -113,12 +114,8 @@
 	})
 }
 
-// Changed takes a change of belief about endpoints.
-func (g *Gateway) Changed(c fleet.Change) {
-	if c.Kind == fleet.EndpointGone {
-		g.spread.Forget(c.Endpoint.ID)
-	}
-}
+// Reported takes an engine's report and when it was true.
+func (g *Gateway) Reported(at time.Time, r routing.Report) { g.spread.Memory(at, r) }
 
 // budget runs an action on a service's part of the retry budget.
 func (g *Gateway) budget(service string, now time.Time, action func(*core.SharedBudget)) {
--- /dev/null
+++ b/gateway/move.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+const (
+	// moveTime bounds one copy: several queue on an engine's link, each takes
+	// some tenths of a second, and an engine that leaves has about two.
+	moveTime = 2500 * time.Millisecond
+	// moveTries bounds the targets that are tried for one run.
+	moveTries = 2
+	// handoverTime is how long a stream that was stopped waits for its copy.
+	handoverTime = 1500 * time.Millisecond
+)
+
+// Move asks an engine to copy a run's memory to another one.
+type Move struct {
+	Request string // the id of the request that runs
+	Source  routing.Endpoint
+	Target  routing.Endpoint
+	Last    bool // the run stops before the copy
+}
+
+// Moved is the answer to a move.
+type Moved struct {
+	Copy   string // the copy's name, as it is sent to go on from it
+	Events int    // that the run had made
+}
+
+// EngineError reports that an engine turned a call away.
+type EngineError struct {
+	Status int
+}
+
+// Error names the status and the remedy.
+func (e *EngineError) Error() string {
+	return fmt.Sprintf("the engine answered %d; choose another one or try again later", e.Status)
+}
+
+// Mover copies the memory of runs between engines.
+type Mover interface {
+	// Move copies a run's memory; a run that stopped can go on at the target,
+	// or at the source if the copy failed and a name is given all the same.
+	Move(ctx context.Context, m Move) (Moved, error)
+	// CopyName gives the name of a run's copy at the endpoint that its memory
+	// was sent to as it grew.
+	CopyName(id string, backup routing.Endpoint) string
+}
+
+// handover is where a run that is being moved goes on.
+type handover struct {
+	target routing.Endpoint
+	done   chan struct{}
+	copy   string // set before done is closed; empty when the move failed
+	stops  bool   // whether the run was told to stop
+}
+
+// enrol makes a stream known under the endpoint that runs it.
+func (g *Gateway) enrol(p *passage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := g.streams[p.endpoint.ID]
+	if all == nil {
+		all = make(map[*passage]bool)
+		g.streams[p.endpoint.ID] = all
+	}
+	all[p] = true
+}
+
+func (g *Gateway) leave(endpoint string, p *passage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.streams[endpoint], p)
+	if len(g.streams[endpoint]) == 0 {
+		delete(g.streams, endpoint)
+	}
+}
+
+// evacuate moves the streams of an endpoint that leaves to others.
+func (g *Gateway) evacuate(e routing.Endpoint) {
+	if g.mover == nil {
+		return
+	}
+	g.mu.Lock()
+	var all []*passage
+	for p := range g.streams[e.ID] {
+		all = append(all, p)
+	}
+	g.mu.Unlock()
+	for _, p := range all {
+		go p.move(e)
+	}
+}
+
+// move copies the run while it goes on, stops it, copies the rest, and leaves
+// the copy's name for the stream's reader. A run with a sound backup stays
+// where it is to the last: its copy is there already.
+func (p *passage) move(source routing.Endpoint) {
+	engine := p.service.Engine
+	if engine == nil || !engine.Moves || p.backupServes() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.request.Context(), moveTime)
+	defer cancel()
+	tried := map[string]bool{source.ID: true}
+	for range moveTries {
+		v := p.gateway.view()
+		w := p.want(tried)
+		w.Zone = source.Zone
+		target, ok := p.gateway.spread.Pick(time.Now(), v.Serving(p.service.Name), w)
+		if !ok {
+			p.note("no target to move to", zap.String("endpoint", source.ID))
+			return
+		}
+		tried[target.ID] = true
+		if p.moveTo(ctx, source, target) {
+			return
+		}
+	}
+}
+
+func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint) bool {
+	tokens := p.want(nil).Tokens
+	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
+	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
+	m := Move{
+		Request: p.in.ID,
+		Source:  source,
+		Target:  target,
+	}
+	begun := time.Now()
+	if _, err := p.gateway.mover.Move(ctx, m); err != nil {
+		p.note("copy failed", zap.String("endpoint", source.ID), zap.String("target", target.ID), zap.Error(err))
+		return false
+	}
+	copied := time.Now()
+	h := &handover{
+		target: target,
+		done:   make(chan struct{}),
+		stops:  true,
+	}
+	if !p.offer(h) {
+		return true
+	}
+	defer close(h.done)
+	m.Last = true
+	moved, err := p.gateway.mover.Move(ctx, m)
+	h.copy = moved.Copy
+	if err != nil && moved.Copy != "" {
+		// The run stopped and its memory stayed: it goes on where it was.
+		h.target = source
+	}
+	p.note("moved",
+		zap.String("endpoint", source.ID),
+		zap.String("target", h.target.ID),
+		zap.Int("events", moved.Events),
+		zap.Duration("copying", copied.Sub(begun)),
+		zap.Duration("stopped", time.Since(copied)),
+		zap.Error(err),
+	)
+	return true
+}
+
+// offer gives the stream's reader a handover to wait for; one that has ended
+// or has one already takes none.
+func (p *passage) offer(h *handover) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over() != nil || p.done || p.handover != nil {
+		return false
+	}
+	p.handover = h
+	return true
+}
+
+// awaitHandover waits for the copy of a run that was told to stop, or gives nil
+// if nobody moves it.
+func (p *passage) awaitHandover() *handover {
+	p.mu.Lock()
+	h := p.handover
+	p.handover = nil
+	p.mu.Unlock()
+	if h == nil {
+		return nil
+	}
+	t := time.NewTimer(handoverTime)
+	defer t.Stop()
+	select {
+	case <-h.done:
+	case <-p.request.Context().Done():
+		return nil
+	case <-t.C:
+		return nil
+	}
+	if h.copy == "" {
+		return nil
+	}
+	return h
+}
+
+// backupServes tells whether the endpoint with the run's backup is there and
+// stays.
+func (p *passage) backupServes() bool {
+	p.mu.Lock()
+	id := p.backup.ID
+	p.mu.Unlock()
+	if id == "" {
+		return false
+	}
+	e, ok := p.gateway.view().Endpoint(id)
+	return ok && !e.Leaving
+}
+
+// note logs from beside the passage's own goroutine.
+func (p *passage) note(event string, fields ...zap.Field) {
+	p.gateway.log.Info(event, append([]zap.Field{zap.String("request", p.in.ID)}, fields...)...)
+}
+
+// Changed takes a change of belief about endpoints.
+func (g *Gateway) Changed(c fleet.Change) {
+	switch c.Kind {
+	case fleet.EndpointLeaving:
+		g.evacuate(c.Endpoint)
+	case fleet.EndpointGone:
+		g.evacuate(c.Endpoint)
+		g.spread.Forget(c.Endpoint.ID)
+	}
+}
+
+// goOn continues the run at the endpoint that holds its copy.
+func (p *passage) goOn() core.Event {
+	p.order.resumed()
+	from := p.endpoint
+	p.mu.Lock()
+	target, name := p.resume.target, p.resume.copy
+	p.endpoint = target
+	p.mu.Unlock()
+	p.note("continued from a copy",
+		zap.String("broken", from.ID),
+		zap.String("endpoint", target.ID),
+		zap.String("copy", name),
+		zap.String("last_event", p.last),
+	)
+	p.gateway.counts.continued.Inc()
+	p.placedAt = time.Now()
+	p.chooseBackup(p.placedAt)
+	return p.send(name)
+}
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,8 +44,14 @@
 	answer   *answer
 	last     string // the id of the last event that the caller has
 	order    order
+	events   int  // passed on
 	begun    bool // whether the head of the answer went to the caller
 	placedAt time.Time
+	resume   *handover // where the stream goes on
+
+	mu       sync.Mutex // guards what movers see: endpoint, backup, handover, done
+	handover *handover
+	done     bool
 }
 
 func (p *passage) serve() {
@@ -65,9 +72,17 @@
 		MaxEndpoints: max(p.route.MaxEndpoints, 1),
 		MaxSends:     sendMost,
 	}, func() bool { return p.gateway.mayRepeat(name) })
+	defer p.finish()
 	p.carry()
 }
 
+// finish tells movers that the stream has ended.
+func (p *passage) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.done = true
+}
+
 // admit finds the route, the customer and the service, or answers the caller.
 func (p *passage) admit() bool {
 	t := p.view.Table
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -16,6 +16,10 @@
 // enough for another endpoint to have become free.
 const defaultRetryAfter = 300 * time.Millisecond
 
+// backupMost is the fullest that an engine's memory may get by a copy: copies
+// protect against an engine's death, and preempted runs pay for them.
+const backupMost = 0.5
+
 // place chooses an endpoint for the next send.
 func (p *passage) place() core.Event {
 	if ev := p.over(); ev != nil {
@@ -61,9 +65,9 @@
 // chooseBackup picks where the run's memory is sent as it grows: another engine
 // of the same zone, since bytes between zones have a price.
 func (p *passage) chooseBackup(now time.Time) {
-	p.backup = routing.Endpoint{}
+	p.setBackup(routing.Endpoint{})
 	engine := p.service.Engine
-	if p.gateway.copier == nil || engine == nil || !engine.Backups || p.route.Kind != routing.Streaming {
+	if p.gateway.mover == nil || engine == nil || !engine.Backups || p.route.Kind != routing.Streaming {
 		return
 	}
 	var near []routing.Endpoint
@@ -74,11 +78,18 @@
 	}
 	w := p.want(nil)
 	w.Zone = p.endpoint.Zone
+	w.Most = backupMost
 	if e, ok := p.gateway.spread.Pick(now, near, w); ok {
-		p.backup = e
+		p.setBackup(e)
 	}
 }
 
+func (p *passage) setBackup(e routing.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup = e
+}
+
 // refuse answers a request that was not sent anywhere.
 func (p *passage) refuse(status int, why string) {
 	p.decided("refused", zap.Int("status", status), zap.String("why", why))
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"net/netip"
 	"time"
-
-	"dillsaddle.example/dillsaddle/routing"
 )
 
 // Protocol translates between the headers on the wire and what they mean.
@@ -60,9 +58,3 @@
 	Waiting int
 	Slots   int
 }
-
-// Copy names a run's copy at an endpoint, as it is sent to continue the run.
-type Copier interface {
-	// CopyName gives the name of the copy of a run.
-	CopyName(id string, run, backup routing.Endpoint) string
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,10 +63,12 @@
 	a := p.answer
 	run, tokens, backup := p.endpoint.ID, p.want(nil).Tokens, p.backup.ID
 	if backup != "" {
-		p.gateway.spread.Backup(backup, tokens)
-		defer p.gateway.spread.Backup(backup, -tokens)
+		p.gateway.spread.Copy(time.Now(), backup, tokens)
+		defer p.gateway.spread.Copy(time.Now(), backup, -tokens)
 	}
 	defer p.gateway.spread.End(run, tokens)
+	p.gateway.enrol(p)
+	defer p.gateway.leave(run, p)
 	events := bufio.NewReaderSize(a.head.Body, eventBuffer)
 	for {
 		e, err := readEvent(events)
@@ -104,9 +106,17 @@
 		return err
 	}
 	p.last = e.id
+	p.events++
 	return http.NewResponseController(p.writer).Flush()
 }
 
+// learn takes a whole generation's size into the placement's means.
+func (p *passage) learn() {
+	if engine := p.service.Engine; engine != nil && p.in.PromptTokens > 0 {
+		p.gateway.spread.Learn(p.in.PromptTokens, p.events*max(engine.EventTokens, 1))
+	}
+}
+
 func (p *passage) complete(a *answer) core.Event {
 	if !p.begun {
 		p.begun = true
@@ -115,26 +125,28 @@
 	}
 	a.release(p, true)
 	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID)
+	p.learn()
 	p.ended("streamed", a.head.StatusCode)
 	return core.CallCompleted{}
 }
 
+// broken looks for a copy to go on from: that of a move under way, or the
+// backup.
 func (p *passage) broken(err error) core.Event {
-	return p.failed("the stream broke off", err, core.CallBroken{Copy: p.begun && p.backup.ID != ""})
+	if h := p.awaitHandover(); h != nil && p.begun {
+		p.resume = h
+		return p.brokenBy(err, true)
+	}
+	if p.begun && p.backup.ID != "" {
+		p.resume = &handover{
+			target: p.backup,
+			copy:   p.gateway.mover.CopyName(p.in.ID, p.backup),
+		}
+		return p.brokenBy(err, true)
+	}
+	return p.brokenBy(err, false)
 }
 
-// goOn continues the run at the endpoint that holds its copy.
-func (p *passage) goOn() core.Event {
-	name := p.gateway.copier.CopyName(p.in.ID, p.endpoint, p.backup)
-	p.order.resumed()
-	p.decided("continued from a copy",
-		zap.String("broken", p.endpoint.ID),
-		zap.String("endpoint", p.backup.ID),
-		zap.String("last_event", p.last),
-	)
-	p.gateway.counts.continued.Inc()
-	p.endpoint = p.backup
-	p.placedAt = time.Now()
-	p.chooseBackup(p.placedAt)
-	return p.send(name)
+func (p *passage) brokenBy(err error, copied bool) core.Event {
+	return p.failed("the stream broke off", err, core.CallBroken{Copy: copied})
 }
