gateway: stop a run only when its last copy will be short

Ruled out: the continuation (20 ms), the backup's way (no late one among them). Change: copies repeat beside the run until one takes under 80 ms or 0.9 s are over, then the run stops. The log says each stream's first event, longest pause and where.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -29,3 +29,10 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_requests_total{route=%q,customer=%q,outcome=%q}", route, customer, outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_request_seconds{route=%q}", route)).Update(took.Seconds())
 }
+
+// streamed counts how a whole stream felt: the delay of its first event and its
+// longest pause.
+func (c *counts) streamed(route string, first, longest time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_longest_pause_seconds{route=%q}", route)).Update(longest.Seconds())
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -16,6 +16,12 @@
 	// moveTime bounds one copy: several queue on an engine's link, each takes
 	// some tenths of a second, and an engine that leaves has about two.
 	moveTime = 2500 * time.Millisecond
+	// copyTime is how long a run goes on beside its copies; an engine that is
+	// taken away at short notice is gone after a second and a half.
+	copyTime = 900 * time.Millisecond
+	// shortCopy is a copy that waited for no other: what a run made since the
+	// copy before takes some milliseconds.
+	shortCopy = 80 * time.Millisecond
 	// moveTries bounds the targets that are tried for one run.
 	moveTries = 2
 	// handoverTime is how long a stream that was stopped waits for its copy.
@@ -96,15 +102,16 @@
 		all = append(all, p)
 	}
 	g.mu.Unlock()
+	until := time.Now().Add(copyTime)
 	for _, p := range all {
-		go p.move(e)
+		go p.move(e, until)
 	}
 }
 
 // move copies the run while it goes on, stops it, copies the rest, and leaves
 // the copy's name for the stream's reader. A run with a sound backup stays
 // where it is to the last: its copy is there already.
-func (p *passage) move(source routing.Endpoint) {
+func (p *passage) move(source routing.Endpoint, until time.Time) {
 	engine := p.service.Engine
 	if engine == nil || !engine.Moves || p.backupServes() {
 		return
@@ -122,13 +129,29 @@
 			return
 		}
 		tried[target.ID] = true
-		if p.moveTo(ctx, source, target) {
+		if p.moveTo(ctx, source, target, until) {
 			return
 		}
 	}
 }
 
-func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint) bool {
+// copyAlong copies while the run goes on, again and again, until a copy takes a
+// short time: then no other moves queue on the engine's link, and the last copy,
+// for which the run stops, is short too.
+func (p *passage) copyAlong(ctx context.Context, m Move, until time.Time) bool {
+	for {
+		begun := time.Now()
+		if _, err := p.gateway.mover.Move(ctx, m); err != nil {
+			p.note("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
+			return false
+		}
+		if time.Since(begun) < shortCopy || time.Now().After(until) {
+			return true
+		}
+	}
+}
+
+func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint, until time.Time) bool {
 	tokens := p.want(nil).Tokens
 	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
 	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
@@ -138,8 +161,7 @@
 		Target:  target,
 	}
 	begun := time.Now()
-	if _, err := p.gateway.mover.Move(ctx, m); err != nil {
-		p.note("copy failed", zap.String("endpoint", source.ID), zap.String("target", target.ID), zap.Error(err))
+	if !p.copyAlong(ctx, m, until) {
 		return false
 	}
 	copied := time.Now()
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -44,10 +44,15 @@
 	answer   *answer
 	last     string // the id of the last event that the caller has
 	order    order
-	events   int  // passed on
-	begun    bool // whether the head of the answer went to the caller
-	placedAt time.Time
-	resume   *handover // where the stream goes on
+	events   int // passed on
+
+	first     time.Duration // until the first event
+	longest   time.Duration // between two events
+	longestAt string        // the id of the event before it
+	lastAt    time.Time     // of the last event
+	begun     bool          // whether the head of the answer went to the caller
+	placedAt  time.Time
+	resume    *handover // where the stream goes on
 
 	mu       sync.Mutex // guards what movers see: endpoint, backup, handover, done
 	handover *handover
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -18,7 +18,7 @@
 
 // backupMost is the fullest that an engine's memory may get by a copy: copies
 // protect against an engine's death, and preempted runs pay for them.
-const backupMost = 0.5
+const backupMost = 0.7
 
 // place chooses an endpoint for the next send.
 func (p *passage) place() core.Event {
@@ -133,14 +133,14 @@
 }
 
 // ended logs and counts an end that has an answer of its own.
-func (p *passage) ended(outcome string, status int) {
-	p.decided(outcome,
+func (p *passage) ended(outcome string, status int, fields ...zap.Field) {
+	p.decided(outcome, append(fields,
 		zap.Int("status", status),
 		zap.String("endpoint", p.endpoint.ID),
 		zap.Int("sends", p.call.Sends()),
 		zap.String("last_event", p.last),
 		zap.Duration("took", time.Since(p.start)),
-	)
+	)...)
 	p.count(outcome)
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,11 +105,24 @@
 	if _, err := p.writer.Write(e.raw); err != nil {
 		return err
 	}
+	p.paced(time.Now())
 	p.last = e.id
 	p.events++
 	return http.NewResponseController(p.writer).Flush()
 }
 
+// paced notes when an event went to the caller: the first one's delay and the
+// longest pause are what the caller feels.
+func (p *passage) paced(now time.Time) {
+	if p.events == 0 {
+		p.first = now.Sub(p.start)
+	} else if gap := now.Sub(p.lastAt); gap > p.longest {
+		p.longest = gap
+		p.longestAt = p.last
+	}
+	p.lastAt = now
+}
+
 // learn takes a whole generation's size into the placement's means.
 func (p *passage) learn() {
 	if engine := p.service.Engine; engine != nil && p.in.PromptTokens > 0 {
@@ -126,7 +139,13 @@
 	a.release(p, true)
 	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID)
 	p.learn()
-	p.ended("streamed", a.head.StatusCode)
+	p.gateway.counts.streamed(p.route.Name, p.first, p.longest)
+	p.ended("streamed", a.head.StatusCode,
+		zap.Duration("first_event", p.first),
+		zap.Duration("longest_pause", p.longest),
+		zap.String("pause_after", p.longestAt),
+		zap.Int("events", p.events),
+	)
 	return core.CallCompleted{}
 }
 
