--- a/admission/spread.go
+++ b/admission/spread.go
@@ -34,6 +34,13 @@
 	// fullCost is what each part of memory beyond the whole adds: a preempted
 	// generation is read anew.
 	fullCost = 8.0
+	// slowStart is what an engine that is new adds at first, as a part of its
+	// memory, and startTime how long that lasts: an empty engine would get the
+	// prompts of all boxes at once and read them one after the other.
+	slowStart = 0.3
+	startTime = 3 * time.Second
+	// engineNoise spreads requests over engines that look alike.
+	engineNoise = 0.06
 	// choiceCount is how many endpoints one request compares.
 	choiceCount = 3
 	// learnWeight is the weight of the newest generation in the learned means.
@@ -65,6 +72,7 @@
 	failedAt time.Time
 	silentTo time.Time
 	used     time.Time
+	met      time.Time // when this box learned of it
 }
 
 // begun is memory that a run of this box takes, and since when.
@@ -92,6 +100,7 @@
 	Memory  int             // tokens that an engine holds; 0 elsewhere
 	Exclude map[string]bool // endpoints that had the request already
 	Zone    string          // the zone to prefer; empty for the box's own
+	Near    float64         // what another zone adds, if more than usual
 	Most    float64         // the fullest that an engine's memory may get; 0 for any
 }
 
@@ -124,7 +133,7 @@
 		if w.Exclude[e.ID] {
 			continue
 		}
-		l := s.load(e.ID)
+		l := s.load(now, e.ID)
 		if w.Most > 0 && s.fullness(now, l, w) > w.Most {
 			continue
 		}
@@ -138,7 +147,7 @@
 }
 
 func (s *Spread) score(now time.Time, e routing.Endpoint, w Want) float64 {
-	l := s.load(e.ID)
+	l := s.load(now, e.ID)
 	slots := float64(max(e.Slots, 1))
 	load := float64(l.running)
 	if now.Sub(l.answerAt) < answerLife {
@@ -147,10 +156,11 @@
 	score := load / slots
 	if w.Memory > 0 {
 		full := s.fullness(now, l, w)
-		score += full + fullCost*math.Max(0, full-1)
+		score += full + fullCost*math.Max(0, full-1) + engineNoise*s.draw()
+		score += slowStart * math.Max(0, 1-float64(now.Sub(l.met))/float64(startTime))
 	}
 	if e.Zone != w.zone(s) {
-		score += zoneCost
+		score += math.Max(zoneCost, w.Near)
 	}
 	if e.Cold > 0 && l.used.IsZero() {
 		score += coldCost
@@ -195,10 +205,10 @@
 	return l.failures * math.Exp(-float64(now.Sub(l.failedAt))/float64(failureDecay))
 }
 
-func (s *Spread) load(id string) *endpointLoad {
+func (s *Spread) load(now time.Time, id string) *endpointLoad {
 	l := s.known[id]
 	if l == nil {
-		l = &endpointLoad{}
+		l = &endpointLoad{met: now}
 		s.known[id] = l
 	}
 	return l
@@ -208,7 +218,7 @@
 func (s *Spread) Begin(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.running++
 	l.since++
 	l.tokens += tokens
@@ -226,10 +236,10 @@
 }
 
 // End takes a send back when it is over.
-func (s *Spread) End(id string, tokens int) {
+func (s *Spread) End(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.running--
 	l.tokens -= tokens
 }
@@ -239,7 +249,7 @@
 func (s *Spread) Copy(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.copies += tokens
 	l.add(now, tokens)
 }
@@ -248,7 +258,7 @@
 func (s *Spread) Answered(now time.Time, id string, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.answered = busy
 	l.since = 0
 	l.answerAt = now
@@ -258,7 +268,7 @@
 func (s *Spread) Memory(at time.Time, r routing.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(r.Endpoint)
+	l := s.load(at, r.Endpoint)
 	if !at.After(l.memoryAt) {
 		return
 	}
@@ -289,7 +299,7 @@
 func (s *Spread) Succeeded(now time.Time, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.failures = l.record(now) / 2
 	l.failedAt = now
 	l.silentTo = time.Time{}
@@ -299,7 +309,7 @@
 func (s *Spread) Failed(now time.Time, id string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(id)
+	l := s.load(now, id)
 	l.failures = math.Min(1, l.record(now)+failureStep)
 	l.failedAt = now
 	if silent {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,7 +72,7 @@
 	if _, streams := ev.(streamBegun); streams {
 		return p.stream()
 	}
-	p.gateway.spread.End(p.endpoint.ID, p.want(nil).Tokens)
+	p.gateway.spread.End(time.Now(), p.endpoint.ID, p.want(nil).Tokens)
 	return ev
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -22,6 +22,9 @@
 	// shortCopy is a copy that waited for no other: what a run made since the
 	// copy before takes some milliseconds.
 	shortCopy = 80 * time.Millisecond
+	// moveNear is what another zone adds for the target of a move: copies take
+	// twice as long there.
+	moveNear = 0.4
 	// moveTries bounds the targets that are tried for one run.
 	moveTries = 2
 	// handoverTime is how long a stream that was stopped waits for its copy.
@@ -123,6 +126,7 @@
 		v := p.gateway.view()
 		w := p.want(tried)
 		w.Zone = source.Zone
+		w.Near = moveNear
 		target, ok := p.gateway.spread.Pick(time.Now(), v.Serving(p.service.Name), w)
 		if !ok {
 			p.note("no target to move to", zap.String("endpoint", source.ID))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,7 +66,7 @@
 		p.gateway.spread.Copy(time.Now(), backup, tokens)
 		defer p.gateway.spread.Copy(time.Now(), backup, -tokens)
 	}
-	defer p.gateway.spread.End(run, tokens)
+	defer func() { p.gateway.spread.End(time.Now(), run, tokens) }()
 	p.gateway.enrol(p)
 	defer p.gateway.leave(run, p)
 	events := bufio.NewReaderSize(a.head.Body, eventBuffer)
