fleet, admission: boxes tell each other which prompts they place

Cause: first events were late (7% of summaries, 6% of long streams) because engines read prompts one after the other beside running streams and the boxes learned of each other's placements a second late.

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -41,6 +41,12 @@
 	startTime = 3 * time.Second
 	// engineNoise spreads requests over engines that look alike.
 	engineNoise = 0.06
+	// firstRate is how many tokens of prompts an engine reads in a second until
+	// that is learned.
+	firstRate = 8000.0
+	// delayCost is what a second's wait for the reading of prompts adds: about
+	// the first events' target, and worth as much as a whole memory.
+	delayCost = 1.0
 	// choiceCount is how many endpoints one request compares.
 	choiceCount = 3
 	// learnWeight is the weight of the newest generation in the learned means.
@@ -55,6 +61,7 @@
 	draw   func() float64
 	known  map[string]*endpointLoad
 	prompt float64 // mean tokens of a prompt, learned
+	rate   float64 // tokens of prompts that an engine reads in a second, learned
 	output float64 // mean tokens generated, learned
 }
 
@@ -73,6 +80,8 @@
 	silentTo time.Time
 	used     time.Time
 	met      time.Time // when this box learned of it
+	queue    float64   // tokens of prompts that wait to be read, at queueAt
+	queueAt  time.Time
 }
 
 // begun is memory that a run of this box takes, and since when.
@@ -90,6 +99,7 @@
 	return &Spread{
 		zone:  zone,
 		draw:  draw,
+		rate:  firstRate,
 		known: make(map[string]*endpointLoad),
 	}
 }
@@ -157,6 +167,7 @@
 	if w.Memory > 0 {
 		full := s.fullness(now, l, w)
 		score += full + fullCost*math.Max(0, full-1) + engineNoise*s.draw()
+		score += delayCost * l.waiting(now, s.rate) / s.rate
 		score += slowStart * math.Max(0, 1-float64(now.Sub(l.met))/float64(startTime))
 	}
 	if e.Zone != w.zone(s) {
@@ -214,6 +225,33 @@
 	return l
 }
 
+// waiting estimates the tokens of prompts that wait at an engine.
+func (l *endpointLoad) waiting(now time.Time, rate float64) float64 {
+	return math.Max(0, l.queue-rate*now.Sub(l.queueAt).Seconds())
+}
+
+// Placed counts a prompt that this box or another one sent to an engine, and
+// gives the tokens that are to be read there before its first event.
+func (s *Spread) Placed(now time.Time, id string, prompt int) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.queue = l.waiting(now, s.rate) + float64(prompt)
+	l.queueAt = now
+	return l.queue
+}
+
+// Started takes how long an engine took to read what waited, with a prompt of
+// this box as the last.
+func (s *Spread) Started(queue float64, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if took <= 0 || queue <= 0 {
+		return
+	}
+	s.rate += learnWeight * (queue/took.Seconds() - s.rate)
+}
+
 // Begin counts a send to an endpoint.
 func (s *Spread) Begin(now time.Time, id string, tokens int) {
 	s.mu.Lock()
--- a/box/box.go
+++ b/box/box.go
@@ -82,7 +82,7 @@
 		Zone:    s.Zone,
 		Address: s.Peer,
 		Life:    rand.Uint64(),
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed))
 	if err != nil {
 		return nil, err
 	}
@@ -96,7 +96,7 @@
 			Safety: retrySafety,
 		},
 		MemoryBytes: s.MemoryBytes,
-	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers))
+	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers), gateway.WithOnPlaced(b.tell))
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	if err := b.listen(); err != nil {
@@ -167,6 +167,21 @@
 	}
 }
 
+// placed hands a partner's placement to the gateway, and tell the gateway's to
+// the partners.
+func (b *Box) placed(now time.Time, p fleet.Placement) {
+	if b.gateway != nil {
+		b.gateway.Placed(now, p.Endpoint, p.Tokens)
+	}
+}
+
+func (b *Box) tell(endpoint string, prompt int) {
+	b.peers.Tell(fleet.Placement{
+		Endpoint: endpoint,
+		Tokens:   prompt,
+	})
+}
+
 // reported hands an engine's report to the gateway.
 func (b *Box) reported(at time.Time, r routing.Report) {
 	if b.gateway != nil {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -23,9 +23,9 @@
 	greetLost  = 150 * time.Millisecond
 	// greetTime bounds one greeting or fetch.
 	greetTime = 800 * time.Millisecond
-	// partnerCount is how many boxes one box keeps connections to; news reach
-	// n boxes in about log n rounds whatever the number.
-	partnerCount = 3
+	// partnerCount is how many boxes one box keeps connections to: all of a
+	// small fleet. In a large one, news reach n boxes in about log n rounds.
+	partnerCount = 7
 	// rotateEvery is how often one partner is replaced by another box.
 	rotateEvery = 4 * time.Second
 )
@@ -45,6 +45,9 @@
 	rotated  time.Time
 	alive    map[string]bool
 	reports  *Reports
+	onPlaced func(time.Time, Placement)
+	untold   []Placement
+	telling  map[netip.AddrPort]bool
 }
 
 // PeersOption changes how peers are built.
@@ -63,6 +66,11 @@
 	}
 }
 
+// WithPlacements is called with each placement of a partner.
+func WithPlacements(onPlaced func(time.Time, Placement)) PeersOption {
+	return func(p *Peers) { p.onPlaced = onPlaced }
+}
+
 // NewPeers listens on the box's own address for others; seeds are addresses to
 // begin with, which may be stale.
 func NewPeers(self core.Peer, seeds []netip.AddrPort, belief *Belief, options ...PeersOption) (*Peers, error) {
@@ -73,12 +81,15 @@
 		log:      zap.NewNop(),
 		handlers: wire.NewHandlers(),
 		alive:    make(map[string]bool),
+		onPlaced: func(time.Time, Placement) {},
+		telling:  make(map[netip.AddrPort]bool),
 	}
 	for _, o := range options {
 		o(p)
 	}
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(g), nil })
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
+	wire.Take(p.handlers, p.heard)
 	p.pool = wire.NewPool(p.handlers)
 	server, err := wire.Listen(self.Address, p.handlers)
 	if err != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -68,6 +68,10 @@
 		return core.CallUnsent{}
 	}
 	p.gateway.spread.Begin(now, p.endpoint.ID, p.want(nil).Tokens)
+	if p.service.Engine != nil && copyName == "" {
+		p.queued = p.gateway.spread.Placed(now, p.endpoint.ID, p.in.PromptTokens)
+		p.gateway.onPlaced(p.endpoint.ID, p.in.PromptTokens)
+	}
 	ev := p.exchange(l, copyName)
 	if _, streams := ev.(streamBegun); streams {
 		return p.stream()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	rules    Rules
 	protocol Protocol
 	mover    Mover
+	onPlaced func(endpoint string, prompt int)
 	view     func() *fleet.View
 	boxes    func() int
 	spread   *admission.Spread
@@ -61,6 +62,11 @@
 	return func(g *Gateway) { g.mover = m }
 }
 
+// WithOnPlaced is called with each prompt that is sent to an engine.
+func WithOnPlaced(onPlaced func(endpoint string, prompt int)) Option {
+	return func(g *Gateway) { g.onPlaced = onPlaced }
+}
+
 // New builds a gateway in an availability zone.
 func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
 	g := &Gateway{
@@ -68,6 +74,7 @@
 		protocol: protocol,
 		view:     view,
 		boxes:    func() int { return 1 },
+		onPlaced: func(string, int) {},
 		spread:   admission.NewSpread(zone, rand.Float64),
 		log:      zap.NewNop(),
 		counts:   newCounts(),
@@ -117,6 +124,11 @@
 // Reported takes an engine's report and when it was true.
 func (g *Gateway) Reported(at time.Time, r routing.Report) { g.spread.Memory(at, r) }
 
+// Placed takes a prompt that another box sent to an engine.
+func (g *Gateway) Placed(now time.Time, endpoint string, prompt int) {
+	g.spread.Placed(now, endpoint, prompt)
+}
+
 // budget runs an action on a service's part of the retry budget.
 func (g *Gateway) budget(service string, now time.Time, action func(*core.SharedBudget)) {
 	g.mu.Lock()
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -46,6 +46,7 @@
 	order    order
 	events   int // passed on
 
+	queued    float64       // tokens of prompts to be read before the first event
 	first     time.Duration // until the first event
 	longest   time.Duration // between two events
 	longestAt string        // the id of the event before it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -116,6 +116,7 @@
 func (p *passage) paced(now time.Time) {
 	if p.events == 0 {
 		p.first = now.Sub(p.start)
+		p.gateway.spread.Started(p.queued, now.Sub(p.placedAt))
 	} else if gap := now.Sub(p.lastAt); gap > p.longest {
 		p.longest = gap
 		p.longestAt = p.last
