--- a/admission/spread.go
+++ b/admission/spread.go
@@ -46,9 +46,9 @@
 	firstRate = 8000.0
 	// delayCost is what a second's wait for the reading of prompts adds: about
 	// the first events' target, and worth as much as a whole memory.
-	delayCost = 1.0
+	delayCost = 2.0
 	// choiceCount is how many endpoints one request compares.
-	choiceCount = 3
+	choiceCount = 5
 	// learnWeight is the weight of the newest generation in the learned means.
 	learnWeight = 0.05
 )
