fleet: let a few boxes read the store for all

Change: the five boxes that hash highest read; what they learn floods over the partners, ages travel with greetings, and a box whose list is older than 0.6 of the time in which a change must be in force reads for itself for a while.

--- a/box/box.go
+++ b/box/box.go
@@ -102,7 +102,12 @@
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
-	follower := fleet.NewFollower(platform.NewStore(s.Store), b.belief, fleet.WithFollowerLog(log.Named("store")))
+	follower := fleet.NewFollower(platform.NewStore(s.Store), b.belief, min(s.ConfigBound, s.DrainBound),
+		fleet.WithFollowerLog(log.Named("store")),
+		fleet.WithReader(b.peers.Reader),
+		fleet.WithOnNews(b.peers.Spread),
+		fleet.WithCallCount(countStoreCalls),
+	)
 	go follower.Run(ctx)
 	go b.peers.Run(ctx)
 	go reports.Run(ctx)
--- a/box/operators.go
+++ b/box/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -15,7 +16,7 @@
 	Zone          string `json:"zone"`
 	Ready         bool   `json:"ready"`
 	Configuration uint64 `json:"configuration"`
-	Revision      uint64 `json:"revision"`
+	ListChanged   uint64 `json:"list_changed"` // the store's revision
 	ListAge       string `json:"list_age"`
 	Active        int    `json:"active"`
 	LeftOut       int64  `json:"log_lines_left_out"`
@@ -41,13 +42,13 @@
 func (b *Box) answerStatus(w http.ResponseWriter, _ *http.Request) {
 	v := b.belief.View()
 	s := Status{
-		Box:      b.settings.Box,
-		Zone:     b.settings.Zone,
-		Ready:    b.ready(),
-		Revision: v.Revision,
-		ListAge:  time.Since(v.Confirmed).Round(time.Millisecond).String(),
-		Active:   b.gateway.Active(),
-		LeftOut:  b.sink.LeftOut(),
+		Box:         b.settings.Box,
+		Zone:        b.settings.Zone,
+		Ready:       b.ready(),
+		ListChanged: v.Changed,
+		ListAge:     time.Since(v.Confirmed).Round(time.Millisecond).String(),
+		Active:      b.gateway.Active(),
+		LeftOut:     b.sink.LeftOut(),
 	}
 	if v.Table != nil {
 		s.Configuration = v.Table.Version()
@@ -57,3 +58,8 @@
 		b.log.Warn("status was not taken", zap.Error(err))
 	}
 }
+
+// countStoreCalls counts the calls to the store by their result.
+func countStoreCalls(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_store_calls_total{result=%q}", result)).Inc()
+}
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -25,8 +25,8 @@
 type View struct {
 	Table     *routing.Table // nil before a configuration is known
 	Listed    bool           // whether the endpoints were ever read
-	Revision  uint64         // of the store, for the endpoints
-	Confirmed time.Time      // when the endpoints were last confirmed
+	Changed   uint64         // the store's revision at the last change of the list
+	Confirmed time.Time      // when the store last said that this is all
 	byService map[string][]routing.Endpoint
 	byID      map[string]routing.Endpoint
 }
@@ -77,7 +77,7 @@
 	entries  map[string]*entry
 	left     map[string]time.Time // leaving incarnations, with when that was learned
 	table    *routing.Table
-	revision uint64
+	changed  uint64
 	listed   bool
 	confirm  time.Time
 	backAt   time.Time // when the store came back after an outage
@@ -138,63 +138,121 @@
 	}
 }
 
-// ApplySnapshot takes all that the store published. An older one than what is
-// believed changes nothing.
+// ApplySnapshot takes all that the store published. A list that is older than
+// what is believed changes nothing.
 func (b *Belief) ApplySnapshot(now time.Time, s *Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.apply(now, fromStore, s)
+	b.takeDocument(fromStore, s.Document)
+	if !b.listed || s.Revision >= b.changed {
+		b.takeList(now, fromStore, s.Revision, s.Endpoints)
+		b.confirm = now
+	}
+	b.publish()
 }
 
-// ApplyPeer takes the list that a peer believes. What it dropped is gone: the
-// peer has given it its time to come back.
-func (b *Belief) ApplyPeer(now time.Time, from string, s *Snapshot) {
+// ApplyViews takes what a peer believes. What it dropped is gone: the peer has
+// given it its time to come back.
+func (b *Belief) ApplyViews(now time.Time, from string, v Views) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.apply(now, from, s)
+	b.takeDocument(from, v.Document)
+	if v.Changed > 0 && (!b.listed || v.Changed > b.changed) {
+		b.takeList(now, from, v.Changed, v.Endpoints)
+		b.changed = v.Changed
+	}
+	b.confirmBy(now, v.Changed, v.Age)
+	b.publish()
 }
 
-func (b *Belief) apply(now time.Time, from string, s *Snapshot) {
-	b.takeDocument(from, s.Document)
-	if b.listed && s.Revision < b.revision {
-		b.publish()
-		return
-	}
-	seen := make(map[string]bool, len(s.Endpoints))
-	for _, e := range s.Endpoints {
+// takeList replaces the list. The revision of the last change is known only
+// from the entries that are there; a removal may be as new as the list itself.
+func (b *Belief) takeList(now time.Time, from string, revision uint64, all []routing.Endpoint) {
+	seen := make(map[string]bool, len(all))
+	for _, e := range all {
 		seen[e.ID] = true
 		b.update(now, from, e)
+		b.changed = max(b.changed, e.Revision)
 	}
 	for id, e := range b.entries {
 		if !seen[id] {
 			b.remove(now, from, id, e)
+			b.changed = max(b.changed, revision)
 		}
 	}
 	b.listed = true
-	b.revision = s.Revision
+}
+
+// ApplyChanges takes what the store says has changed since the last view, and
+// gives the news of it for the peers, if there are any.
+func (b *Belief) ApplyChanges(now time.Time, c *Changes) (News, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := News{
+		After:    b.changed,
+		Document: c.Document,
+		Updated:  c.Updated,
+		Removed:  c.Removed,
+	}
+	b.takeChanges(now, fromStore, news)
+	b.changed = max(b.changed, news.newest())
 	b.confirm = now
+	news.Changed = b.changed
 	b.publish()
+	return news, !news.empty()
 }
 
-// ApplyChanges takes what changed since the last view.
-func (b *Belief) ApplyChanges(now time.Time, c *Changes) {
+// ApplyNews takes changes that a peer hands on, and tells whether they were
+// new. News with a gap before them leave the view's age as it is; the next
+// greeting closes the gap.
+func (b *Belief) ApplyNews(now time.Time, from string, n News) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	from := fromStore
-	b.takeDocument(from, c.Document)
-	for _, e := range c.Updated {
+	fresh := n.Changed > b.changed || (n.Document != nil && (b.table == nil || n.Document.Version > b.table.Version()))
+	if !fresh || !b.listed {
+		b.takeDocument(from, n.Document)
+		b.publish()
+		return fresh
+	}
+	b.takeChanges(now, from, n)
+	if n.After <= b.changed {
+		b.changed = max(b.changed, n.Changed)
+		b.confirmBy(now, n.Changed, n.Age)
+	}
+	b.publish()
+	return true
+}
+
+func (b *Belief) takeChanges(now time.Time, from string, n News) {
+	b.takeDocument(from, n.Document)
+	for _, e := range n.Updated {
 		b.update(now, from, e)
 	}
-	for _, r := range c.Removed {
+	for _, r := range n.Removed {
 		if e := b.entries[r.ID]; e != nil && e.Revision < r.Revision {
 			b.remove(now, from, r.ID, e)
 		}
 	}
-	b.revision = max(b.revision, c.Revision)
-	b.confirm = now
+}
+
+// Confirm takes a peer's word that it knew of no later change than a revision,
+// some time ago.
+func (b *Belief) Confirm(now time.Time, changed uint64, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmBy(now, changed, age)
 	b.publish()
 }
 
+// confirmBy moves the time of the last confirmation, if this box believes no
+// less than who confirms.
+func (b *Belief) confirmBy(now time.Time, changed uint64, age time.Duration) {
+	at := now.Add(-age)
+	if age >= 0 && b.listed && b.changed >= changed && at.After(b.confirm) {
+		b.confirm = at
+	}
+}
+
 // ApplyDocument takes a configuration that a peer has in force.
 func (b *Belief) ApplyDocument(from string, d *routing.Document) {
 	b.mu.Lock()
@@ -290,7 +348,7 @@
 	v := &View{
 		Table:     b.table,
 		Listed:    b.listed,
-		Revision:  b.revision,
+		Changed:   b.changed,
 		Confirmed: b.confirm,
 		byService: make(map[string][]routing.Endpoint),
 		byID:      make(map[string]routing.Endpoint, len(b.entries)),
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -12,23 +12,37 @@
 const (
 	// restBetween spaces the watches: each call to the store has a price, and
 	// a change may be known this much later than it could.
-	restBetween = 200 * time.Millisecond
-	// watchWait is the longest that a watch is held; servers renew their
-	// entries about every second, so that a well store answers sooner.
-	watchWait = 2 * time.Second
-	// retryFirst and retryMost bound the pause after a call that failed.
+	restBetween = 150 * time.Millisecond
+	// retryFirst and retryMost bound a reader's pause after a call that failed;
+	// a box that reads only because it heard nothing pauses up to helperMost.
 	retryFirst = 150 * time.Millisecond
-	retryMost  = 1200 * time.Millisecond
+	retryMost  = 1000 * time.Millisecond
+	helperMost = 3 * time.Second
+	// helperTime is how long a box that heard nothing from the readers reads
+	// the store itself.
+	helperTime = 4 * time.Second
+	// lookEvery is how often a box that doesn't read looks whether it must.
+	lookEvery = 100 * time.Millisecond
+	// watchPart and stalePart divide the time in which a change must be in
+	// force: a reader's watch is answered within the first part, so that a view
+	// that is older than the second means that no reader reaches this box.
+	watchPart = 0.25
+	stalePart = 0.6
 )
 
-// Follower keeps a belief up to date from the store.
+// Follower keeps a belief up to date from the store: as one of the readers, or
+// when nothing comes from them.
 type Follower struct {
 	source Source
 	belief *Belief
+	within time.Duration // a change must be in force
+	reader func() bool
+	onNews func(News)
 	log    *zap.Logger
 	calls  func(result string)
 	lost   bool
 	pause  time.Duration
+	helper time.Time // until when this box reads though it is no reader
 }
 
 // FollowerOption changes how a follower is built.
@@ -44,11 +58,25 @@
 	return func(f *Follower) { f.calls = count }
 }
 
-// NewFollower builds a follower of a source.
-func NewFollower(source Source, belief *Belief, options ...FollowerOption) *Follower {
+// WithReader tells whether this box reads for all; without it, it does.
+func WithReader(reader func() bool) FollowerOption {
+	return func(f *Follower) { f.reader = reader }
+}
+
+// WithOnNews is called with each change that the store told.
+func WithOnNews(onNews func(News)) FollowerOption {
+	return func(f *Follower) { f.onNews = onNews }
+}
+
+// NewFollower builds a follower of a source. Within is the time in which a
+// change must be in force.
+func NewFollower(source Source, belief *Belief, within time.Duration, options ...FollowerOption) *Follower {
 	f := &Follower{
 		source: source,
 		belief: belief,
+		within: within,
+		reader: func() bool { return true },
+		onNews: func(News) {},
 		log:    zap.NewNop(),
 		calls:  func(string) {},
 	}
@@ -58,17 +86,42 @@
 	return f
 }
 
+func (f *Follower) part(of float64) time.Duration { return time.Duration(of * float64(f.within)) }
+
 // Run follows the source until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.idle(ctx)
 		revision, ok := f.read(ctx)
-		for ok && ctx.Err() == nil {
+		for ok && ctx.Err() == nil && f.reads() {
 			sleep(ctx, restBetween)
 			revision, ok = f.watch(ctx, revision)
 		}
 	}
 }
 
+// reads tells whether this box is to read the store now.
+func (f *Follower) reads() bool {
+	return f.reader() || time.Now().Before(f.helper)
+}
+
+// idle waits while others read: until this box is a reader, or what it believes
+// gets old.
+func (f *Follower) idle(ctx context.Context) {
+	for ctx.Err() == nil {
+		v := f.belief.View()
+		if f.reader() || !v.Listed || v.Table == nil {
+			return
+		}
+		if age := time.Since(v.Confirmed); age > f.part(stalePart) {
+			f.log.Info("nothing from the readers, reading the store", zap.Duration("list_age", age))
+			f.helper = time.Now().Add(helperTime)
+			return
+		}
+		sleep(ctx, lookEvery)
+	}
+}
+
 func (f *Follower) read(ctx context.Context) (uint64, bool) {
 	s, err := f.source.Read(ctx)
 	if err != nil {
@@ -83,7 +136,7 @@
 // watch asks for changes until history is lost; a call that failed is made
 // again from the same revision.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, bool) {
-	c, err := f.source.Watch(ctx, after, watchWait)
+	c, err := f.source.Watch(ctx, after, f.part(watchPart))
 	if errors.Is(err, ErrHistoryLost) {
 		f.calls("history lost")
 		f.log.Info("the store dropped its history, reading everything", zap.Uint64("after", after))
@@ -94,7 +147,9 @@
 		return after, true
 	}
 	f.reached()
-	f.belief.ApplyChanges(time.Now(), c)
+	if news, any := f.belief.ApplyChanges(time.Now(), c); any {
+		f.onNews(news)
+	}
 	return c.Revision, true
 }
 
@@ -108,7 +163,11 @@
 		f.lost = true
 		f.log.Warn("lost the store", zap.String("call", call), zap.Error(err))
 	}
-	f.pause = min(max(2*f.pause, retryFirst), retryMost)
+	most := retryMost
+	if !f.reader() {
+		most = helperMost
+	}
+	f.pause = min(max(2*f.pause, retryFirst), most)
 	sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/routing"
 )
@@ -11,8 +13,9 @@
 	From          core.Peer        `cbor:"1,keyasint"`
 	Members       []core.Peer      `cbor:"2,keyasint,omitempty"`
 	Configuration uint64           `cbor:"3,keyasint"` // version in force; 0 for none
-	Revision      uint64           `cbor:"4,keyasint"` // of the list of endpoints; 0 for none
+	Changed       uint64           `cbor:"4,keyasint"` // the list's last change; 0 for no list
 	Reports       []routing.Report `cbor:"5,keyasint,omitempty"`
+	Age           time.Duration    `cbor:"6,keyasint"` // since the list was confirmed
 }
 
 // Kind names the message.
@@ -21,7 +24,7 @@
 // Want asks a peer for its views where they are newer.
 type Want struct {
 	Configuration uint64 `cbor:"1,keyasint"`
-	Revision      uint64 `cbor:"2,keyasint"`
+	Changed       uint64 `cbor:"2,keyasint"`
 }
 
 // Kind names the message.
@@ -31,8 +34,38 @@
 type Views struct {
 	Document  *routing.Document  `cbor:"1,keyasint,omitempty"`
 	Endpoints []routing.Endpoint `cbor:"2,keyasint,omitempty"`
-	Revision  uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
+	Changed   uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
+	Age       time.Duration      `cbor:"4,keyasint"`
 }
 
 // Kind names the message.
 func (Views) Kind() string { return "views" }
+
+// News is a change that a box learned from the store, as boxes hand it on.
+type News struct {
+	After    uint64             `cbor:"1,keyasint"` // the list's last change before it
+	Changed  uint64             `cbor:"2,keyasint"`
+	Document *routing.Document  `cbor:"3,keyasint,omitempty"`
+	Updated  []routing.Endpoint `cbor:"4,keyasint,omitempty"`
+	Removed  []Removal          `cbor:"5,keyasint,omitempty"`
+	Age      time.Duration      `cbor:"6,keyasint"` // since the store told it
+}
+
+// Kind names the message.
+func (News) Kind() string { return "news" }
+
+// newest gives the revision of the last change of the list.
+func (n News) newest() uint64 {
+	var at uint64
+	for _, e := range n.Updated {
+		at = max(at, e.Revision)
+	}
+	for _, r := range n.Removed {
+		at = max(at, r.Revision)
+	}
+	return at
+}
+
+func (n News) empty() bool {
+	return n.Document == nil && len(n.Updated) == 0 && len(n.Removed) == 0
+}
--- /dev/null
+++ b/fleet/news.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// readerCount is how many boxes read the store for all: enough that some are
+// left when a third of the boxes is cut off or turned away, few enough that the
+// store's calls don't grow with the fleet.
+const readerCount = 5
+
+// readerKey is what the boxes' names are hashed with to rank them as readers.
+const readerKey = "readers"
+
+// Reader tells whether this box is among those that read the store for all.
+func (p *Peers) Reader() bool {
+	self, others := p.AliveNames()
+	return rank(self, others) < readerCount
+}
+
+// rank counts the boxes that go before one by rendezvous hashing.
+func rank(self string, others []string) int {
+	weight := xxhash.Sum64String(self + "/" + readerKey)
+	before := 0
+	for _, other := range others {
+		if xxhash.Sum64String(other+"/"+readerKey) > weight {
+			before++
+		}
+	}
+	return before
+}
+
+// Spread hands news on to the partners at once.
+func (p *Peers) Spread(n News) { p.spread(n, nil) }
+
+func (p *Peers) spread(n News, from *wire.Conn) {
+	p.mu.Lock()
+	partners := slices.Clone(p.partners)
+	p.mu.Unlock()
+	for _, address := range partners {
+		go p.pushNews(address, n, from)
+	}
+}
+
+func (p *Peers) pushNews(address netip.AddrPort, n News, from *wire.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+	defer cancel()
+	c, err := p.pool.Get(ctx, address)
+	if err != nil || c == from {
+		// Whoever misses news sees it with the next greeting.
+		return
+	}
+	if err := c.Push(ctx, n); err != nil {
+		p.log.Debug("news were not taken", zap.Stringer("address", address), zap.Error(err))
+	}
+}
+
+// newsCame takes news from a peer and hands on what is new.
+func (p *Peers) newsCame(_ context.Context, c *wire.Conn, n News) {
+	if n.Age < 0 {
+		n.Age = math.MaxInt64
+	}
+	if p.belief.ApplyNews(time.Now(), "peer", n) {
+		p.spread(n, c)
+	}
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -90,6 +91,7 @@
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(g), nil })
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
 	wire.Take(p.handlers, p.heard)
+	wire.Take(p.handlers, p.newsCame)
 	p.pool = wire.NewPool(p.handlers)
 	server, err := wire.Listen(self.Address, p.handlers)
 	if err != nil {
@@ -231,7 +233,8 @@
 	now := time.Now()
 	g := Greeting{
 		Configuration: v.Configuration(),
-		Revision:      v.Revision,
+		Changed:       v.Changed,
+		Age:           now.Sub(v.Confirmed),
 	}
 	if p.reports != nil {
 		g.Reports = p.reports.Sample(now)
@@ -245,6 +248,7 @@
 
 func (p *Peers) greeted(g Greeting) Greeting {
 	p.take(g)
+	p.belief.Confirm(time.Now(), g.Changed, g.Age)
 	return p.greeting()
 }
 
@@ -259,47 +263,36 @@
 	p.roster.Meet(now, g.From)
 }
 
-// fetch takes a peer's newer views. The list is asked for only while the store
-// is away: it changes with every renewal, and the store tells it better.
+// fetch takes a peer's newer views, or its word that nothing is newer.
 func (p *Peers) fetch(ctx context.Context, address netip.AddrPort, g Greeting) {
 	v := p.belief.View()
-	listWanted := g.Revision > v.Revision && (p.belief.Away() || !v.Listed)
-	if g.Configuration <= v.Configuration() && !listWanted {
+	p.belief.Confirm(time.Now(), g.Changed, g.Age)
+	if g.Configuration <= v.Configuration() && g.Changed <= v.Changed {
 		return
 	}
-	want := Want{
+	views, err := wire.Request[Views](ctx, p.pool, address, Want{
 		Configuration: v.Configuration(),
-		Revision:      math.MaxUint64,
-	}
-	if listWanted {
-		want.Revision = v.Revision
-	}
-	views, err := wire.Request[Views](ctx, p.pool, address, want)
+		Changed:       v.Changed,
+	})
 	if err != nil {
 		p.log.Info("newer views didn't come", zap.Stringer("address", address), zap.Error(err))
 		return
 	}
-	p.belief.ApplyDocument(g.From.Box, views.Document)
-	if views.Revision > 0 {
-		p.belief.ApplyPeer(time.Now(), g.From.Box, &Snapshot{
-			Revision:  views.Revision,
-			Endpoints: views.Endpoints,
-		})
-	}
+	p.belief.ApplyViews(time.Now(), g.From.Box, views)
 }
 
 func (p *Peers) views(w Want) Views {
 	v := p.belief.View()
-	var out Views
+	out := Views{Age: time.Since(v.Confirmed)}
 	if v.Configuration() > w.Configuration {
 		out.Document = v.Table.Document()
 	}
-	if v.Listed && v.Revision > w.Revision {
-		out.Revision = v.Revision
+	if v.Listed && v.Changed > w.Changed {
+		out.Changed = v.Changed
 		for _, e := range v.byID {
 			out.Endpoints = append(out.Endpoints, e)
 		}
-		slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return int(a.Revision) - int(b.Revision) })
+		slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
 	}
 	return out
 }
