--- /dev/null
+++ b/eventlog/suite_test.go
@@ -0,0 +1,13 @@
+package eventlog_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestEventlog(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "eventlog")
+}
--- /dev/null
+++ b/gateway/hostile_test.go
@@ -0,0 +1,225 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/gateway"
+	"dillsaddle.example/dillsaddle/platform"
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// bench is a gateway before emulated servers; the belief is read once from the
+// emulated store.
+type bench struct {
+	deployment *emulator.Deployment
+	belief     *fleet.Belief
+	gateway    *gateway.Gateway
+	front      string
+	caller     *emulator.Caller
+	store      *platform.Store
+}
+
+func newBench() *bench {
+	d, err := emulator.NewDeployment()
+	Expect(err).NotTo(HaveOccurred())
+	b := &bench{
+		deployment: d,
+		store:      platform.NewStore(netip.MustParseAddrPort(d.StoreAddr)),
+	}
+	b.belief = fleet.NewBelief(fleet.WithOnChange(func(c fleet.Change) {
+		if b.gateway != nil {
+			b.gateway.Changed(c)
+		}
+	}))
+	b.gateway = gateway.New("zone-a", platform.Protocol{}, b.belief.View, gateway.Rules{
+		Retry: core.BudgetRules{
+			Ratio:  0.2,
+			Slack:  50,
+			Window: 10 * time.Second,
+			Safety: 1,
+		},
+		MemoryBytes: 64 << 20,
+	}, gateway.WithMover(platform.NewEngines()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: b.gateway}
+	go func() { _ = server.Serve(l) }()
+	b.front = l.Addr().String()
+	b.caller = emulator.NewCaller(b.front, emulator.Key)
+	DeferCleanup(func() {
+		_ = server.Close()
+		d.Close()
+	})
+	return b
+}
+
+// add starts a server and lets the gateway know it.
+func (b *bench) add(id, service string) *emulator.Server {
+	s, err := b.deployment.Add(id, service)
+	Expect(err).NotTo(HaveOccurred())
+	b.refresh()
+	return s
+}
+
+func (b *bench) refresh() {
+	snapshot, err := b.store.Read(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	b.belief.ApplySnapshot(time.Now(), snapshot)
+}
+
+func (b *bench) call(method, path, id, body string) emulator.Outcome {
+	return b.caller.Do(context.Background(), emulator.Call{
+		ID:       id,
+		Method:   method,
+		Path:     path,
+		Body:     body,
+		Deadline: 1500 * time.Millisecond,
+		Headers:  map[string]string{"X-Token-Usage": "100,50"},
+	})
+}
+
+var _ = Describe("a call that may run once", func() {
+	var b *bench
+	var s *emulator.Server
+	BeforeEach(func() {
+		b = newBench()
+		s = b.add("i-1", emulator.Plain)
+	})
+	post := func(id string) emulator.Outcome { return b.call(http.MethodPost, emulator.CallPath+"x?y=1", id, "body") }
+
+	It("comes back whole, signed, with the body passed on and the key kept back", func() {
+		o := post("a1")
+		Expect(o.Status).To(Equal(http.StatusOK))
+		Expect(o.Fault).To(BeEmpty())
+		run := s.Runs()[0]
+		Expect(run.Body).To(Equal("body"))
+		Expect(run.Key).To(BeEmpty())
+		Expect(run.Customer).To(Equal(emulator.Customer))
+		Expect(run.Priority).To(Equal("1"))
+	})
+
+	DescribeTable("gets a final answer that promises nothing after",
+		func(fault emulator.Fault) {
+			s.SetFault(fault, 1)
+			o := post("c1")
+			Expect(o.Status).To(Equal(http.StatusBadGateway))
+			Expect(s.Runs()).To(HaveLen(1))
+		},
+		Entry("an answer that breaks off", emulator.Cut),
+		Entry("a reset", emulator.Reset),
+		Entry("bytes that are no answer", emulator.Garble),
+		Entry("a success without a signature", emulator.Unsigned),
+		Entry("a body with an encoding", emulator.Encoded),
+		Entry("a refusal that doesn't say not run", emulator.Lies),
+	)
+
+	It("is told not run with a time to come back when the only endpoint refuses it", func() {
+		s.SetFault(emulator.Shed, -1)
+		o := post("d1")
+		Expect(o.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(o.RetryIn).NotTo(BeEmpty())
+		Expect(s.Runs()).To(BeEmpty())
+	})
+
+	It("goes to another endpoint when one refuses it or can't be reached", func() {
+		s.SetFault(emulator.Elsewhere, -1)
+		b.add("i-2", emulator.Plain)
+		for i := range 6 {
+			Expect(post(fmt.Sprintf("e%d", i)).Status).To(Equal(http.StatusOK))
+		}
+		s.Crash()
+		for i := range 6 {
+			Expect(post(fmt.Sprintf("f%d", i)).Status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("is ended at its deadline when the endpoint is silent, as unknown", func() {
+		s.SetFault(emulator.Mute, 1)
+		o := post("g1")
+		Expect(o.Status).To(Equal(http.StatusGatewayTimeout))
+	})
+
+	It("gets its own answer past an answer too many, and the connection isn't used again", func() {
+		Expect(post("h1").Status).To(Equal(http.StatusOK))
+		s.SetFault(emulator.Extra, 1)
+		o := post("h2")
+		Expect(o.Status).To(Equal(http.StatusOK))
+		Expect(o.Fault).To(BeEmpty())
+		o = post("h3")
+		Expect(o.Fault).To(BeEmpty())
+	})
+
+	It("is delivered when more bytes follow its answer, and they reach nobody", func() {
+		s.SetFault(emulator.Trailing, 1)
+		Expect(post("i1").Fault).To(BeEmpty())
+		for i := range 4 {
+			o := post(fmt.Sprintf("j%d", i))
+			Expect(o.Status).To(Equal(http.StatusOK))
+			Expect(o.Fault).To(BeEmpty())
+		}
+	})
+
+	It("is delivered when its answer has no length", func() {
+		s.SetFault(emulator.Unframed, 1)
+		o := post("k1")
+		Expect(o.Status).To(Equal(http.StatusOK))
+		Expect(o.Fault).To(BeEmpty())
+	})
+
+	It("is delivered when the answer comes before a long body was read, and the connection isn't used again", func() {
+		s.SetFault(emulator.Early, 1)
+		long := strings.Repeat("x", 900<<10)
+		o := b.call(http.MethodPost, emulator.CallPath, "l1", long)
+		Expect(o.Status).To(Equal(http.StatusOK))
+		Expect(o.Fault).To(BeEmpty())
+		Expect(post("l2").Fault).To(BeEmpty())
+	})
+
+	It("keeps one connection for one after the other", func() {
+		for i := range 5 {
+			Expect(post(fmt.Sprintf("m%d", i)).Status).To(Equal(http.StatusOK))
+		}
+		Expect(s.Connections()).To(Equal(1))
+	})
+})
+
+var _ = Describe("a repeatable call", func() {
+	It("is tried at a second endpoint after a failure, and not at a third", func() {
+		b := newBench()
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			b.add(id, emulator.Plain).SetFault(emulator.Fails, -1)
+		}
+		o := b.call(http.MethodGet, emulator.RepeatPath, "a1", "")
+		Expect(o.Status).To(Equal(http.StatusInternalServerError))
+		Expect(o.Signature).NotTo(BeEmpty())
+		Expect(b.deployment.Runs()["a1"]).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("a request that can't be sent", func() {
+	DescribeTable("is answered at once, and nothing reaches an endpoint",
+		func(path, key string, body string, status int) {
+			b := newBench()
+			s := b.add("i-1", emulator.Plain)
+			b.caller = emulator.NewCaller(b.front, key)
+			Expect(b.call(http.MethodPost, path, "a1", body).Status).To(Equal(status))
+			Expect(s.Runs()).To(BeEmpty())
+		},
+		Entry("no route", "/nowhere", emulator.Key, "", http.StatusNotFound),
+		Entry("no key", emulator.CallPath, "", "", http.StatusUnauthorized),
+		Entry("an unknown key", emulator.CallPath, "key", "", http.StatusUnauthorized),
+		Entry("a body over the limit", emulator.CallPath, emulator.Key, strings.Repeat("x", 2<<20), http.StatusRequestEntityTooLarge),
+		Entry("a service without endpoints", emulator.StreamPath, emulator.Key, "", http.StatusServiceUnavailable),
+	)
+})
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,104 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// eventGap is long enough for a move to fall between events.
+const eventGap = 60 * time.Millisecond
+
+var _ = Describe("a stream", func() {
+	var b *bench
+	BeforeEach(func() { b = newBench() })
+
+	stream := func(id string) emulator.Outcome {
+		return b.caller.Do(context.Background(), emulator.Call{
+			ID:       id,
+			Method:   http.MethodPost,
+			Path:     emulator.StreamPath,
+			Body:     "prompt",
+			Deadline: 20 * time.Second,
+			Headers:  map[string]string{"X-Token-Usage": "100,50", "Kv-From": "10.0.0.1:1/h", "Hold": "7"},
+		})
+	}
+
+	It("comes whole and in order, without what only the system may set", func() {
+		s := b.add("e-1", emulator.Model)
+		o := stream("a1")
+		Expect(o.Fault).To(BeEmpty())
+		Expect(o.Whole).To(BeTrue())
+		Expect(o.Events).To(Equal(s.Events))
+		Expect(s.Runs()[0].Continued).To(BeEmpty())
+	})
+
+	It("goes on from its backup when its engine breaks off within an event", func() {
+		first := b.add("e-1", emulator.Model)
+		second := b.add("e-2", emulator.Model)
+		first.SetFault(emulator.Cut, 1)
+		second.SetFault(emulator.Cut, 1)
+		o := stream("b1")
+		// The engine that goes on may break off once more; then the stream ends
+		// or goes on again, but never looks complete when it isn't.
+		Expect(o.Fault).To(BeEmpty())
+		if o.Whole {
+			Expect(o.Events).To(Equal(first.Events))
+		}
+		Expect(o.Events).To(BeNumerically(">=", 3))
+	})
+
+	It("isn't complete when its engine breaks off and nothing holds a copy", func() {
+		s := b.add("e-1", emulator.Model)
+		s.SetFault(emulator.Cut, 1)
+		o := stream("c1")
+		Expect(o.Whole).To(BeFalse())
+		Expect(o.Fault).To(BeEmpty())
+		Expect(o.Events).To(Equal(2))
+	})
+
+	It("is moved when its engine leaves, and goes on without a gap", func() {
+		first := b.add("e-1", emulator.Model)
+		first.Events, first.EventGap = 12, eventGap
+		done := make(chan emulator.Outcome, 1)
+		go func() { done <- stream("d1") }()
+		Eventually(first.Runs).Should(HaveLen(1))
+		second, err := b.deployment.Add("e-2", emulator.Model)
+		Expect(err).NotTo(HaveOccurred())
+		second.Events, second.EventGap = 12, time.Millisecond
+		b.refresh()
+		b.deployment.List(first, emulator.Model, "draining")
+		b.refresh()
+		o := <-done
+		Expect(o.Fault).To(BeEmpty())
+		Expect(o.Whole).To(BeTrue())
+		Expect(o.Events).To(Equal(12))
+		Expect(second.Runs()).To(HaveLen(1))
+		Expect(second.Runs()[0].Continued).NotTo(BeEmpty())
+	})
+
+	It("is stopped at its engine when its caller leaves", func() {
+		s := b.add("e-1", emulator.Model)
+		s.Events, s.EventGap = 10_000, time.Millisecond
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			b.caller.Do(ctx, emulator.Call{
+				ID:       "f1",
+				Method:   http.MethodPost,
+				Path:     emulator.StreamPath,
+				Deadline: 20 * time.Second,
+			})
+		}()
+		Eventually(s.Runs).Should(HaveLen(1))
+		cancel()
+		<-done
+		Eventually(func() bool { return s.Runs()[0].Dropped }).Should(BeTrue())
+	})
+})
--- /dev/null
+++ b/routing/suite_test.go
@@ -0,0 +1,13 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestRouting(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "routing")
+}
