--- /dev/null
+++ b/admission/spread_test.go
@@ -0,0 +1,99 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/admission"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+var _ = Describe("a spread of requests", func() {
+	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	var s *admission.Spread
+	BeforeEach(func() { s = admission.NewSpread("z", func() float64 { return 0.5 }) })
+	engines := func(n int) []routing.Endpoint {
+		var out []routing.Endpoint
+		for i := range n {
+			out = append(out, routing.Endpoint{
+				ID:    fmt.Sprintf("e%d", i),
+				Zone:  "z",
+				Slots: 8,
+			})
+		}
+		return out
+	}
+	want := admission.Want{
+		Tokens: 1000,
+		Memory: 10_000,
+	}
+	pick := func(all []routing.Endpoint, w admission.Want) string {
+		e, ok := s.Pick(now, all, w)
+		if !ok {
+			return ""
+		}
+		return e.ID
+	}
+
+	It("shares requests evenly between endpoints that are alike", func() {
+		counts := make(map[string]int)
+		for range 40 {
+			id := pick(engines(4), want)
+			s.Begin(now, id, 1000)
+			s.Placed(now, id, 500)
+			counts[id]++
+		}
+		for id, n := range counts {
+			Expect(n).To(BeNumerically("~", 10, 2), id)
+		}
+	})
+
+	It("avoids an engine whose memory is full, by its report", func() {
+		s.Memory(now, routing.Report{
+			Endpoint: "e0",
+			Used:     9800,
+			Total:    10_000,
+		})
+		Expect(pick(engines(2), want)).To(Equal("e1"))
+	})
+
+	It("avoids an engine where prompts of other boxes wait", func() {
+		s.Placed(now, "e0", 20_000)
+		Expect(pick(engines(2), want)).To(Equal("e1"))
+	})
+
+	It("refuses copies where they would take too much", func() {
+		w := want
+		w.Most = 0.5
+		s.Memory(now, routing.Report{
+			Endpoint: "e0",
+			Used:     4500,
+			Total:    10_000,
+		})
+		Expect(pick(engines(1), w)).To(BeEmpty())
+	})
+
+	It("avoids an endpoint that was silent, but uses it when there is no other", func() {
+		s.Failed(now, "e0", true)
+		Expect(pick(engines(2), want)).To(Equal("e1"))
+		Expect(pick(engines(1), want)).To(Equal("e0"))
+		later := now.Add(time.Minute)
+		e, _ := s.Pick(later, engines(2)[:1], want)
+		Expect(e.ID).To(Equal("e0"))
+	})
+
+	It("leaves out endpoints that had the request", func() {
+		w := want
+		w.Exclude = map[string]bool{"e0": true}
+		Expect(pick(engines(1), w)).To(BeEmpty())
+	})
+
+	It("prefers its own zone between endpoints that are alike", func() {
+		all := engines(2)
+		all[0].Zone = "far"
+		Expect(pick(all, admission.Want{})).To(Equal("e1"))
+	})
+})
--- a/box/box.go
+++ b/box/box.go
@@ -59,7 +59,8 @@
 	loaded   time.Time // the settings file's own time at the last reading
 }
 
-func start(o *Options, s *platform.Settings, log *zap.Logger, sink *eventlog.Sink) (*Box, error) {
+// Start starts a box with its settings.
+func Start(o *Options, s *platform.Settings, log *zap.Logger, sink *eventlog.Sink) (*Box, error) {
 	b := &Box{
 		options:  o,
 		settings: s,
@@ -218,8 +219,11 @@
 	b.log.Info("reload", zap.String("box", s.Box), zap.Int("seeds", len(s.Seeds)))
 }
 
-// stop begins the planned stop, once.
-func (b *Box) stop() {
+// Left is closed when the box may end.
+func (b *Box) Left() <-chan struct{} { return b.left }
+
+// Stop begins the planned stop; a second call changes nothing.
+func (b *Box) Stop() {
 	b.once.Do(func() {
 		b.stopping.Store(true)
 		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
--- /dev/null
+++ b/box/box_test.go
@@ -0,0 +1,142 @@
+package box_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/box"
+	"dillsaddle.example/dillsaddle/eventlog"
+	"dillsaddle.example/dillsaddle/platform"
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// patience bounds waits for things that happen within milliseconds.
+const patience = 20 * time.Second
+
+// started is a box in this process, and how to reach it.
+type started struct {
+	*box.Box
+	settings  emulator.BoxSettings
+	caller    *emulator.Caller
+	operators string
+}
+
+func startBoxes(d *emulator.Deployment, n int) []*started {
+	addresses, err := emulator.FreeAddresses(4 * n)
+	Expect(err).NotTo(HaveOccurred())
+	var all []*started
+	for i := range n {
+		own := addresses[4*i : 4*i+4]
+		settings := emulator.BoxSettings{
+			Name:  fmt.Sprintf("box-%d", i),
+			Front: own[0],
+			Ready: own[1],
+			Peer:  own[2],
+			Store: d.StoreAddr,
+			Seeds: []string{addresses[2]},
+			Grace: 5,
+		}
+		path, err := settings.Write(GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+		s, err := platform.LoadSettings(path)
+		Expect(err).NotTo(HaveOccurred())
+		sink := eventlog.NewSink(io.Discard)
+		b, err := box.Start(&box.Options{
+			Settings:    path,
+			MetricsPort: int(netip.MustParseAddrPort(own[3]).Port()),
+		}, s, eventlog.New(sink, zap.InfoLevel), sink)
+		Expect(err).NotTo(HaveOccurred())
+		all = append(all, &started{
+			Box:       b,
+			settings:  settings,
+			caller:    emulator.NewCaller(own[0], emulator.Key),
+			operators: own[3],
+		})
+	}
+	return all
+}
+
+func (s *started) call(id string) emulator.Outcome {
+	return s.caller.Do(context.Background(), emulator.Call{
+		ID:       id,
+		Method:   http.MethodPost,
+		Path:     emulator.CallPath,
+		Deadline: 1500 * time.Millisecond,
+	})
+}
+
+func (s *started) get(path string) string {
+	answer, err := http.Get("http://" + s.operators + path)
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+var _ = Describe("a box", func() {
+	var d *emulator.Deployment
+	BeforeEach(func() {
+		var err error
+		d, err = emulator.NewDeployment()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		_, err = d.Add("i-1", emulator.Plain)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("serves once it is ready, tells its state and its counts, and leaves when stopped", func() {
+		b := startBoxes(d, 1)[0]
+		Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+		o := b.call("a1")
+		Expect(o.Status).To(Equal(http.StatusOK))
+		Expect(o.Fault).To(BeEmpty())
+		var status box.Status
+		Expect(json.Unmarshal([]byte(b.get("/status")), &status)).To(Succeed())
+		Expect(status.Ready).To(BeTrue())
+		Expect(status.Configuration).To(BeEquivalentTo(1))
+		Expect(b.get("/metrics")).To(ContainSubstring(`dillsaddle_requests_total{route="call"`))
+		b.Stop()
+		b.Stop()
+		answer, err := http.Get("http://" + b.settings.Ready + "/ready")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(b.Left()).WithTimeout(patience).Should(BeClosed())
+	})
+
+	It("isn't ready and answers 503 before it knows a configuration", func() {
+		d.Store.SetFault(emulator.StoreBusy, 0)
+		b := startBoxes(d, 1)[0]
+		o := b.call("b1")
+		Expect(o.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(o.RetryIn).NotTo(BeEmpty())
+		d.Store.SetFault(emulator.StoreWell, 0)
+		Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+		b.Stop()
+	})
+
+	It("that the store turned away learns from another that a key was taken away", func() {
+		boxes := startBoxes(d, 2)
+		for _, b := range boxes {
+			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+			Expect(b.call("c" + b.settings.Name).Status).To(Equal(http.StatusOK))
+		}
+		document := emulator.NewDocument(4)
+		document.Tenants = document.Tenants[1:]
+		d.Publish(document)
+		for i, b := range boxes {
+			Eventually(func() int { return b.call(fmt.Sprintf("d%d-%d", i, time.Now().UnixNano())).Status }).
+				WithTimeout(patience).Should(Equal(http.StatusUnauthorized))
+			b.Stop()
+		}
+	})
+})
--- a/box/main.go
+++ b/box/main.go
@@ -70,7 +70,7 @@
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	sink := eventlog.NewSink(out)
-	b, err := start(o, s, eventlog.New(sink, level.Level()), sink)
+	b, err := Start(o, s, eventlog.New(sink, level.Level()), sink)
 	if err != nil {
 		return fault(err, exitFault)
 	}
@@ -95,8 +95,8 @@
 				b.reload()
 				continue
 			}
-			b.stop()
-		case <-b.left:
+			b.Stop()
+		case <-b.Left():
 			return
 		}
 	}
--- /dev/null
+++ b/fleet/belief_test.go
@@ -0,0 +1,174 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func endpoint(id string, revision uint64, leaving bool) routing.Endpoint {
+	return routing.Endpoint{
+		ID:       id,
+		Service:  "s",
+		Revision: revision,
+		Leaving:  leaving,
+	}
+}
+
+func document(version uint64) *routing.Document {
+	return &routing.Document{Version: version}
+}
+
+func snapshot(revision uint64, all ...routing.Endpoint) *fleet.Snapshot {
+	return &fleet.Snapshot{
+		Revision:  revision,
+		Document:  document(1),
+		Endpoints: all,
+	}
+}
+
+func serving(b *fleet.Belief) []string {
+	var out []string
+	for _, e := range b.View().Serving("s") {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+var _ = Describe("a belief", func() {
+	var b *fleet.Belief
+	var changes []fleet.ChangeKind
+	BeforeEach(func() {
+		changes = nil
+		b = fleet.NewBelief(fleet.WithOnChange(func(c fleet.Change) { changes = append(changes, c.Kind) }))
+		b.ApplySnapshot(noon, snapshot(10, endpoint("a", 1, false), endpoint("b", 2, false)))
+	})
+
+	It("gives new requests to endpoints that are ready only", func() {
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 11,
+			Updated:  []routing.Endpoint{endpoint("a", 11, true)},
+		})
+		Expect(serving(b)).To(Equal([]string{"b"}))
+		Expect(changes).To(ContainElement(fleet.EndpointLeaving))
+		_, known := b.View().Endpoint("a")
+		Expect(known).To(BeTrue())
+	})
+
+	It("drops an endpoint whose entry goes, at once", func() {
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 12,
+			Removed: []fleet.Removal{{
+				ID:       "a",
+				Revision: 12,
+			}},
+		})
+		Expect(serving(b)).To(Equal([]string{"b"}))
+	})
+
+	It("never brings back an endpoint that was leaving, whoever says so", func() {
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 11,
+			Updated:  []routing.Endpoint{endpoint("a", 11, true)},
+		})
+		b.ApplyViews(noon, "peer", fleet.Views{
+			Changed:   20,
+			Endpoints: []routing.Endpoint{endpoint("a", 15, false), endpoint("b", 2, false)},
+		})
+		Expect(serving(b)).To(Equal([]string{"b"}))
+	})
+
+	It("never goes back to an older configuration", func() {
+		b.ApplyDocument("peer", document(7))
+		b.ApplyDocument("peer", document(5))
+		b.ApplySnapshot(noon, snapshot(30, endpoint("a", 1, false)))
+		Expect(b.View().Configuration()).To(BeEquivalentTo(7))
+	})
+
+	It("gives entries that went with the store away two seconds after its return", func() {
+		b.StoreAway()
+		b.StoreBack(noon)
+		b.ApplySnapshot(noon, snapshot(20, endpoint("b", 2, false)))
+		Expect(serving(b)).To(Equal([]string{"a", "b"}))
+		b.Tick(noon.Add(time.Second))
+		Expect(serving(b)).To(Equal([]string{"a", "b"}))
+		b.ApplyChanges(noon.Add(time.Second), &fleet.Changes{
+			Revision: 21,
+			Updated:  []routing.Endpoint{endpoint("a", 21, false)},
+		})
+		b.Tick(noon.Add(3 * time.Second))
+		Expect(serving(b)).To(Equal([]string{"a", "b"}))
+	})
+
+	It("takes an entry that is still missing then as gone", func() {
+		b.StoreAway()
+		b.StoreBack(noon)
+		b.ApplySnapshot(noon, snapshot(20, endpoint("b", 2, false)))
+		b.Tick(noon.Add(2 * time.Second))
+		Expect(serving(b)).To(Equal([]string{"b"}))
+	})
+
+	It("takes a list of a peer with a removal, though the store is away here", func() {
+		b.StoreAway()
+		b.ApplyViews(noon, "peer", fleet.Views{
+			Changed:   25,
+			Endpoints: []routing.Endpoint{endpoint("b", 2, false)},
+		})
+		Expect(serving(b)).To(Equal([]string{"b"}))
+	})
+
+	It("takes no older list from a peer", func() {
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 30,
+			Updated:  []routing.Endpoint{endpoint("c", 30, false)},
+		})
+		b.ApplyViews(noon, "peer", fleet.Views{
+			Changed:   29,
+			Endpoints: []routing.Endpoint{endpoint("a", 1, false)},
+		})
+		Expect(serving(b)).To(Equal([]string{"a", "b", "c"}))
+	})
+
+	It("takes news in order as complete, and news after a gap as not", func() {
+		at := b.View().Changed
+		later := noon.Add(time.Second)
+		Expect(b.ApplyNews(later, "peer", fleet.News{
+			After:   at,
+			Changed: 12,
+			Updated: []routing.Endpoint{endpoint("c", 12, false)},
+		})).To(BeTrue())
+		Expect(b.View().Changed).To(BeEquivalentTo(12))
+		Expect(b.View().Confirmed).To(Equal(later))
+		Expect(b.ApplyNews(later.Add(time.Second), "peer", fleet.News{
+			After:   15,
+			Changed: 16,
+			Updated: []routing.Endpoint{endpoint("d", 16, false)},
+		})).To(BeTrue())
+		Expect(serving(b)).To(ContainElement("d"))
+		Expect(b.View().Changed).To(BeEquivalentTo(12))
+		Expect(b.View().Confirmed).To(Equal(later))
+	})
+
+	It("hands the same news on only once", func() {
+		n := fleet.News{
+			After:   b.View().Changed,
+			Changed: 12,
+			Updated: []routing.Endpoint{endpoint("c", 12, false)},
+		}
+		Expect(b.ApplyNews(noon, "peer", n)).To(BeTrue())
+		Expect(b.ApplyNews(noon, "peer", n)).To(BeFalse())
+	})
+
+	It("is confirmed by peers only up to what they know", func() {
+		b.Confirm(noon.Add(time.Second), b.View().Changed+1, 0)
+		Expect(b.View().Confirmed).To(Equal(noon))
+		b.Confirm(noon.Add(2*time.Second), b.View().Changed, 500*time.Millisecond)
+		Expect(b.View().Confirmed).To(Equal(noon.Add(1500 * time.Millisecond)))
+	})
+})
--- /dev/null
+++ b/fleet/follower_test.go
@@ -0,0 +1,185 @@
+package fleet_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// source is a store in memory with faults; it waits in virtual time.
+type source struct {
+	mu       sync.Mutex
+	revision uint64
+	all      map[string]routing.Endpoint
+	version  uint64
+	fault    error
+	lost     bool
+	reads    int
+	watches  int
+}
+
+func newSource() *source {
+	return &source{
+		all:     make(map[string]routing.Endpoint),
+		version: 1,
+	}
+}
+
+func (s *source) put(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.all[id] = endpoint(id, s.revision, false)
+}
+
+func (s *source) set(fault error, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	s.lost = lost
+}
+
+// calls gives how often the source was read and watched.
+func (s *source) calls() (reads, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.watches
+}
+
+func (s *source) Read(context.Context) (*fleet.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.fault != nil {
+		return nil, s.fault
+	}
+	s.lost = false
+	out := &fleet.Snapshot{
+		Revision: s.revision,
+		Document: document(s.version),
+	}
+	for _, e := range s.all {
+		out.Endpoints = append(out.Endpoints, e)
+	}
+	return out, nil
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (*fleet.Changes, error) {
+	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
+		if c, err := s.since(after); c != nil || err != nil {
+			return c, err
+		}
+		if waited >= wait || ctx.Err() != nil {
+			return &fleet.Changes{Revision: after}, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *source) since(after uint64) (*fleet.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches++
+	if s.fault != nil {
+		return nil, s.fault
+	}
+	if s.lost {
+		return nil, fleet.ErrHistoryLost
+	}
+	c := &fleet.Changes{Revision: s.revision}
+	for _, e := range s.all {
+		if e.Revision > after {
+			c.Updated = append(c.Updated, e)
+		}
+	}
+	if len(c.Updated) == 0 {
+		return nil, nil
+	}
+	return c, nil
+}
+
+const within = 2 * time.Second
+
+// follow plays a follower in virtual time.
+func follow(t *testing.T, play func(g *gomega.WithT, s *source, b *fleet.Belief), options ...fleet.FollowerOption) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSource()
+		b := fleet.NewBelief()
+		f := fleet.NewFollower(s, b, within, options...)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		s.put("a")
+		time.Sleep(time.Second)
+		play(gomega.NewWithT(t), s, b)
+		cancel()
+		<-done
+	})
+}
+
+func TestReaderSeesChangesWithinTheBound(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.put("b")
+		time.Sleep(within / 2)
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}))
+	})
+}
+
+func TestReaderReadsAnewWhenHistoryIsLost(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.set(nil, true)
+		s.put("b")
+		time.Sleep(within)
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}))
+	})
+}
+
+func TestReaderCatchesUpAfterAnOutage(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.set(errors.New("away"), false)
+		s.put("b")
+		time.Sleep(30 * time.Second)
+		g.Expect(b.Away()).To(gomega.BeTrue())
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a"}))
+		s.set(nil, false)
+		time.Sleep(within)
+		g.Expect(b.Away()).To(gomega.BeFalse())
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}))
+	})
+}
+
+func TestOutageIsNotHammered(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, _ *fleet.Belief) {
+		s.set(errors.New("away"), false)
+		readsBefore, watchesBefore := s.calls()
+		time.Sleep(time.Minute)
+		reads, watches := s.calls()
+		g.Expect(reads - readsBefore + watches - watchesBefore).To(gomega.BeNumerically("<", 150))
+	})
+}
+
+func TestOtherBoxesReadOnlyWhenNothingComes(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		before, _ := s.calls()
+		for range 20 {
+			b.Confirm(time.Now(), b.View().Changed, 0)
+			time.Sleep(500 * time.Millisecond)
+		}
+		reads, _ := s.calls()
+		g.Expect(reads).To(gomega.Equal(before))
+		s.put("b")
+		time.Sleep(within)
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}), "the readers are gone, so that it reads itself")
+	}, fleet.WithReader(func() bool { return false }))
+}
--- /dev/null
+++ b/fleet/peers_test.go
@@ -0,0 +1,92 @@
+package fleet_test
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/platform/emulator"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// fleetOf starts boxes' peers that know only the first one's address.
+func fleetOf(n int) (all []*fleet.Peers, beliefs []*fleet.Belief) {
+	texts, err := emulator.FreeAddresses(n)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	seed := netip.MustParseAddrPort(texts[0])
+	for i, text := range texts {
+		b := fleet.NewBelief()
+		p, err := fleet.NewPeers(core.Peer{
+			Box:     string(rune('a' + i)),
+			Address: netip.MustParseAddrPort(text),
+			Life:    uint64(i),
+		}, []netip.AddrPort{seed}, b)
+		Expect(err).NotTo(HaveOccurred())
+		go p.Run(ctx)
+		all = append(all, p)
+		beliefs = append(beliefs, b)
+	}
+	return all, beliefs
+}
+
+var _ = Describe("peers", func() {
+	const patience = 20 * time.Second
+
+	It("find each other from one seed, and share what one of them learned", func() {
+		all, beliefs := fleetOf(5)
+		for _, p := range all {
+			Eventually(p.Sharers).WithTimeout(patience).Should(Equal(5))
+		}
+		beliefs[3].ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
+		for _, b := range beliefs {
+			Eventually(func() []string { return serving(b) }).WithTimeout(patience).Should(Equal([]string{"x"}))
+		}
+		news, any := beliefs[1].ApplyChanges(time.Now(), &fleet.Changes{
+			Revision: 20,
+			Document: document(6),
+			Updated:  []routing.Endpoint{endpoint("x", 20, true)},
+		})
+		Expect(any).To(BeTrue())
+		all[1].Spread(news)
+		for _, b := range beliefs {
+			Eventually(func() []string { return serving(b) }).WithTimeout(patience).Should(BeEmpty())
+			Eventually(func() uint64 { return b.View().Configuration() }).WithTimeout(patience).Should(BeEquivalentTo(6))
+		}
+	})
+
+	It("count as few as can be before any other box was met", func() {
+		texts, err := emulator.FreeAddresses(2)
+		Expect(err).NotTo(HaveOccurred())
+		own := netip.MustParseAddrPort(texts[0])
+		p, err := fleet.NewPeers(core.Peer{
+			Box:     "a",
+			Address: own,
+		}, []netip.AddrPort{own, netip.MustParseAddrPort(texts[1])}, fleet.NewBelief())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Sharers()).To(BeNumerically(">", 1_000_000))
+	})
+
+	It("agree on a few readers among many, and replace one that leaves", func() {
+		all, _ := fleetOf(9)
+		for _, p := range all {
+			Eventually(p.Sharers).WithTimeout(patience).Should(Equal(9))
+		}
+		readers := func() int {
+			n := 0
+			for _, p := range all {
+				if p.Reader() {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(readers).WithTimeout(patience).Should(Equal(5))
+	})
+})
