--- a/box/box.go
+++ b/box/box.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -25,6 +27,9 @@
 const (
 	// upkeepEvery spaces the box's housekeeping.
 	upkeepEvery = 250 * time.Millisecond
+	// settingsEvery spaces the looks at the settings file, which may change
+	// without a signal.
+	settingsEvery = 2 * time.Second
 	// retrySafety is the part of the retry budget that boxes spend: their
 	// windows and their counts of each other don't agree to the last request.
 	retrySafety = 0.75
@@ -56,7 +61,8 @@
 	once     sync.Once
 	stopping atomic.Bool
 	left     chan struct{}
-	loaded   time.Time // the settings file's own time at the last reading
+	hup      chan struct{}
+	digest   uint64 // of the settings file's text at the last reading
 }
 
 // Start starts a box with its settings.
@@ -67,6 +73,7 @@
 		log:      log,
 		sink:     sink,
 		left:     make(chan struct{}),
+		hup:      make(chan struct{}, 1),
 	}
 	log.Info("start",
 		zap.String("box", s.Box),
@@ -198,25 +205,52 @@
 func (b *Box) upkeep(ctx context.Context) {
 	t := time.NewTicker(upkeepEvery)
 	defer t.Stop()
+	looked := time.Now()
 	for {
 		select {
 		case now := <-t.C:
 			b.belief.Tick(now)
 			b.gateway.Sweep(now)
+			if now.Sub(looked) >= settingsEvery {
+				looked = now
+				b.reload("the file changed")
+			}
+		case <-b.hup:
+			b.reload("SIGHUP")
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// reload reads the settings file anew; the addresses of a running process stay.
-func (b *Box) reload() {
-	s, err := platform.LoadSettings(b.options.Settings)
+// Reload asks for the settings file to be read anew.
+func (b *Box) Reload() {
+	select {
+	case b.hup <- struct{}{}:
+	default: // one is under way already
+	}
+}
+
+// reload reads the settings file anew, on a signal or because its text changed.
+// The addresses of a running process stay; the seeds are taken over.
+func (b *Box) reload(why string) {
+	text, err := os.ReadFile(b.options.Settings)
+	if err != nil {
+		b.log.Error("settings can't be read, those before stay in force", zap.Error(err))
+		return
+	}
+	digest := xxhash.Sum64(text)
+	if digest == b.digest {
+		return
+	}
+	b.digest = digest
+	s, err := platform.ParseSettings(text)
 	if err != nil {
-		b.log.Error("reload failed, the settings before stay in force", zap.Error(err))
+		b.log.Error("reload failed, the settings before stay in force", zap.String("why", why), zap.Error(err))
 		return
 	}
-	b.log.Info("reload", zap.String("box", s.Box), zap.Int("seeds", len(s.Seeds)))
+	b.peers.SetSeeds(s.Seeds)
+	b.log.Info("reload", zap.String("why", why), zap.Int("seeds", len(s.Seeds)))
 }
 
 // Left is closed when the box may end.
--- a/box/main.go
+++ b/box/main.go
@@ -92,7 +92,7 @@
 		select {
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				b.reload()
+				b.Reload()
 				continue
 			}
 			b.Stop()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -78,7 +78,7 @@
 	p := &Peers{
 		roster:   core.NewRoster(self, core.DefaultRosterRules()),
 		belief:   belief,
-		seeds:    slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == self.Address }),
+		seeds:    others(seeds, self.Address),
 		log:      zap.NewNop(),
 		handlers: wire.NewHandlers(),
 		alive:    make(map[string]bool),
@@ -101,6 +101,18 @@
 	return p, nil
 }
 
+// others gives addresses without one's own.
+func others(all []netip.AddrPort, own netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return a == own })
+}
+
+// SetSeeds replaces the addresses to begin with.
+func (p *Peers) SetSeeds(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = others(seeds, p.roster.Self().Address)
+}
+
 // Run greets other boxes until the context ends.
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
