core, fleet, admission: boxes in groups, each with engines of its own first

Cause: on the grown sites a box heard of the placements of 7 of 77 others, so that 27% of the long streams and 21% of the summaries were late, and 0.3 GB went between zones. Change: a fleet of more than 24 boxes is divided by hash into groups of about 12 boxes of a zone; a group's share of the engines comes first and is told and asked about within the group, strangers' engines weigh 0.35 more; calls prefer their own zone.

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,12 @@
 	// a part of its slots or memory: bytes between zones have a price, but a
 	// waiting request costs more.
 	zoneCost = 0.03
+	// callZoneCost is the same for calls to plain services, whose worth is small
+	// against the price of their bytes.
+	callZoneCost = 0.2
+	// strangerCost is what an engine outside the group's share adds: this box
+	// doesn't hear what most others place there.
+	strangerCost = 0.35
 	// coldCost is what a cold start adds, in the same measure.
 	coldCost = 0.5
 	// failureDecay is the time in which an endpoint's record of failures
@@ -49,6 +56,9 @@
 	delayCost = 2.0
 	// choiceCount is how many endpoints one request compares.
 	choiceCount = 5
+	// strangerChoices is how many engines of other groups are among them, for
+	// the case that the group's own are all busy.
+	strangerChoices = 2
 	// learnWeight is the weight of the newest generation in the learned means.
 	learnWeight = 0.05
 )
@@ -59,6 +69,7 @@
 	mu     sync.Mutex
 	zone   string
 	draw   func() float64
+	share  map[string]bool // the group's engines; nil for all
 	known  map[string]*endpointLoad
 	prompt float64 // mean tokens of a prompt, learned
 	rate   float64 // tokens of prompts that an engine reads in a second, learned
@@ -104,6 +115,13 @@
 	}
 }
 
+// SetShare tells which engines the box's group uses first.
+func (s *Spread) SetShare(share map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+}
+
 // Want is what a request needs of an endpoint.
 type Want struct {
 	Tokens  int             // of an engine's memory at the run's expected end; 0 elsewhere
@@ -149,11 +167,31 @@
 		}
 		fit = append(fit, e)
 	}
-	for i := 0; i < min(len(fit), choiceCount); i++ {
-		j := i + int(s.draw()*float64(len(fit)-i))
-		fit[i], fit[j] = fit[j], fit[i]
+	// The group's own engines come first, then the strangers.
+	slices.SortStableFunc(fit, func(a, b routing.Endpoint) int { return s.strange(a) - s.strange(b) })
+	own := len(fit)
+	if i := slices.IndexFunc(fit, func(e routing.Endpoint) bool { return s.strange(e) > 0 }); i >= 0 {
+		own = i
+	}
+	chosen := s.some(fit[:own], choiceCount)
+	return append(chosen, s.some(fit[own:], strangerChoices)...)
+}
+
+// some draws a few at random, in place.
+func (s *Spread) some(all []routing.Endpoint, most int) []routing.Endpoint {
+	n := min(len(all), most)
+	for i := range n {
+		j := i + int(s.draw()*float64(len(all)-i))
+		all[i], all[j] = all[j], all[i]
+	}
+	return slices.Clone(all[:n])
+}
+
+func (s *Spread) strange(e routing.Endpoint) int {
+	if s.share == nil || s.share[e.ID] {
+		return 0
 	}
-	return fit[:min(len(fit), choiceCount)]
+	return 1
 }
 
 func (s *Spread) score(now time.Time, e routing.Endpoint, w Want) float64 {
@@ -167,11 +205,14 @@
 	if w.Memory > 0 {
 		full := s.fullness(now, l, w)
 		score += full + fullCost*math.Max(0, full-1) + engineNoise*s.draw()
+		if s.share != nil && !s.share[e.ID] {
+			score += strangerCost
+		}
 		score += delayCost * l.waiting(now, s.rate) / s.rate
 		score += slowStart * math.Max(0, 1-float64(now.Sub(l.met))/float64(startTime))
 	}
 	if e.Zone != w.zone(s) {
-		score += math.Max(zoneCost, w.Near)
+		score += math.Max(w.zoneCost(), w.Near)
 	}
 	if e.Cold > 0 && l.used.IsZero() {
 		score += coldCost
@@ -183,6 +224,13 @@
 	return score + s.draw()/(4*slots)
 }
 
+func (w Want) zoneCost() float64 {
+	if w.Memory > 0 {
+		return zoneCost
+	}
+	return callZoneCost
+}
+
 func (w Want) zone(s *Spread) string {
 	if w.Zone != "" {
 		return w.Zone
--- a/box/box.go
+++ b/box/box.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -211,6 +212,7 @@
 		case now := <-t.C:
 			b.belief.Tick(now)
 			b.gateway.Sweep(now)
+			b.shareOut()
 			if now.Sub(looked) >= settingsEvery {
 				looked = now
 				b.reload("the file changed")
@@ -223,6 +225,27 @@
 	}
 }
 
+// shareOut tells the gateway which engines the group uses first. Plain services
+// are not divided: their calls are short and need no news of placements.
+func (b *Box) shareOut() {
+	v := b.belief.View()
+	if v.Table == nil {
+		return
+	}
+	group := b.peers.Group()
+	share := make(map[string]bool)
+	for _, s := range v.Table.Document().Services {
+		if s.Engine == nil {
+			for _, e := range v.Serving(s.Name) {
+				share[e.ID] = true
+			}
+			continue
+		}
+		maps.Copy(share, fleet.Share(group, v.Serving(s.Name)))
+	}
+	b.gateway.SetShare(share)
+}
+
 // Reload asks for the settings file to be read anew.
 func (b *Box) Reload() {
 	select {
--- /dev/null
+++ b/core/group.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// groupSize is about how many boxes work as one: small enough that each can
+	// tell all others what it places, and large enough that their uneven shares
+	// of the callers even out.
+	groupSize = 12
+	// wholeFleet is the size up to which all boxes are one group, whatever their
+	// zones.
+	wholeFleet = 24
+)
+
+// Group is a part of a fleet that serves mostly by endpoints of its own. It
+// follows from the roster; boxes whose rosters differ for a moment only share
+// an endpoint more or less.
+type Group struct {
+	Members []string // the others of the group
+	zone    string   // whose boxes and endpoints it has; empty for all zones
+	index   int
+	count   int // of groups in the zone
+}
+
+// Site is what a group's share of endpoints is drawn from.
+type Site struct {
+	ID   string
+	Zone string
+}
+
+// GroupOf gives the group of a box among those that are there.
+func GroupOf(self Peer, others []Peer) Group {
+	all := append([]Peer{self}, others...)
+	g := Group{count: 1}
+	if len(all) > wholeFleet {
+		g.zone = self.Zone
+		all = slices.DeleteFunc(all, func(p Peer) bool { return p.Zone != self.Zone })
+		g.count = max(1, int(math.Round(float64(len(all))/groupSize)))
+	}
+	names := make([]string, 0, len(all))
+	for _, p := range all {
+		names = append(names, p.Box)
+	}
+	byHash(names)
+	g.index = slices.Index(names, self.Box) * g.count / len(names)
+	for i, name := range names {
+		if i*g.count/len(names) == g.index && name != self.Box {
+			g.Members = append(g.Members, name)
+		}
+	}
+	return g
+}
+
+// Share gives the endpoints that the group uses first.
+func (g Group) Share(endpoints []Site) map[string]bool {
+	var ids []string
+	for _, e := range endpoints {
+		if g.zone == "" || e.Zone == g.zone {
+			ids = append(ids, e.ID)
+		}
+	}
+	byHash(ids)
+	share := make(map[string]bool, len(ids))
+	for i, id := range ids {
+		if i*g.count/len(ids) == g.index {
+			share[id] = true
+		}
+	}
+	return share
+}
+
+// byHash orders names the same way everywhere, and unlike their spelling.
+func byHash(names []string) {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+}
--- /dev/null
+++ b/core/group_test.go
@@ -0,0 +1,74 @@
+package core_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+var _ = Describe("the groups of a fleet", func() {
+	fleet := func(perZone, zones int) []core.Peer {
+		var all []core.Peer
+		for z := range zones {
+			for i := range perZone {
+				all = append(all, core.Peer{
+					Box:  fmt.Sprintf("box-%d-%d", z, i),
+					Zone: fmt.Sprintf("zone-%d", z),
+				})
+			}
+		}
+		return all
+	}
+	endpoints := func(perZone, zones int) []core.Site {
+		var all []core.Site
+		for z := range zones {
+			for i := range perZone {
+				all = append(all, core.Site{
+					ID:   fmt.Sprintf("engine-%d-%d", z, i),
+					Zone: fmt.Sprintf("zone-%d", z),
+				})
+			}
+		}
+		return all
+	}
+	groupOf := func(all []core.Peer, i int) core.Group {
+		others := append([]core.Peer(nil), all[:i]...)
+		return core.GroupOf(all[i], append(others, all[i+1:]...))
+	}
+
+	It("is one for a small fleet, with all endpoints", func() {
+		g := groupOf(fleet(3, 3), 4)
+		Expect(g.Members).To(HaveLen(8))
+		Expect(g.Share(endpoints(3, 3))).To(HaveLen(9))
+	})
+
+	It("are of one zone and bounded at any size, and share all endpoints out", func() {
+		for _, perZone := range []int{18, 26, 100} {
+			all := fleet(perZone, 3)
+			used := make(map[string]int)
+			for i := range all {
+				g := groupOf(all, i)
+				Expect(len(g.Members)).To(BeNumerically("<=", 17))
+				for id := range g.Share(endpoints(15, 3)) {
+					used[id]++
+				}
+			}
+			Expect(used).To(HaveLen(45))
+		}
+	})
+
+	It("agree with each other", func() {
+		all := fleet(26, 3)
+		g := groupOf(all, 7)
+		for i, p := range all {
+			for _, name := range g.Members {
+				if p.Box == name {
+					Expect(groupOf(all, i).Members).To(ContainElement(all[7].Box))
+				}
+			}
+		}
+	})
+})
--- a/core/roster.go
+++ b/core/roster.go
@@ -27,13 +27,13 @@
 
 // DefaultRosterRules gives the rules that the boxes use. The share is above
 // any window of a budget, so that a box that is cut off never takes the others'
-// part; the sample keeps a message below two kilobytes at any size of fleet.
+// part; the sample keeps a message to about a kilobyte at any size of fleet.
 func DefaultRosterRules() RosterRules {
 	return RosterRules{
 		Suspicion: DefaultSuspicionRules(),
 		Forget:    2 * time.Minute,
 		Share:     time.Minute,
-		Sample:    24,
+		Sample:    16,
 	}
 }
 
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -18,6 +18,10 @@
 // store's calls don't grow with the fleet.
 const readerCount = 5
 
+// newsMemory is how many pieces of news a box remembers, to hand each on once;
+// they travel for some tens of milliseconds.
+const newsMemory = 128
+
 // readerKey is what the boxes' names are hashed with to rank them as readers.
 const readerKey = "readers"
 
@@ -40,11 +44,15 @@
 }
 
 // Spread hands news on to the partners at once.
-func (p *Peers) Spread(n News) { p.spread(n, nil) }
+func (p *Peers) Spread(n News) {
+	if p.firstSeen(n) {
+		p.spread(n, nil)
+	}
+}
 
 func (p *Peers) spread(n News, from *wire.Conn) {
 	p.mu.Lock()
-	partners := slices.Clone(p.partners)
+	partners := p.partners()
 	p.mu.Unlock()
 	for _, address := range partners {
 		go p.pushNews(address, n, from)
@@ -69,7 +77,34 @@
 	if n.Age < 0 {
 		n.Age = math.MaxInt64
 	}
-	if p.belief.ApplyNews(time.Now(), "peer", n) {
+	p.belief.ApplyNews(time.Now(), "peer", n)
+	if p.firstSeen(n) {
 		p.spread(n, c)
 	}
 }
+
+// newsKey tells one piece of news from another.
+type newsKey struct {
+	changed uint64
+	version uint64
+}
+
+// firstSeen tells whether news came for the first time, and remembers them.
+// What a box believes doesn't tell: after a gap, it takes the same news again
+// and again.
+func (p *Peers) firstSeen(n News) bool {
+	key := newsKey{changed: n.Changed}
+	if n.Document != nil {
+		key.version = n.Document.Version
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.seen, key) {
+		return false
+	}
+	p.seen = append(p.seen, key)
+	if len(p.seen) > newsMemory {
+		p.seen = p.seen[1:]
+	}
+	return true
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -24,31 +24,34 @@
 	greetLost  = 150 * time.Millisecond
 	// greetTime bounds one greeting or fetch.
 	greetTime = 800 * time.Millisecond
-	// partnerCount is how many boxes one box keeps connections to: all of a
-	// small fleet. In a large one, news reach n boxes in about log n rounds.
-	partnerCount = 7
-	// rotateEvery is how often one partner is replaced by another box.
+	// strangerCount is how many boxes of other groups a box keeps connections
+	// to; by them news reach n boxes in about log n rounds.
+	strangerCount = 2
+	// rotateEvery is how often one of them is replaced.
 	rotateEvery = 4 * time.Second
 )
 
 // Peers exchanges views and the roster with other boxes.
 type Peers struct {
-	mu       sync.Mutex
-	roster   *core.Roster
-	belief   *Belief
-	seeds    []netip.AddrPort
-	log      *zap.Logger
-	handlers *wire.Handlers
-	pool     *wire.Pool
-	server   *wire.Server
-	partners []netip.AddrPort
-	turn     int
-	rotated  time.Time
-	alive    map[string]bool
-	reports  *Reports
-	onPlaced func(time.Time, Placement)
-	untold   []Placement
-	telling  map[netip.AddrPort]bool
+	mu        sync.Mutex
+	roster    *core.Roster
+	belief    *Belief
+	seeds     []netip.AddrPort
+	log       *zap.Logger
+	handlers  *wire.Handlers
+	pool      *wire.Pool
+	server    *wire.Server
+	group     core.Group
+	fellows   []netip.AddrPort // the other boxes of the group
+	strangers []netip.AddrPort
+	turn      int
+	rotated   time.Time
+	alive     map[string]bool
+	reports   *Reports
+	onPlaced  func(time.Time, Placement)
+	untold    []Placement
+	seen      []newsKey // the news that were handed on last
+	telling   map[netip.AddrPort]bool
 }
 
 // PeersOption changes how peers are built.
@@ -147,6 +150,16 @@
 	return p.roster.Sharers(time.Now())
 }
 
+// Traffic counts the messages that came from other boxes.
+func (p *Peers) Traffic() uint64 { return p.handlers.Traffic().Received.Load() }
+
+// Self gives the name of this box.
+func (p *Peers) Self() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Self().Box
+}
+
 // AliveNames gives the name of this box and those of the others that are there.
 func (p *Peers) AliveNames() (self string, others []string) {
 	p.mu.Lock()
@@ -171,43 +184,66 @@
 	p.roster.Tick(now)
 	p.notice(now)
 	p.rotate(now)
-	if len(p.partners) == 0 {
+	all := p.partners()
+	if len(all) == 0 {
 		return netip.AddrPort{}, false
 	}
 	p.turn++
-	return p.partners[p.turn%len(p.partners)], true
+	return all[p.turn%len(all)], true
 }
 
-// rotate keeps the partners up to date. A seed is among them now and then, so
-// that parts of a fleet that lost each other meet again.
+// rotate keeps the partners up to date: the other boxes of the group, and a few
+// strangers in turn, by whom news reach the other groups. A seed is among the
+// strangers now and then, so that parts of a fleet that lost each other meet.
 func (p *Peers) rotate(now time.Time) {
-	full := len(p.partners) >= partnerCount
+	alive := p.roster.Alive(now)
+	p.group = core.GroupOf(p.roster.Self(), alive)
+	var fellows, choices []netip.AddrPort
+	for _, m := range alive {
+		if slices.Contains(p.group.Members, m.Box) {
+			fellows = append(fellows, m.Address)
+			continue
+		}
+		choices = append(choices, m.Address)
+	}
+	p.fellows = fellows
+	p.strangers = slices.DeleteFunc(p.strangers, func(a netip.AddrPort) bool { return slices.Contains(fellows, a) })
+	full := len(p.strangers) >= strangerCount
 	if full && now.Sub(p.rotated) < rotateEvery {
 		return
 	}
-	var choices []netip.AddrPort
-	for _, m := range p.roster.Alive(now) {
-		choices = append(choices, m.Address)
-	}
 	choices = append(choices, p.seeds...)
-	choices = slices.DeleteFunc(choices, func(a netip.AddrPort) bool { return slices.Contains(p.partners, a) })
+	choices = slices.DeleteFunc(choices, func(a netip.AddrPort) bool {
+		return slices.Contains(p.strangers, a) || slices.Contains(fellows, a)
+	})
 	if len(choices) == 0 {
 		return
 	}
 	p.rotated = now
 	if full {
-		p.pool.Drop(p.partners[0])
-		p.partners = p.partners[1:]
+		p.pool.Drop(p.strangers[0])
+		p.strangers = p.strangers[1:]
 	}
-	p.partners = append(p.partners, choices[rand.N(len(choices))])
+	p.strangers = append(p.strangers, choices[rand.N(len(choices))])
+}
+
+// partners are all boxes to which this one keeps connections.
+func (p *Peers) partners() []netip.AddrPort {
+	return append(slices.Clone(p.fellows), p.strangers...)
+}
+
+// Group gives the part of the fleet that this box belongs to.
+func (p *Peers) Group() core.Group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group
 }
 
 // abandon replaces a partner that doesn't answer.
 func (p *Peers) abandon(address netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.partners = slices.DeleteFunc(p.partners, func(a netip.AddrPort) bool { return a == address })
-	p.rotated = time.Time{}
+	p.strangers = slices.DeleteFunc(p.strangers, func(a netip.AddrPort) bool { return a == address })
 }
 
 // notice logs which boxes came and went.
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -90,3 +90,25 @@
 		Eventually(readers).WithTimeout(patience).Should(Equal(5))
 	})
 })
+
+var _ = Describe("news after a gap", func() {
+	// Boxes that missed a change took each copy of later news as new and handed
+	// it on again: a storm on the grown deployment's scale-2.
+	It("are handed on once, however often they come", func() {
+		all, beliefs := fleetOf(4)
+		for _, p := range all {
+			Eventually(p.Sharers).WithTimeout(20 * time.Second).Should(Equal(4))
+		}
+		for _, b := range beliefs {
+			b.ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
+		}
+		before := all[0].Traffic()
+		all[0].Spread(fleet.News{
+			After:   15, // nobody has this
+			Changed: 16,
+			Updated: []routing.Endpoint{endpoint("y", 16, false)},
+		})
+		Eventually(func() []string { return serving(beliefs[3]) }).WithTimeout(20 * time.Second).Should(ContainElement("y"))
+		Consistently(func() uint64 { return all[0].Traffic() - before }).Should(BeNumerically("<", 200))
+	})
+})
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -30,7 +30,7 @@
 // Kind names the message.
 func (Placements) Kind() string { return "placements" }
 
-// Tell tells the partners of a placement, soon and without waiting. A partner
+// Tell tells the boxes of the group of a placement, soon and without waiting. A partner
 // that still takes the message before gets none: news of placements are worth
 // nothing when they are late.
 func (p *Peers) Tell(placed Placement) {
@@ -50,7 +50,7 @@
 	defer p.mu.Unlock()
 	news := Placements{All: p.untold}
 	p.untold = nil
-	for _, address := range p.partners {
+	for _, address := range p.fellows {
 		if p.telling[address] {
 			continue
 		}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -67,21 +68,22 @@
 	}
 }
 
-// mine gives the engines that this box asks: those for which its name hashes
-// highest among the boxes that are there.
+// mine gives the engines that this box asks: those of its group's share for
+// which its name hashes highest in the group.
 func (r *Reports) mine() []routing.Endpoint {
 	v := r.belief.View()
 	if v.Table == nil {
 		return nil
 	}
-	self, others := r.peers.AliveNames()
+	self, group := r.peers.Self(), r.peers.Group()
 	var mine []routing.Endpoint
 	for _, s := range v.Table.Document().Services {
 		if s.Engine == nil {
 			continue
 		}
+		share := Share(group, v.Serving(s.Name))
 		for _, e := range v.Serving(s.Name) {
-			if owns(self, others, e.ID) {
+			if share[e.ID] && owns(self, group.Members, e.ID) {
 				mine = append(mine, e)
 			}
 		}
@@ -89,6 +91,18 @@
 	return mine
 }
 
+// Share gives the endpoints that a group uses first, by id.
+func Share(g core.Group, endpoints []routing.Endpoint) map[string]bool {
+	placed := make([]core.Site, 0, len(endpoints))
+	for _, e := range endpoints {
+		placed = append(placed, core.Site{
+			ID:   e.ID,
+			Zone: e.Zone,
+		})
+	}
+	return g.Share(placed)
+}
+
 // owns is rendezvous hashing.
 func owns(self string, others []string, key string) bool {
 	weight := xxhash.Sum64String(self + "/" + key)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,9 @@
 	})
 }
 
+// SetShare tells which engines the box's group uses first.
+func (g *Gateway) SetShare(share map[string]bool) { g.spread.SetShare(share) }
+
 // Reported takes an engine's report and when it was true.
 func (g *Gateway) Reported(at time.Time, r routing.Report) { g.spread.Memory(at, r) }
 
--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -19,6 +19,7 @@
 	SentBytes     atomic.Uint64
 	ReceivedBytes atomic.Uint64
 	LateAnswers   atomic.Uint64
+	Received      atomic.Uint64 // messages
 }
 
 func (t *Traffic) sent(size int) {
@@ -29,6 +30,7 @@
 
 func (t *Traffic) received(size int) {
 	t.ReceivedBytes.Add(uint64(size))
+	t.Received.Add(1)
 	receivedMessages.Inc()
 	receivedBytes.Add(size)
 }
