gateway, admission: avoid silent endpoints, go on when an engine died unheard

Change: an endpoint with requests under way that is silent beyond six times its usual answer (engines: 2.5 s without any event) weighs as a failed one. A stalled stream with a copy asks its engine for its load; if that is not answered in 250 ms either, it goes on from the copy; an engine that answers keeps it (the run was preempted). Ruled out: going on by the stall alone, since a preempted run would then be at work twice.

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -54,6 +54,15 @@
 	// delayCost is what a second's wait for the reading of prompts adds: about
 	// the first events' target, and worth as much as a whole memory.
 	delayCost = 2.0
+	// usualTimes is after how many times its usual time an endpoint that says
+	// nothing is suspect; suspectLeast and suspectEngine are the least such
+	// times, for calls and for engines, which read prompts for a while.
+	usualTimes    = 6.0
+	suspectLeast  = 250 * time.Millisecond
+	suspectEngine = 2500 * time.Millisecond
+	// latencyWeight is the weight of the newest answer in an endpoint's usual
+	// time.
+	latencyWeight = 0.1
 	// choiceCount is how many endpoints one request compares.
 	choiceCount = 5
 	// strangerChoices is how many engines of other groups are among them, for
@@ -89,6 +98,9 @@
 	failures float64
 	failedAt time.Time
 	silentTo time.Time
+	pending  []time.Time // when this box's requests under way were sent
+	heard    time.Time   // of the endpoint, on any connection of this box
+	latency  float64     // seconds, learned
 	used     time.Time
 	met      time.Time // when this box learned of it
 	queue    float64   // tokens of prompts that wait to be read, at queueAt
@@ -218,7 +230,7 @@
 		score += coldCost
 	}
 	score += failureCost * l.record(now)
-	if now.Before(l.silentTo) {
+	if now.Before(l.silentTo) || l.suspect(now, w) {
 		score += failureCost
 	}
 	return score + s.draw()/(4*slots)
@@ -257,6 +269,24 @@
 	return (used + float64(w.Tokens)) / total
 }
 
+// suspect tells whether an endpoint is silent beyond its usual time while it
+// has requests of this box.
+func (l *endpointLoad) suspect(now time.Time, w Want) bool {
+	if len(l.pending) == 0 {
+		return false
+	}
+	since := l.pending[0]
+	if l.heard.After(since) {
+		since = l.heard
+	}
+	limit := time.Duration(usualTimes * l.latency * float64(time.Second))
+	least := suspectLeast
+	if w.Memory > 0 {
+		least = suspectEngine
+	}
+	return now.Sub(since) > max(limit, least)
+}
+
 func (l *endpointLoad) record(now time.Time) float64 {
 	if l.failures == 0 {
 		return 0
@@ -309,9 +339,17 @@
 	l.since++
 	l.tokens += tokens
 	l.used = now
+	l.pending = append(l.pending, now)
 	l.add(now, tokens)
 }
 
+// Heard notes that something came from an endpoint.
+func (s *Spread) Heard(now time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(now, id).heard = now
+}
+
 func (l *endpointLoad) add(now time.Time, tokens int) {
 	if tokens > 0 {
 		l.recent = append(l.recent, begun{
@@ -321,11 +359,14 @@
 	}
 }
 
-// End takes a send back when it is over.
-func (s *Spread) End(now time.Time, id string, tokens int) {
+// End takes a send back that began at a time, when it is over.
+func (s *Spread) End(now time.Time, id string, begun time.Time, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.load(now, id)
+	if i := slices.Index(l.pending, begun); i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
 	l.running--
 	l.tokens -= tokens
 }
@@ -381,11 +422,13 @@
 	s.output += learnWeight * (float64(output) - s.output)
 }
 
-// Succeeded notes a good answer.
-func (s *Spread) Succeeded(now time.Time, id string) {
+// Succeeded notes a good answer and how long it took.
+func (s *Spread) Succeeded(now time.Time, id string, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.load(now, id)
+	l.heard = now
+	l.latency += latencyWeight * (took.Seconds() - l.latency)
 	l.failures = l.record(now) / 2
 	l.failedAt = now
 	l.silentTo = time.Time{}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,9 +74,9 @@
 	}
 	ev := p.exchange(l, copyName)
 	if _, streams := ev.(streamBegun); streams {
-		return p.stream()
+		return p.stream(now)
 	}
-	p.gateway.spread.End(time.Now(), p.endpoint.ID, p.want(nil).Tokens)
+	p.gateway.spread.End(time.Now(), p.endpoint.ID, now, p.want(nil).Tokens)
 	return ev
 }
 
@@ -266,7 +266,7 @@
 	if failed {
 		p.gateway.spread.Failed(time.Now(), p.endpoint.ID, false)
 	} else {
-		p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID)
+		p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID, time.Since(p.placedAt))
 	}
 	return core.CallAnswered{Failed: failed}
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -60,6 +60,8 @@
 	// Move copies a run's memory; a run that stopped can go on at the target,
 	// or at the source if the copy failed and a name is given all the same.
 	Move(ctx context.Context, m Move) (Moved, error)
+	// Alive asks whether an engine answers at all.
+	Alive(ctx context.Context, e routing.Endpoint) error
 	// CopyName gives the name of a run's copy at the endpoint that its memory
 	// was sent to as it grew.
 	CopyName(id string, backup routing.Endpoint) string
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -58,20 +58,24 @@
 	}
 }
 
-// stream passes events on until the stream's end or its break.
-func (p *passage) stream() core.Event {
+// stream passes events on until the stream's end or its break. Sent is when the
+// request went out.
+func (p *passage) stream(sent time.Time) core.Event {
 	a := p.answer
 	run, tokens, backup := p.endpoint.ID, p.want(nil).Tokens, p.backup.ID
 	if backup != "" {
 		p.gateway.spread.Copy(time.Now(), backup, tokens)
 		defer p.gateway.spread.Copy(time.Now(), backup, -tokens)
 	}
-	defer func() { p.gateway.spread.End(time.Now(), run, tokens) }()
+	defer func() { p.gateway.spread.End(time.Now(), run, sent, tokens) }()
 	p.gateway.enrol(p)
 	defer p.gateway.leave(run, p)
+	dog := p.watch(a.link)
+	defer dog.stop()
 	events := bufio.NewReaderSize(a.head.Body, eventBuffer)
 	for {
 		e, err := readEvent(events)
+		dog.fed()
 		if errors.Is(err, io.EOF) {
 			return p.complete(a)
 		}
@@ -105,7 +109,9 @@
 	if _, err := p.writer.Write(e.raw); err != nil {
 		return err
 	}
-	p.paced(time.Now())
+	now := time.Now()
+	p.paced(now)
+	p.gateway.spread.Heard(now, p.endpoint.ID)
 	p.last = e.id
 	p.events++
 	return http.NewResponseController(p.writer).Flush()
@@ -138,7 +144,7 @@
 		p.writer.WriteHeader(a.head.StatusCode)
 	}
 	a.release(p, true)
-	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID)
+	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID, p.first)
 	p.learn()
 	p.gateway.counts.streamed(p.route.Name, p.first, p.longest)
 	p.ended("streamed", a.head.StatusCode,
