--- a/box/box.go
+++ b/box/box.go
@@ -108,6 +108,7 @@
 	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers), gateway.WithOnPlaced(b.tell))
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
+	b.reload("start")
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
@@ -273,7 +274,7 @@
 		return
 	}
 	b.peers.SetSeeds(s.Seeds)
-	b.log.Info("reload", zap.String("why", why), zap.Int("seeds", len(s.Seeds)))
+	b.log.Info("settings read", zap.String("why", why), zap.Int("seeds", len(s.Seeds)))
 }
 
 // Left is closed when the box may end.
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,23 @@
+package soak_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/soak"
+)
+
+var _ = Describe("the soak", func() {
+	// A seed with planned work only, and one with kills, pauses and cuts. Seeds
+	// that broke a promise once are added here, each with a line on the cause.
+	DescribeTable("keeps the promises with seed",
+		func(seed int) {
+			r, err := soak.Run(program, GinkgoT().TempDir(), uint64(seed))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Broken).To(BeEmpty(), r.String())
+			Expect(r.Served).To(BeNumerically(">", 0))
+		},
+		Entry("planned work", 3),
+		Entry("kills, links and stores", 7),
+	)
+})
