--- a/box/box_test.go
+++ b/box/box_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/box"
+	"dillsaddle.example/dillsaddle/commands"
 	"dillsaddle.example/dillsaddle/eventlog"
 	"dillsaddle.example/dillsaddle/platform"
 	"dillsaddle.example/dillsaddle/platform/emulator"
@@ -103,6 +105,9 @@
 		var status box.Status
 		Expect(json.Unmarshal([]byte(b.get("/status")), &status)).To(Succeed())
 		Expect(status.Ready).To(BeTrue())
+		var shown bytes.Buffer
+		Expect(commands.Run([]string{"status", b.operators}, &shown)).To(BeZero())
+		Expect(shown.String()).To(ContainSubstring("box-0 in zone-a"))
 		Expect(status.Configuration).To(BeEquivalentTo(1))
 		Expect(b.get("/metrics")).To(ContainSubstring(`dillsaddle_requests_total{route="call"`))
 		b.Stop()
--- a/box/operators.go
+++ b/box/operators.go
@@ -10,8 +10,12 @@
 	"go.uber.org/zap"
 )
 
+// Program names the process in its status.
+const Program = "dillsaddle-node"
+
 // Status is what a box tells its operators of itself.
 type Status struct {
+	Program       string `json:"program"`
 	Box           string `json:"box"`
 	Zone          string `json:"zone"`
 	Ready         bool   `json:"ready"`
@@ -20,6 +24,18 @@
 	ListAge       string `json:"list_age"`
 	Active        int    `json:"active"`
 	LeftOut       int64  `json:"log_lines_left_out"`
+	StoreAway     bool   `json:"store_away"`
+	Reader        bool   `json:"reader"`  // whether it reads the store for all
+	Sharers       int    `json:"sharers"` // boxes that share the retry budget
+	Boxes         []Peer `json:"boxes"`
+}
+
+// Peer is another box, as this one knows it.
+type Peer struct {
+	Box     string `json:"box"`
+	Zone    string `json:"zone"`
+	Silence string `json:"silence"` // since it was last heard of
+	Leaving bool   `json:"leaving,omitempty"`
 }
 
 // ready tells whether the box can serve: it knows a configuration and the
@@ -42,6 +58,10 @@
 func (b *Box) answerStatus(w http.ResponseWriter, _ *http.Request) {
 	v := b.belief.View()
 	s := Status{
+		Program:     Program,
+		StoreAway:   b.belief.Away(),
+		Reader:      b.peers.Reader(),
+		Sharers:     b.peers.Sharers(),
 		Box:         b.settings.Box,
 		Zone:        b.settings.Zone,
 		Ready:       b.ready(),
@@ -53,6 +73,14 @@
 	if v.Table != nil {
 		s.Configuration = v.Table.Version()
 	}
+	for _, m := range b.peers.Members() {
+		s.Boxes = append(s.Boxes, Peer{
+			Box:     m.Box,
+			Zone:    m.Zone,
+			Silence: m.Silence.Round(time.Millisecond).String(),
+			Leaving: m.Leaving,
+		})
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		b.log.Warn("status was not taken", zap.Error(err))
--- a/commands/status.go
+++ b/commands/status.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 
+	"dillsaddle.example/dillsaddle/box"
 	"dillsaddle.example/dillsaddle/entry"
 )
 
@@ -49,7 +50,7 @@
 		return 0, nil, err
 	}
 	code, body, err := c.Get(ctx, nil, "http://"+parsed.String()+path)
-	return code, body, errors.Wrapf(err, "reach %s; give an entry's operators' address (entry-admin)", parsed)
+	return code, body, errors.Wrapf(err, "reach %s; give an entry's operators' address (entry-admin) or a box's metrics address", parsed)
 }
 
 func status(ctx context.Context, out io.Writer, arguments []string) error {
@@ -61,7 +62,7 @@
 		return err
 	}
 	if code != 200 {
-		return errors.Errorf("%s answered %d; give an entry's operators' address (entry-admin)", arguments[0], code)
+		return errors.Errorf("%s answered %d; give an entry's operators' address (entry-admin) or a box's metrics address", arguments[0], code)
 	}
 	if statusJSON {
 		var pretty bytes.Buffer
@@ -71,9 +72,13 @@
 		_, err := fmt.Fprintln(out, pretty.String())
 		return err
 	}
+	var node box.Status
+	if err := json.Unmarshal(body, &node); err == nil && node.Program == box.Program {
+		return printNode(out, &node)
+	}
 	var s entry.Status
 	if err := json.Unmarshal(body, &s); err != nil {
-		return errors.Wrap(err, "read the status; give an entry's operators' address (entry-admin)")
+		return errors.Wrap(err, "read the status; give an entry's operators' address (entry-admin) or a box's metrics address")
 	}
 	return printStatus(out, &s)
 }
@@ -96,6 +101,22 @@
 	return w.Flush()
 }
 
+// printNode shows a box on the operators' platform.
+func printNode(out io.Writer, s *box.Status) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "box\t%s in %s\n", s.Box, s.Zone)
+	fmt.Fprintf(w, "configuration\tversion %d\n", s.Configuration)
+	fmt.Fprintf(w, "list of endpoints\tchanged at %d, confirmed %s ago\n", s.ListChanged, s.ListAge)
+	fmt.Fprintf(w, "state\tready %t, %d requests, reader %t, store away %t\n", s.Ready, s.Active, s.Reader, s.StoreAway)
+	fmt.Fprintf(w, "retry budget\tshared by %d boxes\n", s.Sharers)
+	fmt.Fprintf(w, "log\t%d lines left out\n", s.LeftOut)
+	fmt.Fprintln(w, "\nBOX\tZONE\tSILENCE\tLEAVING")
+	for _, b := range s.Boxes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", b.Box, b.Zone, b.Silence, b.Leaving)
+	}
+	return w.Flush()
+}
+
 func orNone(names []string) string {
 	if len(names) == 0 {
 		return "none"
