--- /dev/null
+++ b/admission/spread_load.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// endpointLoad is what a box knows of one endpoint's load.
+type endpointLoad struct {
+	running  int // of this box
+	answered int // running and waiting, as an answer told
+	answerAt time.Time
+	since    int // started by this box since that answer
+	memory   routing.Report
+	memoryAt time.Time
+	recent   []begun // by this box, not yet in the report
+	tokens   int     // of this box's runs, at their expected end
+	copies   int     // tokens of copies that this box sends there
+	failures float64
+	failedAt time.Time
+	silentTo time.Time
+	pending  []time.Time // when this box's requests under way were sent
+	heard    time.Time   // of the endpoint, on any connection of this box
+	latency  float64     // seconds, learned
+	used     time.Time
+	met      time.Time // when this box learned of it
+	queue    float64   // tokens of prompts that wait to be read, at queueAt
+	queueAt  time.Time
+}
+
+// begun is memory that a run of this box takes, and since when.
+type begun struct {
+	at     time.Time
+	tokens int
+}
+
+// waiting estimates the tokens of prompts that wait at an engine.
+func (l *endpointLoad) waiting(now time.Time, rate float64) float64 {
+	return math.Max(0, l.queue-rate*now.Sub(l.queueAt).Seconds())
+}
+
+// Placed counts a prompt that this box or another one sent to an engine, and
+// gives the tokens that are to be read there before its first event.
+func (s *Spread) Placed(now time.Time, id string, prompt int) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.queue = l.waiting(now, s.rate) + float64(prompt)
+	l.queueAt = now
+	return l.queue
+}
+
+// Started takes how long an engine took to read what waited, with a prompt of
+// this box as the last.
+func (s *Spread) Started(queue float64, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if took <= 0 || queue <= 0 {
+		return
+	}
+	s.rate += learnWeight * (queue/took.Seconds() - s.rate)
+}
+
+// Begin counts a send to an endpoint.
+func (s *Spread) Begin(now time.Time, id string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.running++
+	l.since++
+	l.tokens += tokens
+	l.used = now
+	l.pending = append(l.pending, now)
+	l.add(now, tokens)
+}
+
+// Heard notes that something came from an endpoint.
+func (s *Spread) Heard(now time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(now, id).heard = now
+}
+
+func (l *endpointLoad) add(now time.Time, tokens int) {
+	if tokens > 0 {
+		l.recent = append(l.recent, begun{
+			at:     now,
+			tokens: tokens,
+		})
+	}
+}
+
+// End takes a send back that began at a time, when it is over.
+func (s *Spread) End(now time.Time, id string, begun time.Time, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	if i := slices.Index(l.pending, begun); i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
+	l.running--
+	l.tokens -= tokens
+}
+
+// Copy counts a copy of a run's memory at an endpoint; a negative number of
+// tokens takes it back.
+func (s *Spread) Copy(now time.Time, id string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.copies += tokens
+	l.add(now, tokens)
+}
+
+// Answered takes the load that an endpoint told with an answer.
+func (s *Spread) Answered(now time.Time, id string, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.answered = busy
+	l.since = 0
+	l.answerAt = now
+}
+
+// Memory takes an engine's report and when it was given.
+func (s *Spread) Memory(at time.Time, r routing.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(at, r.Endpoint)
+	if !at.After(l.memoryAt) {
+		return
+	}
+	l.memory = r
+	l.memoryAt = at
+	kept := l.recent[:0]
+	for _, b := range l.recent {
+		if b.at.After(at.Add(-reportLag)) {
+			kept = append(kept, b)
+		}
+	}
+	l.recent = kept
+}
+
+// Learn takes what a whole generation came to.
+func (s *Spread) Learn(prompt, output int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.prompt == 0 {
+		s.prompt = float64(prompt)
+		s.output = float64(output)
+	}
+	s.prompt += learnWeight * (float64(prompt) - s.prompt)
+	s.output += learnWeight * (float64(output) - s.output)
+}
+
+// Succeeded notes a good answer and how long it took.
+func (s *Spread) Succeeded(now time.Time, id string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.heard = now
+	l.latency += latencyWeight * (took.Seconds() - l.latency)
+	l.failures = l.record(now) / 2
+	l.failedAt = now
+	l.silentTo = time.Time{}
+}
+
+// Failed notes a failure of an endpoint; silent ones get no work for a while.
+func (s *Spread) Failed(now time.Time, id string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(now, id)
+	l.failures = math.Min(1, l.record(now)+failureStep)
+	l.failedAt = now
+	if silent {
+		l.silentTo = now.Add(silentTime)
+	}
+}
+
+// Forget drops an endpoint that is gone.
+func (s *Spread) Forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.known[id]; l != nil && l.running <= 0 && l.copies <= 0 {
+		delete(s.known, id)
+	}
+}
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -85,7 +85,7 @@
 		Path:     path,
 		Body:     body,
 		Deadline: 1500 * time.Millisecond,
-		Headers:  map[string]string{"X-Token-Usage": "100,50"},
+		Forged:   true,
 	})
 }
 
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -25,7 +25,11 @@
 			Path:     emulator.StreamPath,
 			Body:     "prompt",
 			Deadline: 20 * time.Second,
-			Headers:  map[string]string{"X-Token-Usage": "100,50", "Kv-From": "10.0.0.1:1/h", "Hold": "7"},
+			Tokens: emulator.Tokens{
+				Prompt: 100,
+				Most:   50,
+			},
+			Forged: true,
 		})
 	}
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -73,7 +73,10 @@
 		switch r.IntN(6) {
 		case 0:
 			kind, call.Path, call.Deadline = "stream", emulator.StreamPath, streamPatience
-			call.Headers = map[string]string{"X-Token-Usage": "100,160"}
+			call.Tokens = emulator.Tokens{
+				Prompt: 100,
+				Most:   160,
+			}
 		case 1, 2:
 			kind, call.Path, call.Method, call.Body = "repeat", emulator.RepeatPath, http.MethodGet, ""
 		}
