box, soak: take signals from the first moment

Ruled out: a stop that didn't end, a port still in use (both would log a line). Change: handlers are set first. The soak starts boxes again that ended, as the platform does, and reports an end later than 2 s after a start as broken.

--- a/box/main.go
+++ b/box/main.go
@@ -47,8 +47,12 @@
 	return o, ff.Parse(fs, arguments)
 }
 
-// Main runs the process until its planned stop and gives its exit code.
+// Main runs the process until its planned stop and gives its exit code. Signals
+// are taken from the first moment: a reload that meets a starting process must
+// not end it.
 func Main(arguments []string, out io.Writer) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	o, err := parse(arguments)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitDone
@@ -74,7 +78,7 @@
 	if err != nil {
 		return fault(err, exitFault)
 	}
-	b.wait()
+	b.wait(signals)
 	sink.Close(logFlush)
 	return exitDone
 }
@@ -85,9 +89,7 @@
 }
 
 // wait serves until a planned stop is over. A second signal changes nothing.
-func (b *Box) wait() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (b *Box) wait(signals <-chan os.Signal) {
 	for {
 		select {
 		case s := <-signals:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,7 +20,7 @@
 	undo    []func()
 	storeAt []time.Time // when the store or a link to it was troubled
 	revoked time.Time
-	pending chan struct{}
+	ends    []string // boxes that ended by themselves
 }
 
 func newInjector(f *fleet, seed uint64, planned bool) *injector {
@@ -49,6 +49,28 @@
 
 func (i *injector) box() *member { return i.fleet.boxes[i.r.IntN(len(i.fleet.boxes))] }
 
+// startupTime is how long a process may still be without its signal handlers;
+// the runtime starts in some milliseconds, more on a busy machine.
+const startupTime = 2 * time.Second
+
+// revive starts boxes again that ended by themselves, as the platform does. A
+// signal may end a process that is just starting; any other end is a finding.
+func (i *injector) revive() {
+	for _, b := range i.fleet.boxes {
+		died, after := b.died()
+		if !died {
+			continue
+		}
+		i.say("%s ended by itself", b.settings.Name)
+		if after > startupTime {
+			i.ends = append(i.ends, fmt.Sprintf("%s ended by itself %s after its start", b.settings.Name, after))
+		}
+		if err := b.start(i.fleet.program); err != nil {
+			i.say("%s did not start: %v", b.settings.Name, err)
+		}
+	}
+}
+
 // server gives a server that still works, of a service of which another is
 // left.
 func (i *injector) server() *listed {
@@ -74,6 +96,7 @@
 // leave in its time is killed, as the platform does.
 func (i *injector) restartLater(b *member, most time.Duration) {
 	exited := b.gone()
+	b.awaitRestart()
 	i.undo = append(i.undo, func() {
 		select {
 		case <-exited:
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	started time.Time
+	pending bool        // its restart is under way
 	stopped []time.Time // when it was told to stop
 	hurt    []time.Time // when something unplanned happened to it
 }
@@ -177,6 +179,8 @@
 	defer b.mu.Unlock()
 	b.process = c
 	b.exited = exited
+	b.started = time.Now()
+	b.pending = false
 	return nil
 }
 
@@ -194,6 +198,28 @@
 	_ = b.process.Process.Signal(s)
 }
 
+// died tells whether the process ended by itself, and how long after its start
+// that is known.
+func (b *member) died() (bool, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pending {
+		return false, 0
+	}
+	select {
+	case <-b.exited:
+		return true, time.Since(b.started)
+	default:
+		return false, 0
+	}
+}
+
+func (b *member) awaitRestart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending = true
+}
+
 func (b *member) gone() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,6 +63,7 @@
 	i := newInjector(f, seed, planned)
 	time.Sleep(faultPause)
 	for range faultCount {
+		i.revive()
 		i.inject()
 		time.Sleep(time.Duration(i.r.Int64N(int64(2 * faultPause))))
 		if i.r.IntN(2) == 0 {
@@ -78,7 +79,9 @@
 		Planned: planned,
 		Folder:  folder,
 	}
+	i.revive()
 	r.recovers(f)
+	r.Broken = append(r.Broken, i.ends...)
 	all := c.stop()
 	r.Faults = i.done
 	r.judge(f, i, all)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,5 +19,6 @@
 		},
 		Entry("planned work", 3),
 		Entry("kills, links and stores", 7),
+		Entry("a reload met a starting box, which had no signal handlers yet and ended", 33),
 	)
 })
