--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -42,6 +42,7 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	started time.Time
+	ended   time.Time
 	pending bool        // its restart is under way
 	stopped []time.Time // when it was told to stop
 	hurt    []time.Time // when something unplanned happened to it
@@ -173,6 +174,9 @@
 	go func() {
 		// How a box ended is read from its log.
 		_ = c.Wait()
+		b.mu.Lock()
+		b.ended = time.Now()
+		b.mu.Unlock()
 		close(exited)
 	}()
 	b.mu.Lock()
@@ -198,8 +202,7 @@
 	_ = b.process.Process.Signal(s)
 }
 
-// died tells whether the process ended by itself, and how long after its start
-// that is known.
+// died tells whether the process ended by itself, and how long after its start.
 func (b *member) died() (bool, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -208,7 +211,7 @@
 	}
 	select {
 	case <-b.exited:
-		return true, time.Since(b.started)
+		return true, b.ended.Sub(b.started)
 	default:
 		return false, 0
 	}
