--- a/core/call.go
+++ b/core/call.go
@@ -49,23 +49,31 @@
 // what is known about its sends: a request has not run if no byte of it left or
 // if the endpoint said so; after anything else it may have run.
 type Call struct {
-	rules CallRules
-	allow func() bool // whether the retry budget has room for one more send
-	state CallState
-	sends int
-	ran   int // sends that ran or may have run
+	guards Guards
+	rules  CallRules
+	allow  func() bool // whether the retry budget has room for one more send
+	state  CallState
+	sends  int
+	ran    int // sends that ran or may have run
 }
 
 // NewCall builds a call. Allow is asked before each send after the first one
 // that reached an endpoint, and takes that send from the budget.
-func NewCall(rules CallRules, allow func() bool) *Call {
+func NewCall(rules CallRules, allow func() bool, options ...Option) *Call {
 	return &Call{
-		rules: rules,
-		allow: allow,
-		state: CallWaiting,
+		guards: newGuards(options),
+		rules:  rules,
+		allow:  allow,
+		state:  CallWaiting,
 	}
 }
 
+// Clone copies the call, for the checker.
+func (c *Call) Clone() *Call {
+	copied := *c
+	return &copied
+}
+
 // State gives the call's state.
 func (c *Call) State() CallState { return c.state }
 
@@ -80,7 +88,7 @@
 	if c.state == CallEnded {
 		return nil
 	}
-	if c.state == CallStreaming {
+	if c.state == CallStreaming && c.guards.on(GuardCallPart) {
 		return c.stepStream(ev)
 	}
 	switch e := ev.(type) {
@@ -156,7 +164,7 @@
 
 // broken takes a connection that ended before the answer did.
 func (c *Call) broken() []Command {
-	if c.rules.Repeatable && c.ran < c.rules.MaxEndpoints && c.sends < c.rules.MaxSends && c.allow() {
+	if c.mayRunAgain() && c.withinEndpoints() && c.sends < c.rules.MaxSends && c.allow() {
 		c.fire(callReturn)
 		return []Command{PlaceCall{}}
 	}
@@ -166,7 +174,7 @@
 // again places the call once more, or gives it up. A send that reached an
 // endpoint and was refused there counts against the budget.
 func (c *Call) again(reason Reason, arrived bool) []Command {
-	if c.rules.Repeatable || c.ran == 0 {
+	if c.mayRunAgain() || c.ran == 0 {
 		if c.sends < c.rules.MaxSends && (!arrived || c.allow()) {
 			c.fire(callReturn)
 			return []Command{PlaceCall{}}
@@ -175,9 +183,19 @@
 	return c.end(c.giveUp(reason))
 }
 
+// withinEndpoints tells whether another endpoint may run the call.
+func (c *Call) withinEndpoints() bool {
+	return c.ran < c.rules.MaxEndpoints || !c.guards.on(GuardCallOnce)
+}
+
+// mayRunAgain tells whether a call that may have run may be sent again.
+func (c *Call) mayRunAgain() bool {
+	return c.rules.Repeatable || !c.guards.on(GuardCallOnce)
+}
+
 func (c *Call) giveUp(reason Reason) Command {
 	outcome := NotRun
-	if c.ran > 0 {
+	if c.ran > 0 && c.guards.on(GuardCallOutcome) {
 		outcome = Unknown
 	}
 	return RefuseCall{
@@ -194,9 +212,10 @@
 	return []Command{command}
 }
 
-// fire moves the state; the callers above check what the state permits.
+// fire moves the state; the callers above check what the state permits. Only
+// with a guard off is there a move that it doesn't, and the state stays.
 func (c *Call) fire(trigger callTrigger) {
-	if err := callLifecycle.Fire(&c.state, trigger); err != nil {
+	if err := callLifecycle.Fire(&c.state, trigger); err != nil && len(c.guards.off) == 0 {
 		panic(err)
 	}
 }
--- a/core/guard.go
+++ b/core/guard.go
@@ -24,6 +24,9 @@
 	GuardDrain         Guard = "drain"          // a planned stop waits for streams
 	GuardFence         Guard = "fence"          // an older order is refused
 	GuardFenceWait     Guard = "fence-wait"     // a new owner waits before orders
+	GuardCallOnce      Guard = "call-once"      // what may have run is not sent again
+	GuardCallOutcome   Guard = "call-outcome"   // not-run only if no send may have run
+	GuardCallPart      Guard = "call-part"      // no other answer after a part of one
 )
 
 // Guards is the set of rules that are switched off, empty in production.
--- /dev/null
+++ b/model/call.go
@@ -0,0 +1,167 @@
+package model
+
+import (
+	"fmt"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// CallRules are the bounds of the specification of one caller's request.
+type CallRules struct {
+	Rules   core.CallRules
+	Budget  bool // whether the retry budget has room
+	Events  int  // of a stream
+	Faults  int
+	Options []core.Option
+}
+
+// callState is a call with what is true of its runs, which the call can't see.
+type callState struct {
+	rules     *CallRules
+	call      *core.Call
+	pending   core.Command // what the shell is to do next
+	runs      int          // that an endpoint began
+	delivered int          // events of the stream that the caller has
+	faults    int
+	broken    string
+}
+
+// Calls gives the first state of the specification of requests.
+func Calls(rules CallRules) State {
+	return &callState{
+		rules:   &rules,
+		call:    core.NewCall(rules.Rules, func() bool { return rules.Budget }, rules.Options...),
+		pending: core.PlaceCall{},
+		faults:  rules.Faults,
+	}
+}
+
+// Key writes what decides the later states.
+func (s *callState) Key() string {
+	return fmt.Sprintf("%T %s %d %t %d %d %d %s", s.pending, s.call.State(), s.call.Sends(), s.call.MayHaveRun(), s.runs, s.delivered, s.faults, s.broken)
+}
+
+func (s *callState) clone() *callState {
+	copied := *s
+	copied.call = s.call.Clone()
+	return &copied
+}
+
+// Next gives every step of callers, endpoints and links.
+func (s *callState) Next() []Transition {
+	if s.broken != "" {
+		return nil
+	}
+	return collect(s, s.steps)
+}
+
+type callAdder = func(label string, change func(*callState))
+
+func (s *callState) steps(add callAdder) {
+	if s.pending == nil {
+		return
+	}
+	s.step(add, "the caller leaves", 0, core.CallAbandoned{})
+	s.step(add, "its time ends", 0, core.CallExpired{})
+	switch s.pending.(type) {
+	case core.PlaceCall:
+		s.step(add, "an endpoint is chosen", 0, core.CallPlaced{})
+		s.step(add, "no endpoint is there", 0, core.CallUnplaced{})
+	case core.SendCall, core.ContinueCall:
+		s.sent(add)
+	default:
+		s.under(add)
+	}
+}
+
+// sent gives what can become of a request that goes out.
+func (s *callState) sent(add callAdder) {
+	run := 1
+	if _, goesOn := s.pending.(core.ContinueCall); goesOn {
+		run = 0
+	}
+	s.fault(add, "no byte left", 0, core.CallUnsent{})
+	s.fault(add, "the endpoint refuses it", 0, core.CallRefused{})
+	s.fault(add, "its connection breaks before it is read", 0, core.CallBroken{})
+	s.fault(add, "it runs and its answer is lost", run, core.CallBroken{})
+	s.fault(add, "it runs and its time ends", run, core.CallExpired{})
+	s.step(add, "it runs and is answered", run, core.CallAnswered{})
+	s.fault(add, "it runs and fails", run, core.CallAnswered{Failed: true})
+	if s.rules.Events > 0 {
+		add("it runs and its stream begins", func(n *callState) {
+			n.runs += run
+			n.event()
+		})
+	}
+}
+
+// under gives what can become of a stream under way.
+func (s *callState) under(add callAdder) {
+	if s.delivered < s.rules.Events {
+		add("an event comes", func(n *callState) { n.event() })
+	} else {
+		s.step(add, "the stream completes", 0, core.CallCompleted{})
+	}
+	s.fault(add, "the stream breaks, and a copy is there", 0, core.CallBroken{Copy: true})
+	s.fault(add, "the stream breaks", 0, core.CallBroken{})
+}
+
+func (s *callState) event() {
+	s.delivered++
+	s.call.Step(at(0), core.CallProgressed{})
+	s.pending = underWay{}
+}
+
+// underWay stands for the reading of a stream, which the shell goes on with.
+type underWay struct{ core.CommandBase }
+
+func (s *callState) fault(add callAdder, label string, runs int, ev core.Event) {
+	if s.faults == 0 {
+		return
+	}
+	add("fault: "+label, func(n *callState) {
+		n.faults--
+		n.apply(runs, ev)
+	})
+}
+
+func (s *callState) step(add callAdder, label string, runs int, ev core.Event) {
+	add(label, func(n *callState) { n.apply(runs, ev) })
+}
+
+func (s *callState) apply(runs int, ev core.Event) {
+	s.runs += runs
+	commands := s.call.Step(at(0), ev)
+	s.pending = nil
+	if len(commands) > 0 {
+		s.obey(commands[0])
+	}
+	if s.runs > 1 && !s.rules.Rules.Repeatable {
+		s.broken = "a request that may run once ran twice"
+	}
+}
+
+// obey takes a command, or checks the end that it gives the caller.
+func (s *callState) obey(command core.Command) {
+	switch c := command.(type) {
+	case core.PlaceCall, core.SendCall, core.ContinueCall:
+		s.pending = command
+		if _, again := command.(core.PlaceCall); again && s.delivered > 0 {
+			s.broken = "a stream of which the caller has a part is sent anew"
+		}
+	case core.RefuseCall:
+		if s.delivered > 0 {
+			s.broken = "a refusal was written into a stream"
+		}
+		if c.Outcome == core.NotRun && s.runs > 0 {
+			s.broken = "a request that ran was told not run"
+		}
+	case core.PassAnswer:
+		if s.delivered > 0 {
+			s.broken = "an answer was written into a stream"
+		}
+	}
+}
+
+// Broken checks what a request is promised.
+func (s *callState) Broken() (string, bool) { return s.broken, s.broken != "" }
--- a/model/proof.go
+++ b/model/proof.go
@@ -105,6 +105,7 @@
 			},
 		},
 	}
+	all = append(all, callChecks()...)
 	all = append(all, claimChecks()...)
 	all = append(all, leaseChecks()...)
 	return append(all, fenceChecks()...)
@@ -134,6 +135,36 @@
 	}
 }
 
+// callChecks are for requests on the operators' platform.
+func callChecks() []Check {
+	check := func(name string, repeatable bool, events int, guards ...core.Guard) Check {
+		return Check{
+			Name:     name,
+			Promises: []Promise{TokensOnce, WholeAnswer, NotRunMeansNotRun, AtMostOnce},
+			Guards:   guards,
+			States:   100000,
+			First: func(deep bool, options ...core.Option) State {
+				return Calls(CallRules{
+					Rules: core.CallRules{
+						Repeatable:   repeatable,
+						MaxEndpoints: pick(repeatable, 1, 2),
+						MaxSends:     3,
+					},
+					Budget:  true,
+					Events:  events,
+					Faults:  pick(deep, 3, 5),
+					Options: options,
+				})
+			},
+		}
+	}
+	return []Check{
+		check("calls that run once", false, 0, core.GuardCallOnce, core.GuardCallOutcome),
+		check("calls that may be repeated", true, 0, core.GuardCallOutcome),
+		check("streams on the platform", false, 3, core.GuardCallOnce, core.GuardCallOutcome, core.GuardCallPart),
+	}
+}
+
 func claimChecks() []Check {
 	guards := map[ClaimScenario][]core.Guard{
 		SameList:    {core.GuardClaimRecord, core.GuardClaimRestart, core.GuardClaimTakeover},
--- a/node/node.go
+++ b/node/node.go
@@ -80,6 +80,8 @@
 		n.parts[on] = core.NewGeneration(e.Repeatable, e.Rules, n.options...)
 	case trace.HoldBegun:
 		n.parts[on] = core.NewHold(strings.TrimPrefix(on, trace.Hold), e.Rules, n.options...)
+	case trace.CallBegun:
+		n.parts[on] = core.NewCall(e.Rules, func() bool { return e.Budget }, n.options...)
 	case trace.ModelBegun:
 		rules := admission.DefaultRules()
 		rules.ExpectTokens = e.ExpectTokens
--- a/node/replay_test.go
+++ b/node/replay_test.go
@@ -50,6 +50,9 @@
 		Entry("double-billed summary", "buscodigo/march-double-billed-summary.jsonl", core.GuardClaimRecord),
 		Entry("doubled write", "jordan/doubled-write.jsonl", core.GuardClaimFresh),
 		Entry("doubled fetch", "buscodigo/april-doubled-fetch.jsonl", core.GuardClaimRestart),
+		Entry("refusal into a stream", "platform/refusal-into-a-stream.jsonl", core.GuardCallPart),
+		Entry("answer lost on the platform", "platform/answer-lost.jsonl", core.GuardCallOnce),
+		Entry("answer lost, told not run", "platform/answer-lost.jsonl", core.GuardCallOutcome),
 		Entry("lost answer of a write", "jordan/lost-answer-of-write.jsonl", core.GuardBytesLeft),
 	)
 
--- a/trace/event.go
+++ b/trace/event.go
@@ -38,12 +38,31 @@
 	MaxWait      time.Duration
 }
 
+// CallBegun starts a request on the operators' platform in a trace; Budget says
+// whether the retry budget has room for it.
+type CallBegun struct {
+	core.EventBase
+	Rules  core.CallRules
+	Budget bool
+}
+
 // kinds are the events that a trace may hold, by name.
 var kinds = kindsOf(
 	HomeBegun{},
 	GenerationBegun{},
 	HoldBegun{},
 	ModelBegun{},
+	CallBegun{},
+	core.CallPlaced{},
+	core.CallUnplaced{},
+	core.CallUnsent{},
+	core.CallRefused{},
+	core.CallAnswered{},
+	core.CallBroken{},
+	core.CallProgressed{},
+	core.CallCompleted{},
+	core.CallExpired{},
+	core.CallAbandoned{},
 	core.VersionOffered{},
 	core.VersionHeard{},
 	core.Placed{},
