core, fleet, gateway: groups lend parts of the retry budget; restarts begin without slack

Seen on the way: a box that was killed and started again would have spent its share twice within one window. Change: a box that is short of what its streams on leaving engines will need asks a fellow, who counts what it lends as spent; a process that isn't the first begins without slack for a window; 0.85 of the budget is spent, not 0.75.

--- a/box/box.go
+++ b/box/box.go
@@ -33,7 +33,7 @@
 	settingsEvery = 2 * time.Second
 	// retrySafety is the part of the retry budget that boxes spend: their
 	// windows and their counts of each other don't agree to the last request.
-	retrySafety = 0.75
+	retrySafety = 0.85
 	// balancerTime is how long the balancer may still send new connections to
 	// a box that says it isn't ready: two questions, a second apart, and a bit.
 	balancerTime = 2500 * time.Millisecond
@@ -105,7 +105,9 @@
 			Safety: retrySafety,
 		},
 		MemoryBytes: s.MemoryBytes,
+		Fresh:       s.FirstStart,
 	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers), gateway.WithOnPlaced(b.tell))
+	b.peers.SetBudgets(b.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	b.reload("start")
--- a/core/budget.go
+++ b/core/budget.go
@@ -21,13 +21,22 @@
 	start    time.Time
 	requests window
 	spent    window
+	amnesia  bool // it may have spent before its process began
+	borrowed int
+	lentAt   time.Time // when the last of the borrowed came
 }
 
-// NewSharedBudget builds a budget.
-func NewSharedBudget(now time.Time, rules BudgetRules) *SharedBudget {
+// borrowedLife is how long borrowed sends may be used: the lender counts them
+// from when it gave them.
+const borrowedLife = time.Second
+
+// NewSharedBudget builds a budget. One that isn't new begins without slack: the
+// process before it on the same box may have spent it a moment ago.
+func NewSharedBudget(now time.Time, rules BudgetRules, fresh bool) *SharedBudget {
 	return &SharedBudget{
-		rules: rules,
-		start: now,
+		rules:   rules,
+		start:   now,
+		amnesia: !fresh,
 	}
 }
 
@@ -41,18 +50,57 @@
 	b.requests.add(b.slot(now))
 }
 
-// Allow takes one more send from the budget, if it has room. Boxes is how many
-// share the slack.
-func (b *SharedBudget) Allow(now time.Time, boxes int) bool {
+// Left gives how many more sends the box has itself. Boxes is how many share
+// the slack.
+func (b *SharedBudget) Left(now time.Time, boxes int) int {
 	requests := float64(b.requests.sum(b.slot(now)))
 	share := float64(b.rules.Slack) / float64(max(boxes, 1))
-	if float64(b.spent.sum(b.slot(now))+1) > b.rules.Safety*(b.rules.Ratio*requests+share) {
+	if b.amnesia && now.Sub(b.start) < b.rules.Window {
+		share = 0
+	}
+	return int(b.rules.Safety*(b.rules.Ratio*requests+share)) - b.spent.sum(b.slot(now))
+}
+
+// Allow takes one more send from the budget, if it has room.
+func (b *SharedBudget) Allow(now time.Time, boxes int) bool {
+	if b.borrowed > 0 && now.Sub(b.lentAt) < borrowedLife {
+		b.borrowed--
+		return true
+	}
+	b.borrowed = 0
+	if b.Left(now, boxes) < 1 {
 		return false
 	}
 	b.spent.add(b.slot(now))
 	return true
 }
 
+// Lend gives up to some sends to another box, and keeps some for itself.
+func (b *SharedBudget) Lend(now time.Time, boxes, sends, keep int) int {
+	given := max(0, min(sends, b.Left(now, boxes)-keep))
+	for range given {
+		b.spent.add(b.slot(now))
+	}
+	return given
+}
+
+// Borrow takes sends that another box gave.
+func (b *SharedBudget) Borrow(now time.Time, sends int) {
+	if now.Sub(b.lentAt) >= borrowedLife {
+		b.borrowed = 0
+	}
+	b.borrowed += sends
+	b.lentAt = now
+}
+
+// Has gives how many sends the box may make now, borrowed ones included.
+func (b *SharedBudget) Has(now time.Time, boxes int) int {
+	if now.Sub(b.lentAt) < borrowedLife {
+		return b.borrowed + b.Left(now, boxes)
+	}
+	return b.Left(now, boxes)
+}
+
 // window counts in slots of a sliding window; it holds one slot more than the
 // window, so that a count never falls out early.
 type window struct {
--- a/core/budget_test.go
+++ b/core/budget_test.go
@@ -19,7 +19,7 @@
 	}
 
 	It("gives a box its share of the slack, and more as requests come", func() {
-		b := core.NewSharedBudget(noon, rules)
+		b := core.NewSharedBudget(noon, rules, true)
 		spent := 0
 		for b.Allow(noon, 4) {
 			spent++
@@ -34,9 +34,26 @@
 		Expect(spent).To(Equal(15))
 	})
 
+	It("begins without slack in a process that was started again", func() {
+		b := core.NewSharedBudget(noon, rules, false)
+		Expect(b.Allow(noon, 1)).To(BeFalse())
+		Expect(b.Allow(noon.Add(rules.Window), 1)).To(BeTrue())
+	})
+
+	It("lends what it counts as spent, and borrows for a second", func() {
+		lender := core.NewSharedBudget(noon, rules, true)
+		borrower := core.NewSharedBudget(noon, rules, false)
+		Expect(lender.Lend(noon, 4, 4, 2)).To(Equal(3))
+		Expect(lender.Left(noon, 4)).To(Equal(2))
+		borrower.Borrow(noon, 3)
+		Expect(borrower.Allow(noon, 4)).To(BeTrue())
+		Expect(borrower.Has(noon, 4)).To(Equal(2))
+		Expect(borrower.Allow(noon.Add(2*time.Second), 4)).To(BeFalse())
+	})
+
 	It("keeps to the bound in every window, whatever the order", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			b := core.NewSharedBudget(noon, rules)
+			b := core.NewSharedBudget(noon, rules, true)
 			var requests, sends []time.Time
 			now := noon
 			for range rapid.IntRange(1, 200).Draw(t, "steps") {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -49,6 +49,7 @@
 	rotated   time.Time
 	alive     map[string]bool
 	reports   *Reports
+	budgets   Budgets
 	onPlaced  func(time.Time, Placement)
 	untold    []Placement
 	seen      []newsKey // the news that were handed on last
@@ -94,6 +95,7 @@
 	}
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(g), nil })
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
+	wire.Answer(p.handlers, p.lend)
 	wire.Take(p.handlers, p.heard)
 	wire.Take(p.handlers, p.newsCame)
 	p.pool = wire.NewPool(p.handlers)
@@ -119,6 +121,7 @@
 
 // Run greets other boxes until the context ends.
 func (p *Peers) Run(ctx context.Context) {
+	go p.runBorrowing(ctx)
 	for ctx.Err() == nil {
 		every := greetEvery
 		if p.belief.Away() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 type Rules struct {
 	Retry       core.BudgetRules
 	MemoryBytes int64 // of the box
+	Fresh       bool  // no process ran on the box before, which may have spent its budget
 }
 
 // Gateway carries requests between callers and endpoints.
@@ -138,7 +139,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = core.NewSharedBudget(now, g.rules.Retry)
+		b = core.NewSharedBudget(now, g.rules.Retry, g.rules.Fresh)
 		g.budgets[service] = b
 	}
 	action(b)
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -50,6 +50,7 @@
 			Safety: 1,
 		},
 		MemoryBytes: 64 << 20,
+		Fresh:       true,
 	}, gateway.WithMover(platform.NewEngines()))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
