--- a/core/call.go
+++ b/core/call.go
@@ -119,6 +119,7 @@
 // stepStream applies an event to a call of whose answer the caller has a part.
 // It goes on from a copy, completes, or is cut: there is no other answer.
 func (c *Call) stepStream(ev Event) []Command {
+	reason := ReasonBroken
 	switch e := ev.(type) {
 	case CallProgressed:
 		return nil
@@ -130,8 +131,17 @@
 		if e.Copy && c.allow() {
 			return []Command{ContinueCall{}}
 		}
+		if e.Copy {
+			reason = ReasonBudget
+		}
+	case CallUnsent:
+		reason = ReasonUnreachable
+	case CallRefused:
+		reason = ReasonRefused
+	case CallExpired:
+		reason = ReasonExpired
 	}
-	return c.end(CutAnswer{})
+	return c.end(CutAnswer{Reason: reason})
 }
 
 func (c *Call) placed() []Command {
--- a/core/call_event.go
+++ b/core/call_event.go
@@ -10,6 +10,7 @@
 	ReasonRefused     Reason = "endpoints refused"
 	ReasonBroken      Reason = "connection broke"
 	ReasonExpired     Reason = "time is over"
+	ReasonBudget      Reason = "retry budget spent"
 )
 
 // CallPlaced says that an endpoint was chosen and the send begins.
@@ -61,7 +62,10 @@
 type PassAnswer struct{ CommandBase }
 
 // CutAnswer ends a stream so that it can't look complete.
-type CutAnswer struct{ CommandBase }
+type CutAnswer struct {
+	CommandBase
+	Reason Reason
+}
 
 // CancelCall stops the run, because nobody waits for it.
 type CancelCall struct{ CommandBase }
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -102,32 +102,37 @@
 		play(c, core.CallPlaced{}, core.CallProgressed{})
 		return c
 	}
-	cut := []core.Command{core.CutAnswer{}}
+	cut := func(reason core.Reason) []core.Command {
+		return []core.Command{core.CutAnswer{Reason: reason}}
+	}
 
 	It("goes on at the endpoint with its copy", func() {
 		Expect(play(streaming(true), core.CallBroken{Copy: true})).To(Equal([]core.Command{core.ContinueCall{}}))
 	})
 
 	It("is cut without a copy or a budget", func() {
-		Expect(play(streaming(true), core.CallBroken{})).To(Equal(cut))
-		Expect(play(streaming(false), core.CallBroken{Copy: true})).To(Equal(cut))
+		Expect(play(streaming(true), core.CallBroken{})).To(Equal(cut(core.ReasonBroken)))
+		Expect(play(streaming(false), core.CallBroken{Copy: true})).To(Equal(cut(core.ReasonBudget)))
 	})
 
 	// A refusal's text written into a stream made it look complete: ORDER in
 	// hunt 6f21 (scale-2, seed 330461723771).
 	It("is cut, and never answered anew, when the copy's endpoint can't go on", func() {
-		for _, ev := range []core.Event{
-			core.CallUnsent{},
-			core.CallRefused{},
-			core.CallAnswered{},
-			core.CallAnswered{Failed: true},
-			core.CallBroken{},
-			core.CallExpired{},
-			core.CallUnplaced{},
+		for _, one := range []struct {
+			ev     core.Event
+			reason core.Reason
+		}{
+			{core.CallUnsent{}, core.ReasonUnreachable},
+			{core.CallRefused{}, core.ReasonRefused},
+			{core.CallAnswered{}, core.ReasonBroken},
+			{core.CallAnswered{Failed: true}, core.ReasonBroken},
+			{core.CallBroken{}, core.ReasonBroken},
+			{core.CallExpired{}, core.ReasonExpired},
+			{core.CallUnplaced{}, core.ReasonBroken},
 		} {
 			c := streaming(true)
 			play(c, core.CallBroken{Copy: true})
-			Expect(play(c, ev)).To(Equal(cut), "%T", ev)
+			Expect(play(c, one.ev)).To(Equal(cut(one.reason)), "%T", one.ev)
 		}
 	})
 })
--- a/fleet/lend.go
+++ b/fleet/lend.go
@@ -13,9 +13,9 @@
 
 const (
 	// lendEvery spaces a box's askings of the others of its group.
-	lendEvery = 200 * time.Millisecond
+	lendEvery = 100 * time.Millisecond
 	// lendAsk is how many sends a box asks for at once.
-	lendAsk = 3
+	lendAsk = 4
 )
 
 // Borrow asks a box of the group for a part of its retry budget.
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -210,7 +210,7 @@
 	case core.RefuseCall:
 		p.giveUp(c)
 	case core.CutAnswer:
-		p.ended("cut", http.StatusOK)
+		p.ended("cut", http.StatusOK, zap.String("why", string(c.Reason)))
 		panic(http.ErrAbortHandler)
 	case core.CancelCall:
 		p.ended("caller left", 0)
