fleet: hand lists on as differences, and many changes as announcements

Each greeting between boxes whose lists differed by a moment brought the whole list, news of hundreds of changes came from each of 14 partners, and every confirmation built the view anew. Change: a list is asked for only after 0.4 s behind, as what changed since; news of more than eight changes are announced and asked for once; shares of endpoints are kept; a confirmation copies the view's head.

--- a/box/box.go
+++ b/box/box.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -229,25 +228,11 @@
 	}
 }
 
-// shareOut tells the gateway which engines the group uses first. Plain services
-// are not divided: their calls are short and need no news of placements.
+// shareOut tells the gateway which engines the group uses first.
 func (b *Box) shareOut() {
-	v := b.belief.View()
-	if v.Table == nil {
-		return
-	}
-	group := b.peers.Group()
-	share := make(map[string]bool)
-	for _, s := range v.Table.Document().Services {
-		if s.Engine == nil {
-			for _, e := range v.Serving(s.Name) {
-				share[e.ID] = true
-			}
-			continue
-		}
-		maps.Copy(share, fleet.Share(group, v.Serving(s.Name)))
+	if share := b.peers.Share(b.belief.View()); share != nil {
+		b.gateway.SetShare(share)
 	}
-	b.gateway.SetShare(share)
 }
 
 // Reload asks for the settings file to be read anew.
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -83,6 +83,35 @@
 	confirm  time.Time
 	backAt   time.Time // when the store came back after an outage
 	away     bool
+
+	removed   []Removal // the last ones, for partial lists
+	since     uint64    // the list's last change when this box first had one
+	forgotten uint64    // removals up to this revision are not known any more
+}
+
+// removedMemory is how many removals a box remembers for partial lists; a fleet
+// of thousands of servers replaces some hundreds at once.
+const removedMemory = 4096
+
+// Since gives what changed after a revision, or tells that the whole list is
+// needed.
+func (b *Belief) Since(changed uint64) (updated []routing.Endpoint, removed []Removal, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if changed == 0 || changed < b.forgotten || changed < b.since {
+		return nil, nil, false
+	}
+	for _, e := range b.entries {
+		if e.Revision > changed {
+			updated = append(updated, e.Endpoint)
+		}
+	}
+	for _, r := range b.removed {
+		if r.Revision > changed {
+			removed = append(removed, r)
+		}
+	}
+	return updated, removed, true
 }
 
 type entry struct {
@@ -158,7 +187,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.takeDocument(from, v.Document)
-	if v.Changed > 0 && (!b.listed || v.Changed > b.changed) {
+	switch {
+	case v.Changed == 0 || (b.listed && v.Changed <= b.changed):
+	case v.Partial && b.listed:
+		b.takeChanges(now, from, News{
+			Updated: v.Endpoints,
+			Removed: v.Removed,
+		})
+		b.changed = v.Changed
+	case !v.Partial:
 		b.takeList(now, from, v.Changed, v.Endpoints)
 		b.changed = v.Changed
 	}
@@ -177,10 +214,13 @@
 	}
 	for id, e := range b.entries {
 		if !seen[id] {
-			b.remove(now, from, id, e)
+			b.remove(now, from, id, e, revision)
 			b.changed = max(b.changed, revision)
 		}
 	}
+	if !b.listed {
+		b.since = b.changed
+	}
 	b.listed = true
 }
 
@@ -231,7 +271,7 @@
 	}
 	for _, r := range n.Removed {
 		if e := b.entries[r.ID]; e != nil && e.Revision < r.Revision {
-			b.remove(now, from, r.ID, e)
+			b.remove(now, from, r.ID, e, r.Revision)
 		}
 	}
 }
@@ -242,7 +282,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.confirmBy(now, changed, age)
-	b.publish()
+	v := *b.view.Load()
+	v.Confirmed = b.confirm
+	b.view.Store(&v)
 }
 
 // confirmBy moves the time of the last confirmation, if this box believes no
@@ -269,7 +311,7 @@
 	changed := false
 	for id, e := range b.entries {
 		if e.missing && !b.away && now.Sub(b.backAt) >= returnGrace {
-			b.drop("outage", id, e)
+			b.drop("outage", id, e, b.changed)
 			changed = true
 		}
 	}
@@ -318,7 +360,7 @@
 
 // remove takes an entry that went. One that went with the store away has its
 // time to come back; any other is leaving for good.
-func (b *Belief) remove(now time.Time, from, id string, e *entry) {
+func (b *Belief) remove(now time.Time, from, id string, e *entry, revision uint64) {
 	if e.missing {
 		return
 	}
@@ -329,11 +371,19 @@
 		return
 	}
 	b.left[id] = now
-	b.drop(from, id, e)
+	b.drop(from, id, e, revision)
 }
 
-func (b *Belief) drop(from, id string, e *entry) {
+func (b *Belief) drop(from, id string, e *entry, revision uint64) {
 	delete(b.entries, id)
+	b.removed = append(b.removed, Removal{
+		ID:       id,
+		Revision: revision,
+	})
+	if len(b.removed) > removedMemory {
+		b.forgotten = b.removed[0].Revision
+		b.removed = b.removed[1:]
+	}
 	b.tell(EndpointGone, from, e.Endpoint)
 }
 
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -172,3 +172,58 @@
 		Expect(b.View().Confirmed).To(Equal(noon.Add(1500 * time.Millisecond)))
 	})
 })
+
+var _ = Describe("what changed since a revision", func() {
+	var b *fleet.Belief
+	BeforeEach(func() {
+		b = fleet.NewBelief()
+		b.ApplySnapshot(noon, snapshot(10, endpoint("a", 1, false), endpoint("b", 2, false)))
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 15,
+			Updated:  []routing.Endpoint{endpoint("c", 13, false)},
+			Removed: []fleet.Removal{{
+				ID:       "a",
+				Revision: 15,
+			}},
+		})
+	})
+
+	It("holds updates and removals by their own revisions", func() {
+		updated, removed, ok := b.Since(13)
+		Expect(ok).To(BeTrue())
+		Expect(updated).To(BeEmpty())
+		Expect(removed).To(Equal([]fleet.Removal{{
+			ID:       "a",
+			Revision: 15,
+		}}))
+	})
+
+	It("isn't known from before the box's own first list", func() {
+		_, _, ok := b.Since(1)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("brings a box that is behind to the same list", func() {
+		behind := fleet.NewBelief()
+		behind.ApplySnapshot(noon, snapshot(10, endpoint("a", 1, false), endpoint("b", 2, false)))
+		updated, removed, _ := b.Since(behind.View().Changed)
+		behind.ApplyViews(noon, "peer", fleet.Views{
+			Changed:   b.View().Changed,
+			Endpoints: updated,
+			Removed:   removed,
+			Partial:   true,
+		})
+		Expect(serving(behind)).To(Equal(serving(b)))
+		Expect(behind.View().Changed).To(Equal(b.View().Changed))
+	})
+
+	It("is no whole list for a box that has none", func() {
+		empty := fleet.NewBelief()
+		empty.ApplyViews(noon, "peer", fleet.Views{
+			Changed:   15,
+			Endpoints: []routing.Endpoint{endpoint("c", 13, false)},
+			Partial:   true,
+		})
+		Expect(empty.View().Listed).To(BeFalse())
+	})
+})
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -30,17 +30,24 @@
 // Kind names the message.
 func (Want) Kind() string { return "want" }
 
-// Views is a peer's newer configuration and list, or nothing of either.
+// Views is a peer's newer configuration and list, or nothing of either. The
+// list is given whole, or as what changed since the revision asked for.
 type Views struct {
 	Document  *routing.Document  `cbor:"1,keyasint,omitempty"`
 	Endpoints []routing.Endpoint `cbor:"2,keyasint,omitempty"`
 	Changed   uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
 	Age       time.Duration      `cbor:"4,keyasint"`
+	Partial   bool               `cbor:"5,keyasint,omitempty"` // only what changed
+	Removed   []Removal          `cbor:"6,keyasint,omitempty"` // with a partial list
 }
 
 // Kind names the message.
 func (Views) Kind() string { return "views" }
 
+// newsMost is how many changes one piece of news carries; each takes some
+// seventy bytes, and a box hears the news from each of its partners.
+const newsMost = 8
+
 // News is a change that a box learned from the store, as boxes hand it on.
 type News struct {
 	After   uint64             `cbor:"1,keyasint"` // the list's last change before it
@@ -48,7 +55,8 @@
 	Version uint64             `cbor:"3,keyasint,omitempty"` // of a newer configuration; it is asked for once
 	Updated []routing.Endpoint `cbor:"4,keyasint,omitempty"`
 	Removed []Removal          `cbor:"5,keyasint,omitempty"`
-	Age     time.Duration      `cbor:"6,keyasint"` // since the store told it
+	Age     time.Duration      `cbor:"6,keyasint"`           // since the store told it
+	Large   bool               `cbor:"7,keyasint,omitempty"` // the changes are left out; they are asked for once
 }
 
 // Kind names the message.
@@ -66,6 +74,17 @@
 	return at
 }
 
+// announcement gives the news as they are handed on: many changes are left out,
+// since every partner hears them from many others.
+func (n News) announcement() News {
+	if len(n.Updated)+len(n.Removed) > newsMost {
+		n.Updated = nil
+		n.Removed = nil
+		n.Large = true
+	}
+	return n
+}
+
 func (n News) empty() bool {
 	return n.Version == 0 && len(n.Updated) == 0 && len(n.Removed) == 0
 }
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -46,7 +46,7 @@
 // Spread hands news on to the partners at once.
 func (p *Peers) Spread(n News) {
 	if p.firstSeen(n) {
-		p.spread(n, nil)
+		p.spread(n.announcement(), nil)
 	}
 }
 
@@ -77,8 +77,11 @@
 	if n.Age < 0 {
 		n.Age = math.MaxInt64
 	}
-	p.belief.ApplyNews(time.Now(), "peer", n)
-	if n.Version > p.belief.View().Configuration() {
+	if !n.Large {
+		p.belief.ApplyNews(time.Now(), "peer", n)
+	}
+	v := p.belief.View()
+	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
 		go p.pull(c, n)
 		return
 	}
@@ -94,19 +97,23 @@
 	p.pulling.Lock()
 	defer p.pulling.Unlock()
 	v := p.belief.View()
-	if n.Version > v.Configuration() {
-		ctx, cancel := context.WithTimeout(context.Background(), greetTime)
-		defer cancel()
-		views, err := wire.Call[Views](ctx, c, Want{
+	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
+		want := Want{
 			Configuration: v.Configuration(),
 			Changed:       math.MaxUint64,
-		})
+		}
+		if n.Large {
+			want.Changed = v.Changed
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+		defer cancel()
+		views, err := wire.Call[Views](ctx, c, want)
 		if err != nil {
 			// The next partner's news or greeting brings it.
-			p.log.Info("newer configuration didn't come", zap.Uint64("version", n.Version), zap.Error(err))
+			p.log.Info("newer views didn't come after news", zap.Uint64("version", n.Version), zap.Error(err))
 			return
 		}
-		p.belief.ApplyDocument("peer", views.Document)
+		p.belief.ApplyViews(time.Now(), "peer", views)
 	}
 	if p.firstSeen(n) {
 		p.spread(n, c)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -24,6 +24,9 @@
 	greetLost  = 150 * time.Millisecond
 	// greetTime bounds one greeting or fetch.
 	greetTime = 800 * time.Millisecond
+	// listPatience is how long a list may be behind a partner's before it is asked
+	// for: news bring most changes within milliseconds.
+	listPatience = 400 * time.Millisecond
 	// strangerCount is how many boxes of other groups a box keeps connections
 	// to; by them news reach n boxes in about log n rounds.
 	strangerCount = 2
@@ -33,6 +36,7 @@
 
 // Peers exchanges views and the roster with other boxes.
 type Peers struct {
+	memo      shareMemo  // guarded by mu
 	pulling   sync.Mutex // one configuration is asked for at a time
 	mu        sync.Mutex
 	roster    *core.Roster
@@ -319,7 +323,8 @@
 func (p *Peers) fetch(ctx context.Context, address netip.AddrPort, g Greeting) {
 	v := p.belief.View()
 	p.belief.Confirm(time.Now(), g.Changed, g.Age)
-	if g.Configuration <= v.Configuration() && g.Changed <= v.Changed {
+	listLate := g.Changed > v.Changed && (!v.Listed || time.Since(v.Confirmed) > listPatience)
+	if g.Configuration <= v.Configuration() && !listLate {
 		return
 	}
 	views, err := wire.Request[Views](ctx, p.pool, address, Want{
@@ -339,12 +344,19 @@
 	if v.Configuration() > w.Configuration {
 		out.Document = v.Table.Document()
 	}
-	if v.Listed && v.Changed > w.Changed {
-		out.Changed = v.Changed
-		for _, e := range v.byID {
-			out.Endpoints = append(out.Endpoints, e)
-		}
-		slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
+	if !v.Listed || v.Changed <= w.Changed {
+		return out
+	}
+	out.Changed = v.Changed
+	if updated, removed, ok := p.belief.Since(w.Changed); ok {
+		out.Partial = true
+		out.Endpoints = updated
+		out.Removed = removed
+		return out
+	}
+	for _, e := range v.byID {
+		out.Endpoints = append(out.Endpoints, e)
 	}
+	slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -112,3 +113,29 @@
 		Consistently(func() uint64 { return all[0].Traffic() - before }).Should(BeNumerically("<", 200))
 	})
 })
+
+var _ = Describe("many changes at once", func() {
+	// Announcements without the changes counted as the changes themselves, so
+	// that lists went stale: sweep-30 refused a quarter of its requests.
+	It("are announced, and asked for by each box", func() {
+		all, beliefs := fleetOf(4)
+		for _, p := range all {
+			Eventually(p.Sharers).WithTimeout(20 * time.Second).Should(Equal(4))
+		}
+		for _, b := range beliefs {
+			b.ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
+		}
+		var many []routing.Endpoint
+		for i := range 40 {
+			many = append(many, endpoint(fmt.Sprintf("y%02d", i), uint64(20+i), false))
+		}
+		news, _ := beliefs[0].ApplyChanges(time.Now(), &fleet.Changes{
+			Revision: 60,
+			Updated:  many,
+		})
+		all[0].Spread(news)
+		for _, b := range beliefs {
+			Eventually(func() int { return len(serving(b)) }).WithTimeout(20 * time.Second).Should(Equal(41))
+		}
+	})
+})
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -76,12 +75,12 @@
 		return nil
 	}
 	self, group := r.peers.Self(), r.peers.Group()
+	share := r.peers.Share(v)
 	var mine []routing.Endpoint
 	for _, s := range v.Table.Document().Services {
 		if s.Engine == nil {
 			continue
 		}
-		share := Share(group, v.Serving(s.Name))
 		for _, e := range v.Serving(s.Name) {
 			if share[e.ID] && owns(self, group.Members, e.ID) {
 				mine = append(mine, e)
@@ -91,18 +90,6 @@
 	return mine
 }
 
-// Share gives the endpoints that a group uses first, by id.
-func Share(g core.Group, endpoints []routing.Endpoint) map[string]bool {
-	placed := make([]core.Site, 0, len(endpoints))
-	for _, e := range endpoints {
-		placed = append(placed, core.Site{
-			ID:   e.ID,
-			Zone: e.Zone,
-		})
-	}
-	return g.Share(placed)
-}
-
 // owns is rendezvous hashing.
 func owns(self string, others []string, key string) bool {
 	weight := xxhash.Sum64String(self + "/" + key)
