--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -197,6 +197,35 @@
 	})
 })
 
+var _ = Describe("bodies in chunks", func() {
+	// Each took the largest permitted size from the box's memory for bodies, so
+	// that a handful at once were refused.
+	It("take memory as they come, and many at once are served", func() {
+		b := newBench()
+		s := b.add("i-1", emulator.Plain)
+		s.WorkTime = 200 * time.Millisecond
+		const many = 40
+		statuses := make(chan int, many)
+		for n := range many {
+			go func() {
+				o := b.caller.Do(context.Background(), emulator.Call{
+					ID:       fmt.Sprintf("chunked-%d", n),
+					Method:   http.MethodPost,
+					Path:     emulator.CallPath,
+					Body:     "in chunks",
+					Deadline: 1500 * time.Millisecond,
+					Chunked:  true,
+				})
+				statuses <- o.Status
+			}()
+		}
+		for range many {
+			Expect(<-statuses).To(Equal(http.StatusOK))
+		}
+		Expect(s.Runs()[0].Body).To(Equal("in chunks"))
+	})
+})
+
 var _ = Describe("a repeatable call", func() {
 	It("is tried at a second endpoint after a failure, and not at a third", func() {
 		b := newBench()
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -19,6 +19,9 @@
 	// sendMost bounds the sends of one request, refused ones included: more
 	// would only add load where all endpoints are full.
 	sendMost = 3
+	// bodyPiece is how much of a body is read at a time; prompts and records are
+	// a few kilobytes.
+	bodyPiece = 32 << 10
 	// unknownTimeout is for routes without a time-out of their own.
 	unknownTimeout = time.Minute
 )
@@ -153,20 +156,10 @@
 		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
 		return false
 	}
-	p.reserved = length
-	if length < 0 {
-		p.reserved = most
-	}
-	if !p.gateway.reserve(p.reserved) {
-		p.reserved = 0
-		p.refuse(http.StatusServiceUnavailable, "no memory is left for bodies")
-		return false
-	}
 	_ = http.NewResponseController(p.writer).SetReadDeadline(p.limit)
-	body, err := io.ReadAll(http.MaxBytesReader(p.writer, p.request.Body, max(most, 1)))
+	err := p.takeBody(http.MaxBytesReader(p.writer, p.request.Body, max(most, 1)))
 	_ = http.NewResponseController(p.writer).SetReadDeadline(time.Time{})
 	if err == nil {
-		p.body = body
 		return true
 	}
 	p.gateway.buffered.Add(-p.reserved)
@@ -175,10 +168,33 @@
 		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
 		return false
 	}
+	if errors.Is(err, errNoMemory) {
+		p.refuse(http.StatusServiceUnavailable, "no memory is left for bodies")
+		return false
+	}
 	p.decided("caller's body broke off", zap.Error(err))
 	panic(http.ErrAbortHandler)
 }
 
+// errNoMemory reports that the box's memory for bodies is used up.
+var errNoMemory = errors.New("no memory is left for bodies")
+
+// takeBody reads the body piece by piece, and reserves memory for each before
+// it is read: a body in chunks doesn't say how long it gets.
+func (p *passage) takeBody(from io.Reader) error {
+	for {
+		if !p.gateway.reserve(bodyPiece) {
+			return errNoMemory
+		}
+		p.reserved += bodyPiece
+		piece, err := io.ReadAll(io.LimitReader(from, bodyPiece))
+		p.body = append(p.body, piece...)
+		if err != nil || len(piece) < bodyPiece {
+			return err
+		}
+	}
+}
+
 // carry steps the call until it has ended.
 func (p *passage) carry() {
 	var command core.Command = core.PlaceCall{}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -24,13 +24,6 @@
 	PromptTokens int
 	MaxTokens    int // the most to be generated
 	LengthHint   int // the caller's guess of the tokens to be generated; 0 without
-	Parts        []Part
-}
-
-// Part is one part of a prompt, shared between requests but for the last.
-type Part struct {
-	ID     string
-	Tokens int
 }
 
 // Outbound is what the system tells an endpoint.
