--- a/fleet/news.go
+++ b/fleet/news.go
@@ -27,7 +27,7 @@
 
 // Reader tells whether this box is among those that read the store for all.
 func (p *Peers) Reader() bool {
-	self, others := p.AliveNames()
+	self, others := p.aliveNames()
 	return rank(self, others) < readerCount
 }
 
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -36,9 +36,9 @@
 
 // Peers exchanges views and the roster with other boxes.
 type Peers struct {
-	memo      shareMemo  // guarded by mu
-	pulling   sync.Mutex // one configuration is asked for at a time
-	mu        sync.Mutex
+	pulling   sync.Mutex // one asks for newer views at a time
+	mu        sync.Mutex // guards all that follows
+	memo      shareMemo
 	roster    *core.Roster
 	belief    *Belief
 	seeds     []netip.AddrPort
@@ -168,8 +168,8 @@
 	return p.roster.Self().Box
 }
 
-// AliveNames gives the name of this box and those of the others that are there.
-func (p *Peers) AliveNames() (self string, others []string) {
+// aliveNames gives the name of this box and those of the others that are there.
+func (p *Peers) aliveNames() (self string, others []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.roster.Alive(time.Now()) {
@@ -214,6 +214,11 @@
 		}
 		choices = append(choices, m.Address)
 	}
+	for _, a := range p.fellows {
+		if !slices.Contains(fellows, a) {
+			p.release(a)
+		}
+	}
 	p.fellows = fellows
 	p.strangers = slices.DeleteFunc(p.strangers, func(a netip.AddrPort) bool { return slices.Contains(fellows, a) })
 	full := len(p.strangers) >= strangerCount
@@ -229,12 +234,18 @@
 	}
 	p.rotated = now
 	if full {
-		p.pool.Drop(p.strangers[0])
+		p.release(p.strangers[0])
 		p.strangers = p.strangers[1:]
 	}
 	p.strangers = append(p.strangers, choices[rand.N(len(choices))])
 }
 
+// release closes the connection to a box that is no partner any more. It may
+// wait for a dial that hangs, and must not hold the others up meanwhile.
+func (p *Peers) release(address netip.AddrPort) {
+	go p.pool.Drop(address)
+}
+
 // partners are all boxes to which this one keeps connections.
 func (p *Peers) partners() []netip.AddrPort {
 	return append(slices.Clone(p.fellows), p.strangers...)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -72,7 +72,6 @@
 	target routing.Endpoint
 	done   chan struct{}
 	copy   string // set before done is closed; empty when the move failed
-	stops  bool   // whether the run was told to stop
 }
 
 // enrol makes a stream known under the endpoint that runs it.
@@ -174,7 +173,6 @@
 	h := &handover{
 		target: target,
 		done:   make(chan struct{}),
-		stops:  true,
 	}
 	if !p.offer(h) {
 		return true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 		},
 		Entry("planned work", 3),
 		Entry("kills, links and stores", 7),
+		Entry("servers' faults that would show a request sent twice", 16),
 		Entry("a reload met a starting box, which had no signal handlers yet and ended", 33),
 	)
 })
