core: suspect boxes that don't answer, not those seldom heard of

Word of each of n members came round in 16 freshest entries a greeting, too seldom for the rhythm by which silence was judged. A pure simulation of greetings gave the same: at 300 boxes each knew 183 in the mean and 3,000 were lost a second, at 75 boxes 100 to 500. Groups and shares follow from the roster, so they changed up to 90 times a second, engines were asked by several boxes, and each box chose readers of its own.

Change: a box is suspected when it doesn't answer a greeting and was not heard of for 2.5 s; the suspicion travels as a change and is contradicted by fresher word. Changes are told first, all members in turn. One greeting in three goes to a box of another group, since word that the list still holds crossed the groups too slowly.

Changelog-fixed: large fleets held boxes for gone that were there

--- a/core/roster.go
+++ b/core/roster.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,51 +14,70 @@
 	Life    uint64         `cbor:"4,keyasint"` // drawn at the process's start
 	Silence time.Duration  `cbor:"5,keyasint"` // since it was last heard of, by whom tells
 	Leaving bool           `cbor:"6,keyasint,omitempty"`
+	Suspect bool           `cbor:"7,keyasint,omitempty"` // a box that greets it got no answer
 }
 
 // RosterRules bound what a roster keeps and tells.
 type RosterRules struct {
-	Suspicion SuspicionRules
-	Forget    time.Duration // silence after which a box is dropped
-	Share     time.Duration // how long a silent box still counts among those that share a budget
-	Sample    int           // the most members told in one message
+	Least    time.Duration // a box heard of within this is never suspect
+	Fresh    time.Duration // word of a suspect that is newer than this clears it
+	Unheard  time.Duration // silence after which a box isn't taken to be there
+	Forget   time.Duration // silence after which a box is dropped
+	Share    time.Duration // how long a silent box still counts among those that share a budget
+	Sample   int           // members told in one message
+	Changes  int           // the most told in one message because something changed
+	Turns    int           // the fewest told in turn
+	Tellings int           // how often a change is told
 }
 
-// DefaultRosterRules gives the rules that the boxes use. The share is above
-// any window of a budget, so that a box that is cut off never takes the others'
-// part; the sample keeps a message to about a kilobyte at any size of fleet.
+// DefaultRosterRules gives the rules that the boxes use. Least is some rounds of
+// greetings, so that a lost one suspects nobody; Fresh is half of it, so that word
+// from before a box fell silent doesn't clear it. Unheard is far above the time
+// in which word of every member comes round at some hundred boxes; it ends
+// those whom nobody greets any more. The share is above any window of a budget,
+// so that a box that is cut off never takes the others' part; the sample keeps
+// a message to about a kilobyte at any size of fleet. Changes are told often
+// enough that they reach a thousand boxes.
 func DefaultRosterRules() RosterRules {
 	return RosterRules{
-		Suspicion: DefaultSuspicionRules(),
-		Forget:    2 * time.Minute,
-		Share:     time.Minute,
-		Sample:    16,
+		Least:    2500 * time.Millisecond,
+		Fresh:    1250 * time.Millisecond,
+		Unheard:  40 * time.Second,
+		Forget:   2 * time.Minute,
+		Share:    time.Minute,
+		Sample:   16,
+		Changes:  48,
+		Turns:    4,
+		Tellings: 12,
 	}
 }
 
 // Roster knows the other boxes: from what they say themselves, and from what
 // others heard of them. Ages travel in place of times, since no two boxes'
-// clocks agree.
+// clocks agree. A box is taken to be there until one that greeted it got no
+// answer: word of far boxes comes round too seldom in a large fleet for silence
+// to say anything.
 type Roster struct {
-	rules     RosterRules
-	self      Peer
-	members   map[string]*rosterEntry
-	suspicion *Suspicion
-	met       bool // whether any box answered since the start
+	rules   RosterRules
+	self    Peer
+	members map[string]*rosterEntry
+	order   []string // the members' names, sorted
+	next    int      // whose turn it is to be told
+	met     bool     // whether any box answered since the start
 }
 
 type rosterEntry struct {
 	Peer
 	heard time.Time
+	told  int // how often since the last change
 }
 
 // NewRoster builds the roster of a box that knows nobody.
 func NewRoster(self Peer, rules RosterRules) *Roster {
 	return &Roster{
-		rules:     rules,
-		self:      self,
-		members:   make(map[string]*rosterEntry),
-		suspicion: NewSuspicion(rules.Suspicion),
+		rules:   rules,
+		self:    self,
+		members: make(map[string]*rosterEntry),
 	}
 }
 
@@ -73,6 +91,7 @@
 func (r *Roster) Meet(now time.Time, m Peer) {
 	r.met = true
 	m.Silence = 0
+	m.Suspect = false
 	r.take(now, m, true)
 }
 
@@ -83,62 +102,95 @@
 	}
 }
 
+// Unanswered suspects a box that didn't answer a greeting, unless it was heard
+// of lately, by this box or others.
+func (r *Roster) Unanswered(now time.Time, address netip.AddrPort) {
+	for _, e := range r.members {
+		if e.Address == address && !e.Suspect && now.Sub(e.heard) > r.rules.Least {
+			e.Suspect = true
+			e.told = 0
+		}
+	}
+}
+
 func (r *Roster) take(now time.Time, m Peer, direct bool) {
 	if m.Box == r.self.Box || m.Silence > r.rules.Forget || m.Silence < 0 {
 		return
 	}
 	heard := now.Add(-m.Silence)
 	known := r.members[m.Box]
-	if known != nil && !heard.After(known.heard) {
+	if known == nil {
+		r.add(m, heard)
+		return
+	}
+	if m.Suspect && known.Life == m.Life {
+		r.accuse(now, known, heard)
 		return
 	}
-	if known != nil && !direct && known.Life == m.Life {
-		// Leaving is for good within one life.
+	if !heard.After(known.heard) {
+		return
+	}
+	if !direct && known.Life == m.Life {
+		// Leaving is for good within one life, and old word of a suspect is
+		// from before it fell silent.
 		m.Leaving = m.Leaving || known.Leaving
+		m.Suspect = known.Suspect && m.Silence > r.rules.Fresh
+	}
+	if m.Leaving != known.Leaving || m.Suspect != known.Suspect || m.Life != known.Life {
+		known.told = 0
+	}
+	known.Peer = m
+	known.heard = heard
+}
+
+// accuse takes another's suspicion, or contradicts it by what is known here.
+func (r *Roster) accuse(now time.Time, known *rosterEntry, heard time.Time) {
+	if now.Sub(known.heard) <= r.rules.Least {
+		known.told = 0
+		return
+	}
+	if heard.After(known.heard) {
+		known.heard = heard
 	}
+	if !known.Suspect {
+		known.Suspect = true
+		known.told = 0
+	}
+}
+
+func (r *Roster) add(m Peer, heard time.Time) {
 	r.members[m.Box] = &rosterEntry{
 		Peer:  m,
 		heard: heard,
 	}
-	r.suspicion.Step(now, HeartbeatSeen{Box: m.Box})
+	at, _ := slices.BinarySearch(r.order, m.Box)
+	r.order = slices.Insert(r.order, at, m.Box)
 }
 
 // Tick drops boxes that have been silent for long.
 func (r *Roster) Tick(now time.Time) {
-	for box, e := range r.members {
-		if now.Sub(e.heard) > r.rules.Forget {
-			delete(r.members, box)
+	r.order = slices.DeleteFunc(r.order, func(box string) bool {
+		if now.Sub(r.members[box].heard) <= r.rules.Forget {
+			return false
 		}
-	}
-}
-
-// Sample gives what to tell another box: the members heard of last, the box
-// itself not among them.
-func (r *Roster) Sample(now time.Time) []Peer {
-	all := r.sorted(now)
-	slices.SortStableFunc(all, func(a, b Peer) int { return cmp.Compare(a.Silence, b.Silence) })
-	return all[:min(len(all), r.rules.Sample)]
+		delete(r.members, box)
+		return true
+	})
 }
 
 // Alive gives the boxes that are likely there, by name.
 func (r *Roster) Alive(now time.Time) []Peer {
-	suspected := r.suspicion.Own(now)
-	return slices.DeleteFunc(r.sorted(now), func(m Peer) bool {
-		return m.Leaving || slices.Contains(suspected, m.Box)
+	return slices.DeleteFunc(r.All(now), func(m Peer) bool {
+		return m.Leaving || m.Suspect || m.Silence > r.rules.Unheard
 	})
 }
 
 // All gives every box that is known, by name.
-func (r *Roster) All(now time.Time) []Peer { return r.sorted(now) }
-
-func (r *Roster) sorted(now time.Time) []Peer {
-	all := make([]Peer, 0, len(r.members))
-	for _, e := range r.members {
-		m := e.Peer
-		m.Silence = now.Sub(e.heard)
-		all = append(all, m)
+func (r *Roster) All(now time.Time) []Peer {
+	all := make([]Peer, 0, len(r.order))
+	for _, box := range r.order {
+		all = append(all, r.members[box].as(now))
 	}
-	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.Box, b.Box) })
 	return all
 }
 
@@ -157,3 +209,10 @@
 	}
 	return n
 }
+
+// as gives an entry as it is told at a time.
+func (e *rosterEntry) as(now time.Time) Peer {
+	m := e.Peer
+	m.Silence = now.Sub(e.heard)
+	return m
+}
--- a/core/roster_test.go
+++ b/core/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,14 +36,39 @@
 		Expect(r.Sharers(noon)).To(Equal(3))
 	})
 
-	It("suspects a silent box but still counts it among the sharers", func() {
+	It("suspects a silent box that doesn't answer, but still counts it among the sharers", func() {
 		r.Meet(noon, peer("a", 1, 0))
-		later := noon.Add(20 * time.Second)
+		soon := noon.Add(time.Second)
+		r.Unanswered(soon, netip.AddrPort{})
+		Expect(names(r.Alive(soon))).To(Equal([]string{"a"}))
+		later := noon.Add(3 * time.Second)
+		Expect(names(r.Alive(later))).To(Equal([]string{"a"}))
+		r.Unanswered(later, netip.AddrPort{})
 		Expect(r.Alive(later)).To(BeEmpty())
 		Expect(r.Sharers(later)).To(Equal(2))
 		Expect(r.Sharers(noon.Add(2 * time.Minute))).To(Equal(1))
 	})
 
+	It("holds a box for gone that nobody speaks of any more", func() {
+		r.Meet(noon, peer("a", 1, 0))
+		Expect(r.Alive(noon.Add(time.Minute))).To(BeEmpty())
+	})
+
+	It("takes another's suspicion unless it heard of the box lately itself", func() {
+		suspect := peer("a", 1, 3*time.Second)
+		suspect.Suspect = true
+		r.Meet(noon, peer("a", 1, 0))
+		r.Hear(noon.Add(time.Second), []core.Peer{suspect})
+		Expect(names(r.Alive(noon.Add(time.Second)))).To(Equal([]string{"a"}))
+		later := noon.Add(4 * time.Second)
+		r.Hear(later, []core.Peer{suspect})
+		Expect(r.Alive(later)).To(BeEmpty())
+		r.Hear(later, []core.Peer{peer("a", 1, 2*time.Second)}) // from before it fell silent
+		Expect(r.Alive(later)).To(BeEmpty())
+		r.Hear(later, []core.Peer{peer("a", 1, 100*time.Millisecond)})
+		Expect(names(r.Alive(later))).To(Equal([]string{"a"}))
+	})
+
 	It("takes the word that is newer by age, not by arrival", func() {
 		r.Meet(noon, peer("a", 2, 0))
 		r.Hear(noon.Add(time.Second), []core.Peer{peer("a", 1, 5*time.Second)})
@@ -61,13 +87,38 @@
 		Expect(names(r.Alive(noon.Add(2 * time.Second)))).To(Equal([]string{"a"}))
 	})
 
-	It("tells no more than a bounded sample, the freshest first", func() {
+	It("tells no more than a bounded sample: what changed first, and each member in turn", func() {
+		rules := core.DefaultRosterRules()
 		for i := range 300 {
-			r.Hear(noon, []core.Peer{peer(fmt.Sprintf("box-%03d", i), 1, time.Duration(i)*10*time.Millisecond)})
+			r.Hear(noon, []core.Peer{peer(fmt.Sprintf("box-%03d", i), 1, 0)})
+		}
+		told := make(map[string]int)
+		tell := func() []core.Peer {
+			sample := r.Sample(noon)
+			for _, p := range sample {
+				told[p.Box]++
+			}
+			return sample
+		}
+		for range 300 {
+			Expect(len(tell())).To(BeNumerically("<=", rules.Changes+rules.Turns))
+		}
+		Expect(tell()).To(HaveLen(rules.Sample))
+		Expect(told).To(HaveLen(300))
+		later := noon.Add(4 * time.Second)
+		suspect := peer("box-200", 1, 4*time.Second)
+		suspect.Suspect = true
+		r.Hear(later, []core.Peer{suspect})
+		for range rules.Tellings {
+			sample := r.Sample(later)
+			Expect(sample[0].Box).To(Equal("box-200"))
+			Expect(sample[0].Suspect).To(BeTrue())
+		}
+		clear(told)
+		for range 300/rules.Sample + 1 {
+			tell()
 		}
-		sample := r.Sample(noon)
-		Expect(sample).To(HaveLen(core.DefaultRosterRules().Sample))
-		Expect(sample[0].Box).To(Equal("box-000"))
+		Expect(told).To(HaveLen(300))
 	})
 
 	It("drops a box that was silent for long", func() {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -30,6 +30,10 @@
 	// strangerCount is how many boxes of other groups a box keeps connections
 	// to; by them news reach n boxes in about log n rounds.
 	strangerCount = 2
+	// strangerTurn is how many greetings there are to one that goes to them: word
+	// that the list still holds must cross from group to group well within the
+	// time in which a change must be in force.
+	strangerTurn = 3
 	// rotateEvery is how often one of them is replaced.
 	rotateEvery = 4 * time.Second
 )
@@ -192,12 +196,16 @@
 	p.roster.Tick(now)
 	p.notice(now)
 	p.rotate(now)
-	all := p.partners()
-	if len(all) == 0 {
+	n := p.turn
+	p.turn++
+	toStrangers := n / strangerTurn
+	if len(p.strangers) > 0 && (n%strangerTurn == 0 || len(p.fellows) == 0) {
+		return p.strangers[toStrangers%len(p.strangers)], true
+	}
+	if len(p.fellows) == 0 {
 		return netip.AddrPort{}, false
 	}
-	p.turn++
-	return all[p.turn%len(all)], true
+	return p.fellows[(n-toStrangers)%len(p.fellows)], true
 }
 
 // rotate keeps the partners up to date: the other boxes of the group, and a few
@@ -258,10 +266,11 @@
 	return p.group
 }
 
-// abandon replaces a partner that doesn't answer.
+// abandon replaces a partner that doesn't answer, and suspects its box.
 func (p *Peers) abandon(address netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.roster.Unanswered(time.Now(), address)
 	p.strangers = slices.DeleteFunc(p.strangers, func(a netip.AddrPort) bool { return a == address })
 }
 
