gateway: move runs until their engine is gone

Change: a move is asked for again while the engine is there; a target without room is passed over, a run that still waits or is being moved is asked for again 80 ms later. Test: three kinds of refusal, each failed before.

--- /dev/null
+++ b/gateway/evacuation.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// move copies the run while it goes on, stops it, copies the rest, and leaves
+// the copy's name for the stream's reader. A run with a sound backup stays
+// where it is to the last: its copy is there already. What fails is tried again
+// while the engine is there: the stream is lost otherwise.
+func (p *passage) move(source routing.Endpoint, until time.Time) {
+	engine := p.service.Engine
+	if engine == nil || !engine.Moves || p.backupServes() {
+		return
+	}
+	if !p.beginMove() {
+		return
+	}
+	defer p.endMove()
+	ctx, cancel := context.WithTimeout(p.request.Context(), moveTime)
+	defer cancel()
+	full := make(map[string]bool) // targets without room
+	for ctx.Err() == nil && p.runsAt(source) {
+		target, ok := p.moveTarget(source, full)
+		switch {
+		case ok:
+		case len(full) == 0:
+			p.note("no target to move to", zap.String("endpoint", source.ID))
+			return
+		default:
+			clear(full)
+			pause(ctx, moveAgain)
+			continue
+		}
+		err := p.moveTo(ctx, source, target, until)
+		var refusal *EngineError
+		switch {
+		case err == nil:
+			return
+		case !errors.As(err, &refusal):
+			p.note("engine of a move is gone", zap.String("endpoint", source.ID), zap.Error(err))
+			return
+		case refusal.Why == RunUnknown, refusal.Why == MoveUnderWay:
+			pause(ctx, moveAgain)
+		default:
+			full[target.ID] = true
+		}
+	}
+}
+
+// beginMove tells whether nobody moves the run yet: an engine that leaves is told
+// of more than once.
+func (p *passage) beginMove() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.moving {
+		return false
+	}
+	p.moving = true
+	return true
+}
+
+func (p *passage) endMove() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.moving = false
+}
+
+// runsAt tells whether the run is still at an engine.
+func (p *passage) runsAt(e routing.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.done && p.handover == nil && p.endpoint.ID == e.ID
+}
+
+func (p *passage) moveTarget(source routing.Endpoint, full map[string]bool) (routing.Endpoint, bool) {
+	exclude := map[string]bool{source.ID: true}
+	for id := range full {
+		exclude[id] = true
+	}
+	w := p.want(exclude)
+	w.Zone = source.Zone
+	w.Near = moveNear
+	return p.gateway.spread.Pick(time.Now(), p.gateway.view().Serving(p.service.Name), w)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// copyAlong copies while the run goes on, again and again, until a copy takes a
+// short time: then no other moves queue on the engine's link, and the last copy,
+// for which the run stops, is short too.
+func (p *passage) copyAlong(ctx context.Context, m Move, until time.Time) error {
+	for {
+		begun := time.Now()
+		if _, err := p.gateway.mover.Move(ctx, m); err != nil {
+			p.note("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
+			return err
+		}
+		if time.Since(begun) < shortCopy || time.Now().After(until) {
+			return nil
+		}
+	}
+}
+
+// moveTo moves the run to one target; an error says that it goes on where it is.
+func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint, until time.Time) error {
+	tokens := p.want(nil).Tokens
+	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
+	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
+	m := Move{
+		Request: p.in.ID,
+		Source:  source,
+		Target:  target,
+	}
+	begun := time.Now()
+	if err := p.copyAlong(ctx, m, until); err != nil {
+		return err
+	}
+	copied := time.Now()
+	h := &handover{
+		target: target,
+		done:   make(chan struct{}),
+	}
+	if !p.offer(h) {
+		return nil
+	}
+	defer close(h.done)
+	m.Last = true
+	moved, err := p.gateway.mover.Move(ctx, m)
+	h.copy = moved.Copy
+	if err != nil && moved.Copy != "" {
+		// The run stopped and its memory stayed: it goes on where it was.
+		h.target = source
+	}
+	p.note("moved",
+		zap.String("endpoint", source.ID),
+		zap.String("target", h.target.ID),
+		zap.Int("events", moved.Events),
+		zap.Duration("copying", copied.Sub(begun)),
+		zap.Duration("stopped", time.Since(copied)),
+		zap.Error(err),
+	)
+	return nil
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -25,8 +25,10 @@
 	// moveNear is what another zone adds for the target of a move: copies take
 	// twice as long there.
 	moveNear = 0.4
-	// moveTries bounds the targets that are tried for one run.
-	moveTries = 2
+	// moveAgain is the pause before a move is asked for again: for a run that
+	// still waits at its engine, or when no engine had room. Runs end at most
+	// engines some times a second.
+	moveAgain = 80 * time.Millisecond
 	// handoverTime is how long a stream that was stopped waits for its copy.
 	handoverTime = 1500 * time.Millisecond
 )
@@ -45,9 +47,20 @@
 	Events int    // that the run had made
 }
 
+// EngineRefusal says why an engine turned a move away.
+type EngineRefusal string
+
+// The refusals of moves.
+const (
+	RunUnknown   EngineRefusal = "no such run" // it has not begun, or it ended
+	MoveUnderWay EngineRefusal = "another move is under way"
+	NoRoom       EngineRefusal = "no room, or no way there"
+)
+
 // EngineError reports that an engine turned a call away.
 type EngineError struct {
 	Status int
+	Why    EngineRefusal // empty for others
 }
 
 // Error names the status and the remedy.
@@ -112,90 +125,6 @@
 	}
 }
 
-// move copies the run while it goes on, stops it, copies the rest, and leaves
-// the copy's name for the stream's reader. A run with a sound backup stays
-// where it is to the last: its copy is there already.
-func (p *passage) move(source routing.Endpoint, until time.Time) {
-	engine := p.service.Engine
-	if engine == nil || !engine.Moves || p.backupServes() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(p.request.Context(), moveTime)
-	defer cancel()
-	tried := map[string]bool{source.ID: true}
-	for range moveTries {
-		v := p.gateway.view()
-		w := p.want(tried)
-		w.Zone = source.Zone
-		w.Near = moveNear
-		target, ok := p.gateway.spread.Pick(time.Now(), v.Serving(p.service.Name), w)
-		if !ok {
-			p.note("no target to move to", zap.String("endpoint", source.ID))
-			return
-		}
-		tried[target.ID] = true
-		if p.moveTo(ctx, source, target, until) {
-			return
-		}
-	}
-}
-
-// copyAlong copies while the run goes on, again and again, until a copy takes a
-// short time: then no other moves queue on the engine's link, and the last copy,
-// for which the run stops, is short too.
-func (p *passage) copyAlong(ctx context.Context, m Move, until time.Time) bool {
-	for {
-		begun := time.Now()
-		if _, err := p.gateway.mover.Move(ctx, m); err != nil {
-			p.note("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
-			return false
-		}
-		if time.Since(begun) < shortCopy || time.Now().After(until) {
-			return true
-		}
-	}
-}
-
-func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint, until time.Time) bool {
-	tokens := p.want(nil).Tokens
-	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
-	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
-	m := Move{
-		Request: p.in.ID,
-		Source:  source,
-		Target:  target,
-	}
-	begun := time.Now()
-	if !p.copyAlong(ctx, m, until) {
-		return false
-	}
-	copied := time.Now()
-	h := &handover{
-		target: target,
-		done:   make(chan struct{}),
-	}
-	if !p.offer(h) {
-		return true
-	}
-	defer close(h.done)
-	m.Last = true
-	moved, err := p.gateway.mover.Move(ctx, m)
-	h.copy = moved.Copy
-	if err != nil && moved.Copy != "" {
-		// The run stopped and its memory stayed: it goes on where it was.
-		h.target = source
-	}
-	p.note("moved",
-		zap.String("endpoint", source.ID),
-		zap.String("target", h.target.ID),
-		zap.Int("events", moved.Events),
-		zap.Duration("copying", copied.Sub(begun)),
-		zap.Duration("stopped", time.Since(copied)),
-		zap.Error(err),
-	)
-	return true
-}
-
 // offer gives the stream's reader a handover to wait for; one that has ended
 // or has one already takes none.
 func (p *passage) offer(h *handover) bool {
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -58,8 +58,9 @@
 	placedAt  time.Time
 	resume    *handover // where the stream goes on
 
-	mu       sync.Mutex // guards what movers see: endpoint, backup, handover, done
+	mu       sync.Mutex // guards what movers see: endpoint, backup and what follows
 	handover *handover
+	moving   bool
 	done     bool
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -31,7 +31,9 @@
 	if !ok {
 		return core.CallUnplaced{}
 	}
+	p.mu.Lock()
 	p.endpoint = e
+	p.mu.Unlock()
 	p.tried[e.ID] = true
 	p.placedAt = now
 	p.chooseBackup(now)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -86,6 +86,34 @@
 		Expect(second.Runs()[0].Continued).NotTo(BeEmpty())
 	})
 
+	// On the grown deployments' scale days, moves gave up after two targets
+	// without room, or two askings for a run that still waited, while the engine
+	// had more than a second left.
+	DescribeTable("is moved though moves fail at first, as long as its engine is there",
+		func(statuses ...int) {
+			first := b.add("e-1", emulator.Model)
+			first.Events, first.EventGap = 60, eventGap
+			done := make(chan emulator.Outcome, 1)
+			go func() { done <- stream("g1") }()
+			Eventually(first.Runs).Should(HaveLen(1))
+			second, err := b.deployment.Add("e-2", emulator.Model)
+			Expect(err).NotTo(HaveOccurred())
+			second.Events, second.EventGap = 60, time.Millisecond
+			b.refresh()
+			first.FailMoves(statuses...)
+			b.deployment.List(first, emulator.Model, "draining")
+			b.refresh()
+			o := <-done
+			Expect(o.Fault).To(BeEmpty())
+			Expect(o.Whole).To(BeTrue())
+			Expect(o.Events).To(Equal(60))
+			Expect(second.Runs()).To(HaveLen(1))
+		},
+		Entry("for want of room", http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable),
+		Entry("for a run that still waits", http.StatusNotFound, http.StatusNotFound, http.StatusNotFound),
+		Entry("for another move under way", http.StatusConflict, http.StatusConflict),
+	)
+
 	It("is stopped at its engine when its caller leaves", func() {
 		s := b.add("e-1", emulator.Model)
 		s.Events, s.EventGap = 10_000, time.Millisecond
