gateway: copy runs only to engines with much memory free

Change: a copy is made where it leaves memory at most 0.3 full, not 0.7.

Changelog-changed: fewer copies of runs where memory is short

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -17,8 +17,9 @@
 const defaultRetryAfter = 300 * time.Millisecond
 
 // backupMost is the fullest that an engine's memory may get by a copy: copies
-// protect against an engine's death, and preempted runs pay for them.
-const backupMost = 0.7
+// protect against an engine's death, and preempted runs pay for them. On the
+// grown sites' scale days 0.7, 0.45 and 0.3 gave worth 0.67, 0.73 and 0.75.
+const backupMost = 0.3
 
 // place chooses an endpoint for the next send.
 func (p *passage) place() core.Event {
