admission: count the memory of other boxes' placements

Cause: an engine's report is half a second to a second old; until it tells, a box counted only what it sent itself, one part in 9 to 24 of its group.

Change: placements that other boxes tell take memory too until a report. Test: fails without it.

--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -53,6 +53,15 @@
 	return l.queue
 }
 
+// PlacedElsewhere counts a prompt that another box sent to an engine: it will
+// take memory before a report tells.
+func (s *Spread) PlacedElsewhere(now time.Time, id string, prompt int) {
+	s.Placed(now, id, prompt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(now, id).add(now, prompt+int(s.output))
+}
+
 // Started takes how long an engine took to read what waited, with a prompt of
 // this box as the last.
 func (s *Spread) Started(queue float64, took time.Duration) {
--- a/admission/spread_test.go
+++ b/admission/spread_test.go
@@ -65,6 +65,28 @@
 		Expect(pick(engines(2), want)).To(Equal("e1"))
 	})
 
+	It("counts memory that prompts of other boxes will take, until a report tells", func() {
+		w := want
+		w.Most = 0.5
+		for _, id := range []string{"e0", "e1"} {
+			s.Memory(now, routing.Report{
+				Endpoint: id,
+				Total:    10_000,
+			})
+		}
+		for range 5 {
+			s.PlacedElsewhere(now, "e0", 1000)
+		}
+		Expect(pick(engines(1), w)).To(BeEmpty())
+		Expect(pick(engines(2), w)).To(Equal("e1"))
+		s.Memory(now.Add(time.Second), routing.Report{
+			Endpoint: "e0",
+			Used:     0,
+			Total:    10_000,
+		})
+		Expect(pick(engines(1), w)).To(Equal("e0"))
+	})
+
 	It("refuses copies where they would take too much", func() {
 		w := want
 		w.Most = 0.5
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 
 // Placed takes a prompt that another box sent to an engine.
 func (g *Gateway) Placed(now time.Time, endpoint string, prompt int) {
-	g.spread.Placed(now, endpoint, prompt)
+	g.spread.PlacedElsewhere(now, endpoint, prompt)
 }
 
 // budget runs an action on a service's part of the retry budget.
