core: size a group by its engines

Cause: on the grown sites, groups of 9 to 13 boxes had six to eight engines of their own. The operator takes seven or eight away at once, and other groups' engines are taken at a cost and blindly: their placements aren't told.

Change: a group has 12 boxes where these have 16 engines, else 24 or 48, of one zone as before. A box's placements are as many as its engines' prompts, so larger groups with the same engines cost no more messages; at 470 boxes with 5,300 engines nothing changes.

Changelog-changed: boxes with few engines work in larger groups

--- a/core/group.go
+++ b/core/group.go
@@ -9,10 +9,18 @@
 )
 
 const (
-	// groupSize is about how many boxes work as one: small enough that each can
-	// tell all others what it places, and large enough that their uneven shares
-	// of the callers even out.
-	groupSize = 12
+	// groupLeast is about how many boxes work as one where each has engines of
+	// its own: small enough that each can tell all others what it places, and
+	// large enough that their uneven shares of the callers even out.
+	groupLeast = 12
+	// groupMost bounds the connections between the boxes of a group.
+	groupMost = 48
+	// groupEngines is how many engines a group should have: of six or eight, an
+	// operator who takes several away at once can leave one group with none
+	// while others have all theirs. Each engine takes about as many prompts at
+	// any size of fleet, so that a box hears no more placements in a larger
+	// group with the same engines.
+	groupEngines = 16
 	// wholeFleet is the size up to which all boxes are one group, whatever their
 	// zones.
 	wholeFleet = 24
@@ -34,14 +42,26 @@
 	Zone string
 }
 
-// GroupOf gives the group of a box among those that are there.
-func GroupOf(self Peer, others []Peer) Group {
+// GroupSize gives about how many boxes work as one in a fleet with some engines.
+// It goes in steps, so that groups stay as they are while engines come and go.
+func GroupSize(boxes, engines int) int {
+	size := groupLeast
+	for size < groupMost && engines > 0 && size*engines < groupEngines*boxes {
+		size *= 2
+	}
+	return size
+}
+
+// GroupOf gives the group of a box among those that are there; engines are those
+// of all zones.
+func GroupOf(self Peer, others []Peer, engines int) Group {
 	all := append([]Peer{self}, others...)
 	g := Group{count: 1}
 	if len(all) > wholeFleet {
+		size := GroupSize(len(all), engines)
 		g.zone = self.Zone
 		all = slices.DeleteFunc(all, func(p Peer) bool { return p.Zone != self.Zone })
-		g.count = max(1, int(math.Round(float64(len(all))/groupSize)))
+		g.count = max(1, int(math.Round(float64(len(all))/float64(size))))
 	}
 	names := make([]string, 0, len(all))
 	for _, p := range all {
--- a/core/group_test.go
+++ b/core/group_test.go
@@ -34,13 +34,13 @@
 		}
 		return all
 	}
-	groupOf := func(all []core.Peer, i int) core.Group {
+	groupOf := func(all []core.Peer, i, engines int) core.Group {
 		others := append([]core.Peer(nil), all[:i]...)
-		return core.GroupOf(all[i], append(others, all[i+1:]...))
+		return core.GroupOf(all[i], append(others, all[i+1:]...), engines)
 	}
 
 	It("is one for a small fleet, with all endpoints", func() {
-		g := groupOf(fleet(3, 3), 4)
+		g := groupOf(fleet(3, 3), 4, 9)
 		Expect(g.Members).To(HaveLen(8))
 		Expect(g.Share(endpoints(3, 3))).To(HaveLen(9))
 	})
@@ -50,7 +50,7 @@
 			all := fleet(perZone, 3)
 			used := make(map[string]int)
 			for i := range all {
-				g := groupOf(all, i)
+				g := groupOf(all, i, 900)
 				Expect(len(g.Members)).To(BeNumerically("<=", 17))
 				for id := range g.Share(endpoints(15, 3)) {
 					used[id]++
@@ -60,13 +60,24 @@
 		}
 	})
 
+	It("are larger where boxes have few engines, in steps and bounded", func() {
+		Expect(core.GroupSize(470, 5300)).To(Equal(12))
+		Expect(core.GroupSize(78, 45)).To(Equal(48))
+		Expect(core.GroupSize(78, 38)).To(Equal(48))
+		Expect(core.GroupSize(300, 20)).To(Equal(48))
+		Expect(core.GroupSize(300, 0)).To(Equal(12))
+		g := groupOf(fleet(26, 3), 30, 45)
+		Expect(g.Members).To(HaveLen(25))
+		Expect(g.Share(endpoints(15, 3))).To(HaveLen(15))
+	})
+
 	It("agree with each other", func() {
 		all := fleet(26, 3)
-		g := groupOf(all, 7)
+		g := groupOf(all, 7, 45)
 		for i, p := range all {
 			for _, name := range g.Members {
 				if p.Box == name {
-					Expect(groupOf(all, i).Members).To(ContainElement(all[7].Box))
+					Expect(groupOf(all, i, 45).Members).To(ContainElement(all[7].Box))
 				}
 			}
 		}
--- a/core/roster_fleet_test.go
+++ b/core/roster_fleet_test.go
@@ -79,7 +79,7 @@
 		}
 	}
 	partners := []int{b.visitor}
-	for _, name := range core.GroupOf(b.self, alive).Members {
+	for _, name := range core.GroupOf(b.self, alive, 10*len(f.boxes)).Members {
 		partners = append(partners, f.index[name])
 	}
 	b.turn++
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -40,6 +40,20 @@
 	return e, ok
 }
 
+// Engines counts the model engines that may get new requests.
+func (v *View) Engines() int {
+	if v.Table == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range v.Table.Document().Services {
+		if s.Engine != nil {
+			n += len(v.Serving(s.Name))
+		}
+	}
+	return n
+}
+
 // Configuration gives the version in force, or 0.
 func (v *View) Configuration() uint64 {
 	if v.Table == nil {
