gateway: borrow a second send when a stream needs it

A box's own part is three sends at 73 boxes, each kept three for itself, so none ever lent.

Tried first: each keeps one, with boxes that are short asking others for four ten times a second as before, and a stream asking at once. What was lent ahead of need and not used was lost to both.

Change: nothing is lent ahead; a stream whose budget is spent asks boxes of its group one after the other for one send, for 120 ms at most. Tests: the stream goes on with one lent and ends without, boxes lend one.

--- a/box/box.go
+++ b/box/box.go
@@ -105,7 +105,13 @@
 		},
 		MemoryBytes: s.MemoryBytes,
 		Fresh:       s.FirstStart,
-	}, gateway.WithLog(log.Named("gateway")), gateway.WithMover(engines), gateway.WithBoxes(b.peers.Sharers), gateway.WithOnPlaced(b.tell))
+	},
+		gateway.WithLog(log.Named("gateway")),
+		gateway.WithMover(engines),
+		gateway.WithBoxes(b.peers.Sharers),
+		gateway.WithOnPlaced(b.tell),
+		gateway.WithBorrow(b.peers.BorrowNow),
+	)
 	b.peers.SetBudgets(b.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
--- a/fleet/lend.go
+++ b/fleet/lend.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// lendEvery spaces a box's askings of the others of its group.
-	lendEvery = 100 * time.Millisecond
-	// lendAsk is how many sends a box asks for at once.
-	lendAsk = 4
+	// lendAsk is how many sends a box asks for: the one that it needs now. What
+	// is lent and not used is lost to both.
+	lendAsk = 1
+	// borrowTries bounds the boxes that are asked for it.
+	borrowTries = 4
 )
 
 // Borrow asks a box of the group for a part of its retry budget.
@@ -37,8 +38,6 @@
 
 // Budgets are a box's parts of the retry budgets, as others borrow from them.
 type Budgets interface {
-	// Short names the services of which the box is short of second sends.
-	Short(now time.Time) []string
 	// Lend gives up to some sends of a service, counted as spent here.
 	Lend(now time.Time, service string, sends int) int
 	// Borrowed takes sends that another box gave.
@@ -67,20 +66,6 @@
 	return Lent{Sends: b.Lend(time.Now(), q.Service, min(q.Sends, lendAsk))}, nil
 }
 
-// runBorrowing asks others while the box is short.
-func (p *Peers) runBorrowing(ctx context.Context) {
-	for ctx.Err() == nil {
-		if b := p.lender(); b != nil {
-			for _, service := range b.Short(time.Now()) {
-				if address, ok := p.anyFellow(); ok {
-					go p.borrow(ctx, b, address, service)
-				}
-			}
-		}
-		sleep(ctx, lendEvery)
-	}
-}
-
 func (p *Peers) anyFellow() (netip.AddrPort, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,7 +75,23 @@
 	return p.fellows[rand.N(len(p.fellows))], true
 }
 
-func (p *Peers) borrow(ctx context.Context, b Budgets, from netip.AddrPort, service string) {
+// BorrowNow asks boxes of the group one after the other, until one gives a part
+// of its budget or the context ends.
+func (p *Peers) BorrowNow(ctx context.Context, service string) {
+	b := p.lender()
+	if b == nil {
+		return
+	}
+	for range borrowTries {
+		address, ok := p.anyFellow()
+		if !ok || ctx.Err() != nil || p.borrow(ctx, b, address, service) {
+			return
+		}
+	}
+}
+
+// borrow asks one box, and tells whether it gave something.
+func (p *Peers) borrow(ctx context.Context, b Budgets, from netip.AddrPort, service string) bool {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
 	lent, err := wire.Request[Lent](ctx, p.pool, from, Borrow{
@@ -99,9 +100,11 @@
 	})
 	if err != nil {
 		p.log.Debug("no part of a budget came", zap.Stringer("address", from), zap.Error(err))
-		return
+		return false
 	}
-	if lent.Sends > 0 {
-		b.Borrowed(time.Now(), service, min(lent.Sends, lendAsk))
+	if lent.Sends <= 0 {
+		return false
 	}
+	b.Borrowed(time.Now(), service, min(lent.Sends, lendAsk))
+	return true
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -129,7 +129,6 @@
 
 // Run greets other boxes until the context ends.
 func (p *Peers) Run(ctx context.Context) {
-	go p.runBorrowing(ctx)
 	for ctx.Err() == nil {
 		every := greetEvery
 		if p.belief.Away() {
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -37,6 +38,34 @@
 	return all, beliefs
 }
 
+// purse is a box's part of a budget, counted in sends.
+type purse struct {
+	mu    sync.Mutex
+	sends int
+}
+
+func (p *purse) Lend(_ time.Time, _ string, sends int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	given := min(sends, p.sends)
+	p.sends -= given
+	return given
+}
+
+func (p *purse) Borrowed(_ time.Time, _ string, sends int) { p.set(p.has() + sends) }
+
+func (p *purse) has() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sends
+}
+
+func (p *purse) set(sends int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sends = sends
+}
+
 var _ = Describe("peers", func() {
 	const patience = 20 * time.Second
 
@@ -74,6 +103,24 @@
 		Expect(p.Sharers()).To(BeNumerically(">", 1_000_000))
 	})
 
+	It("lend a part of a budget to one that needs it now", func() {
+		all, _ := fleetOf(3)
+		purses := make([]*purse, len(all))
+		for i, p := range all {
+			purses[i] = &purse{}
+			p.SetBudgets(purses[i])
+		}
+		for _, p := range all {
+			Eventually(func() []string { return p.Group().Members }).WithTimeout(patience).Should(HaveLen(2))
+		}
+		purses[2].set(3)
+		Eventually(func() int {
+			all[0].BorrowNow(context.Background(), "model")
+			return purses[0].has()
+		}).WithTimeout(patience).Should(Equal(1))
+		Expect(purses[2].has()).To(Equal(2))
+	})
+
 	It("agree on a few readers among many, and replace one that leaves", func() {
 		all, _ := fleetOf(9)
 		for _, p := range all {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -31,6 +32,7 @@
 	protocol Protocol
 	mover    Mover
 	onPlaced func(endpoint string, prompt int)
+	borrow   func(ctx context.Context, service string)
 	view     func() *fleet.View
 	boxes    func() int
 	spread   *admission.Spread
@@ -63,6 +65,12 @@
 	return func(g *Gateway) { g.mover = m }
 }
 
+// WithBorrow asks other boxes for sends when a stream needs one and this box's
+// part of the budget is spent; what they give comes by Borrowed.
+func WithBorrow(borrow func(ctx context.Context, service string)) Option {
+	return func(g *Gateway) { g.borrow = borrow }
+}
+
 // WithOnPlaced is called with each prompt that is sent to an engine.
 func WithOnPlaced(onPlaced func(endpoint string, prompt int)) Option {
 	return func(g *Gateway) { g.onPlaced = onPlaced }
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -30,7 +30,10 @@
 	store      *platform.Store
 }
 
-func newBench() *bench {
+func newBench() *bench { return newBenchWith(true) }
+
+// newBenchWith builds one; a box that isn't fresh has no slack at first.
+func newBenchWith(fresh bool, options ...gateway.Option) *bench {
 	d, err := emulator.NewDeployment()
 	Expect(err).NotTo(HaveOccurred())
 	b := &bench{
@@ -50,8 +53,8 @@
 			Safety: 1,
 		},
 		MemoryBytes: 64 << 20,
-		Fresh:       true,
-	}, gateway.WithMover(platform.NewEngines()))
+		Fresh:       fresh,
+	}, append(options, gateway.WithMover(platform.NewEngines()))...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: b.gateway}
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -1,35 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
 )
 
 const (
-	// shortLeast is how many second sends a box wants to have at hand beside
-	// those for the streams that it must move soon.
-	shortLeast = 2
-	// lendKeep is what a box keeps for itself when another one asks.
-	lendKeep = 3
+	// lendKeep is what a box keeps for itself when another one asks. In a large
+	// fleet a box's own part is three or four sends; one that kept three of them
+	// would never lend any.
+	lendKeep = 1
+	// borrowTime bounds how long a stream that broke waits for a send from
+	// another box's part; a box answers in a few milliseconds.
+	borrowTime = 120 * time.Millisecond
 )
 
-// Short names the services of which this box has fewer second sends left than
-// it may soon need: one for each stream whose engine leaves.
-func (g *Gateway) Short(now time.Time) []string {
-	needs := g.leavingStreams()
-	boxes := g.boxes()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var short []string
-	for service, b := range g.budgets {
-		if b.Has(now, boxes) < shortLeast+needs[service] {
-			short = append(short, service)
-		}
-	}
-	return short
-}
-
 // leavingStreams counts the streams whose engine leaves or is gone, by service.
 func (g *Gateway) leavingStreams() map[string]int {
 	v := g.view()
@@ -47,6 +34,21 @@
 	return needs
 }
 
+// mayContinue tells whether a stream that broke may be sent again; it asks
+// another box for a part of its budget if this one's is spent. A stream is worth
+// the wait, a short call is not.
+func (g *Gateway) mayContinue(ctx context.Context, service string) bool {
+	has := 0
+	boxes := g.boxes()
+	g.budget(service, time.Now(), func(b *core.SharedBudget) { has = b.Has(time.Now(), boxes) })
+	if has < 1 && g.borrow != nil {
+		ctx, cancel := context.WithTimeout(ctx, borrowTime)
+		defer cancel()
+		g.borrow(ctx, service)
+	}
+	return g.mayRepeat(service)
+}
+
 // Lend gives a part of this box's budget to another one.
 func (g *Gateway) Lend(now time.Time, service string, sends int) int {
 	keep := lendKeep + g.leavingStreams()[service]
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -81,11 +81,19 @@
 		Repeatable:   p.route.Kind == routing.Repeatable,
 		MaxEndpoints: max(p.route.MaxEndpoints, 1),
 		MaxSends:     sendMost,
-	}, func() bool { return p.gateway.mayRepeat(name) })
+	}, func() bool { return p.mayRepeat(name) })
 	defer p.finish()
 	p.carry()
 }
 
+// mayRepeat takes one more send from the budget.
+func (p *passage) mayRepeat(service string) bool {
+	if p.begun && p.route.Kind == routing.Streaming {
+		return p.gateway.mayContinue(p.request.Context(), service)
+	}
+	return p.gateway.mayRepeat(service)
+}
+
 // finish tells movers that the stream has ended.
 func (p *passage) finish() {
 	p.mu.Lock()
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
@@ -57,6 +58,35 @@
 		Expect(o.Events).To(BeNumerically(">=", 3))
 	})
 
+	// On the grown deployments, 16 of 65 streams cut on a scale day had their copy
+	// ready, and the fleet's budget was mostly unused.
+	DescribeTable("that needs a send when this box's budget is spent",
+		func(lent int) {
+			b = newBenchWith(false, gateway.WithBorrow(func(_ context.Context, service string) {
+				if lent > 0 {
+					b.gateway.Borrowed(time.Now(), service, lent)
+				}
+			}))
+			first := b.add("e-1", emulator.Model)
+			first.Events, first.EventGap = 12, eventGap
+			done := make(chan emulator.Outcome, 1)
+			go func() { done <- stream("h1") }()
+			Eventually(first.Runs).Should(HaveLen(1))
+			second, err := b.deployment.Add("e-2", emulator.Model)
+			Expect(err).NotTo(HaveOccurred())
+			second.Events = 12
+			b.refresh()
+			b.deployment.List(first, emulator.Model, "draining")
+			b.refresh()
+			o := <-done
+			Expect(o.Fault).To(BeEmpty())
+			Expect(o.Whole).To(Equal(lent > 0))
+			Expect(second.Runs()).To(HaveLen(min(lent, 1)))
+		},
+		Entry("goes on with one that another box gave", 1),
+		Entry("ends when no box gives one", 0),
+	)
+
 	It("isn't complete when its engine breaks off and nothing holds a copy", func() {
 		s := b.add("e-1", emulator.Model)
 		s.SetFault(emulator.Cut, 1)
