--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -120,7 +120,6 @@
 	tokens := p.want(nil).Tokens
 	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
 	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
-	p.tellCopy(target.ID, tokens)
 	m := Move{
 		Request: p.in.ID,
 		Source:  source,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,7 +67,11 @@
 	if backup != "" {
 		p.gateway.spread.Copy(time.Now(), backup, tokens)
 		defer p.gateway.spread.Copy(time.Now(), backup, -tokens)
-		p.tellCopy(backup, tokens)
+		p.gateway.onPlaced(fleet.Placement{
+			Endpoint: backup,
+			Tokens:   tokens,
+			Copy:     true,
+		})
 	}
 	defer func() { p.gateway.spread.End(time.Now(), run, sent, tokens) }()
 	p.gateway.enrol(p)
@@ -101,15 +105,6 @@
 	}
 }
 
-// tellCopy tells the other boxes that a copy of the run goes to an engine.
-func (p *passage) tellCopy(endpoint string, tokens int) {
-	p.gateway.onPlaced(fleet.Placement{
-		Endpoint: endpoint,
-		Tokens:   tokens,
-		Copy:     true,
-	})
-}
-
 func (p *passage) passEvent(a *answer, e event) error {
 	if !p.begun {
 		p.begun = true
