gateway: end connections whose request came in chunks

With a length beside chunks the library drops the length without a word, so that what a reader by the length takes for body ran as a request of its own.

Change: nothing may follow a request in chunks; its answer ends the connection, as the standard asks.

Changelog-fixed: a request hidden behind a length beside chunks was run

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
+	// A length beside chunks is dropped by the library; who reads by the length
+	// sees another request in what follows, so that nothing may follow.
+	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	p := &passage{
