--- a/box/box.go
+++ b/box/box.go
@@ -182,6 +182,7 @@
 		zap.String("service", c.Endpoint.Service),
 		zap.Uint64("version", c.Version),
 		zap.Int("routes", c.Routes),
+		zap.Int("endpoints", c.Count),
 		zap.Uint64("revision", c.Revision),
 		zap.String("from", c.From),
 	)
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,47 +19,6 @@
 // fromStore names the store as the source of a change.
 const fromStore = "store"
 
-// View is what the box believes at one moment; it doesn't change.
-type View struct {
-	Table     *routing.Table // nil before a configuration is known
-	Listed    bool           // whether the endpoints were ever read
-	Changed   uint64         // the store's revision at the last change of the list
-	Confirmed time.Time      // when the store last said that this is all
-	byService map[string][]routing.Endpoint
-	byID      map[string]routing.Endpoint
-}
-
-// Serving gives the endpoints of a service that may get new requests, by id.
-func (v *View) Serving(service string) []routing.Endpoint { return v.byService[service] }
-
-// Endpoint gives an endpoint by the id of its incarnation, while it is known.
-func (v *View) Endpoint(id string) (routing.Endpoint, bool) {
-	e, ok := v.byID[id]
-	return e, ok
-}
-
-// Engines counts the model engines that may get new requests.
-func (v *View) Engines() int {
-	if v.Table == nil {
-		return 0
-	}
-	n := 0
-	for _, s := range v.Table.Document().Services {
-		if s.Engine != nil {
-			n += len(v.Serving(s.Name))
-		}
-	}
-	return n
-}
-
-// Configuration gives the version in force, or 0.
-func (v *View) Configuration() uint64 {
-	if v.Table == nil {
-		return 0
-	}
-	return v.Table.Version()
-}
-
 // ChangeKind names a change of belief, for logs.
 type ChangeKind string
 
@@ -72,6 +29,7 @@
 	EndpointLeaving      ChangeKind = "endpoint leaving"
 	EndpointGone         ChangeKind = "endpoint gone"
 	EndpointMissing      ChangeKind = "endpoint missing after an outage"
+	ListKnown            ChangeKind = "list known" // the first one
 )
 
 // Change is one change of belief, for logs and for whoever acts on it.
@@ -80,6 +38,7 @@
 	Endpoint routing.Endpoint
 	Version  uint64 // of the configuration
 	Routes   int    // in it
+	Count    int    // of endpoints in the first list
 	Revision uint64
 	From     string // the store or a peer
 }
@@ -90,6 +49,7 @@
 	view     atomic.Pointer[View]
 	onChange func(Change)
 	entries  map[string]*entry
+	touched  map[string]bool      // entries that changed since the last view
 	left     map[string]time.Time // leaving incarnations, with when that was learned
 	table    *routing.Table
 	changed  uint64
@@ -121,6 +81,7 @@
 	b := &Belief{
 		onChange: func(Change) {},
 		entries:  make(map[string]*entry),
+		touched:  make(map[string]bool),
 		left:     make(map[string]time.Time),
 	}
 	for _, o := range options {
@@ -209,6 +170,12 @@
 	}
 	if !b.listed {
 		b.since = b.changed
+		b.onChange(Change{
+			Kind:     ListKnown,
+			Count:    len(b.entries),
+			Revision: b.changed,
+			From:     from,
+		})
 	}
 	b.listed = true
 }
@@ -327,23 +294,19 @@
 	})
 }
 
+// publish makes the next view from the last one and the entries that changed.
 func (b *Belief) publish() {
-	v := &View{
-		Table:     b.table,
-		Listed:    b.listed,
-		Changed:   b.changed,
-		Confirmed: b.confirm,
-		byService: make(map[string][]routing.Endpoint),
-		byID:      make(map[string]routing.Endpoint, len(b.entries)),
-	}
-	for id, e := range b.entries {
-		v.byID[id] = e.Endpoint
-		if !e.Leaving {
-			v.byService[e.Service] = append(v.byService[e.Service], e.Endpoint)
+	v := b.view.Load().next(b.touched, func(id string) (routing.Endpoint, bool) {
+		e := b.entries[id]
+		if e == nil {
+			return routing.Endpoint{}, false
 		}
-	}
-	for _, all := range v.byService {
-		slices.SortFunc(all, func(a, b routing.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	}
+		return e.Endpoint, true
+	})
+	clear(b.touched)
+	v.Table = b.table
+	v.Listed = b.listed
+	v.Changed = b.changed
+	v.Confirmed = b.confirm
 	b.view.Store(v)
 }
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -43,7 +43,10 @@
 		b.left[e.ID] = now
 	}
 	b.entries[e.ID] = &entry{Endpoint: e}
+	b.touched[e.ID] = true
 	switch {
+	case old == nil && !b.listed:
+		// One line for the first list, and not thousands.
 	case old == nil:
 		b.tell(EndpointJoined, from, e)
 	case e.Leaving && !old.Leaving:
@@ -69,6 +72,7 @@
 
 func (b *Belief) drop(from, id string, e *entry, revision uint64) {
 	delete(b.entries, id)
+	b.touched[id] = true
 	b.removed = append(b.removed, Removal{
 		ID:       id,
 		Revision: revision,
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -373,9 +373,7 @@
 		out.Removed = removed
 		return out
 	}
-	for _, e := range v.byID {
-		out.Endpoints = append(out.Endpoints, e)
-	}
+	out.Endpoints = v.all()
 	slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
