--- a/fleet/source.go
+++ b/fleet/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,31 +26,6 @@
 	Endpoints []routing.Endpoint
 }
 
-// Apply takes changes into a snapshot that was read before them.
-func (s *Snapshot) Apply(c *Changes) {
-	index := make(map[string]int, len(s.Endpoints))
-	for i, e := range s.Endpoints {
-		index[e.ID] = i
-	}
-	for _, e := range c.Updated {
-		if i, known := index[e.ID]; known {
-			s.Endpoints[i] = e
-			continue
-		}
-		index[e.ID] = len(s.Endpoints)
-		s.Endpoints = append(s.Endpoints, e)
-	}
-	gone := make(map[string]uint64, len(c.Removed))
-	for _, r := range c.Removed {
-		gone[r.ID] = max(gone[r.ID], r.Revision)
-	}
-	s.Endpoints = slices.DeleteFunc(s.Endpoints, func(e routing.Endpoint) bool { return gone[e.ID] > e.Revision })
-	if c.Document != nil && (s.Document == nil || c.Document.Version > s.Document.Version) {
-		s.Document = c.Document
-	}
-	s.Revision = max(s.Revision, c.Revision)
-}
-
 // Changes is what the store published since a revision.
 type Changes struct {
 	Revision uint64
