--- a/box/box.go
+++ b/box/box.go
@@ -177,15 +177,19 @@
 
 // changed logs a change of belief and tells the gateway.
 func (b *Box) changed(c fleet.Change) {
-	b.log.Info(string(c.Kind),
-		zap.String("endpoint", c.Endpoint.ID),
-		zap.String("service", c.Endpoint.Service),
-		zap.Uint64("version", c.Version),
-		zap.Int("routes", c.Routes),
-		zap.Int("endpoints", c.Count),
+	fields := []zap.Field{
 		zap.Uint64("revision", c.Revision),
 		zap.String("from", c.From),
-	)
+	}
+	switch c.Kind {
+	case fleet.ConfigurationInForce:
+		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes))
+	case fleet.ListKnown:
+		fields = append(fields, zap.Int("endpoints", c.Count))
+	default:
+		fields = append(fields, zap.String("endpoint", c.Endpoint.ID), zap.String("service", c.Endpoint.Service))
+	}
+	b.log.Info(string(c.Kind), fields...)
 	if b.gateway != nil {
 		b.gateway.Changed(c)
 	}
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -243,8 +243,8 @@
 	b.view.Store(&v)
 }
 
-// confirmBy moves the time of the last confirmation, if this box believes no
-// less than who confirms.
+// confirmBy moves the time at which the list was last known to be whole, if this
+// box believes no less than who says so.
 func (b *Belief) confirmBy(now time.Time, changed uint64, age time.Duration) {
 	at := now.Add(-age)
 	if age >= 0 && b.listed && b.changed >= changed && at.After(b.confirm) {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -94,7 +94,7 @@
 		f.idle(ctx)
 		revision, ok := f.read(ctx)
 		for ok && ctx.Err() == nil && f.reads() {
-			sleep(ctx, restBetween)
+			Sleep(ctx, restBetween)
 			revision, ok = f.watch(ctx, revision)
 		}
 	}
@@ -118,7 +118,7 @@
 			f.helper = time.Now().Add(helperTime)
 			return
 		}
-		sleep(ctx, lookEvery)
+		Sleep(ctx, lookEvery)
 	}
 }
 
@@ -168,7 +168,7 @@
 		most = helperMost
 	}
 	f.pause = min(max(2*f.pause, retryFirst), most)
-	sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
+	Sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
 }
 
 func (f *Follower) reached() {
@@ -181,8 +181,8 @@
 	}
 }
 
-// sleep waits for a time or the context's end.
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for a time or the context's end.
+func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -128,7 +128,7 @@
 		if address, ok := p.nextPartner(time.Now()); ok {
 			go p.greet(ctx, address)
 		}
-		sleep(ctx, every*3/4+rand.N(every/2))
+		Sleep(ctx, every*3/4+rand.N(every/2))
 	}
 	p.server.Close()
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -63,7 +63,7 @@
 		for _, e := range r.mine() {
 			go r.ask(ctx, e)
 		}
-		sleep(ctx, reportEvery)
+		Sleep(ctx, reportEvery)
 	}
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,8 +22,9 @@
 }
 
 // viewParts is into how many parts a view's endpoints fall: the next view shares
-// all parts in which nothing changed. A whole one of 3,000 endpoints took some
-// milliseconds, for each change of one of them.
+// all parts in which nothing changed. Of thousands of endpoints a part holds
+// some tens, so that a change of one copies no more; a whole view of 3,000 took
+// some milliseconds.
 const viewParts = 64
 
 func partOf(id string) uint64 { return xxhash.Sum64String(id) % viewParts }
@@ -96,12 +97,12 @@
 		}
 	}
 	for service := range n.services {
-		slices.SortFunc(n.byService[service], byID)
+		slices.SortFunc(n.byService[service], compareIDs)
 	}
 	return &n.View
 }
 
-func byID(a, b routing.Endpoint) int { return cmp.Compare(a.ID, b.ID) }
+func compareIDs(a, b routing.Endpoint) int { return cmp.Compare(a.ID, b.ID) }
 
 // viewEdit is a view in the making, with what it doesn't share any more.
 type viewEdit struct {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -28,14 +29,13 @@
 	full := make(map[string]bool) // targets without room
 	for ctx.Err() == nil && p.runsAt(source) {
 		target, ok := p.moveTarget(source, full)
-		switch {
-		case ok:
-		case len(full) == 0:
+		if !ok && len(full) == 0 {
 			p.note("no target to move to", zap.String("endpoint", source.ID))
 			return
-		default:
+		}
+		if !ok {
 			clear(full)
-			pause(ctx, moveAgain)
+			fleet.Sleep(ctx, moveAgain)
 			continue
 		}
 		err := p.moveTo(ctx, source, target, until)
@@ -47,7 +47,7 @@
 			p.note("engine of a move is gone", zap.String("endpoint", source.ID), zap.Error(err))
 			return
 		case refusal.Why == RunUnknown, refusal.Why == MoveUnderWay:
-			pause(ctx, moveAgain)
+			fleet.Sleep(ctx, moveAgain)
 		default:
 			full[target.ID] = true
 		}
@@ -90,15 +90,6 @@
 	return p.gateway.spread.Pick(time.Now(), p.gateway.view().Serving(p.service.Name), w)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // copyAlong copies while the run goes on, again and again, until a copy takes a
 // short time: then no other moves queue on the engine's link, and the last copy,
 // for which the run stops, is short too.
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dillsaddle.example/dillsaddle/core"
 )
 
@@ -34,19 +36,28 @@
 	return needs
 }
 
-// mayContinue tells whether a stream that broke may be sent again; it asks
-// another box for a part of its budget if this one's is spent. A stream is worth
-// the wait, a short call is not.
-func (g *Gateway) mayContinue(ctx context.Context, service string) bool {
+// mayContinue tells whether a stream that broke may be sent again, and asks other
+// boxes for a part of their budgets if this one's is spent. A stream is worth the
+// wait, a short call is not.
+func (p *passage) mayContinue(service string) bool {
+	g := p.gateway
+	begun := time.Now()
 	has := 0
 	boxes := g.boxes()
-	g.budget(service, time.Now(), func(b *core.SharedBudget) { has = b.Has(time.Now(), boxes) })
-	if has < 1 && g.borrow != nil {
-		ctx, cancel := context.WithTimeout(ctx, borrowTime)
-		defer cancel()
-		g.borrow(ctx, service)
+	g.budget(service, begun, func(b *core.SharedBudget) { has = b.Has(begun, boxes) })
+	if has > 0 || g.borrow == nil {
+		return g.mayRepeat(service)
 	}
-	return g.mayRepeat(service)
+	ctx, cancel := context.WithTimeout(p.request.Context(), borrowTime)
+	defer cancel()
+	g.borrow(ctx, service)
+	allowed := g.mayRepeat(service)
+	p.decided("asked other boxes for a send",
+		zap.Int("boxes", boxes),
+		zap.Duration("asked_for", time.Since(begun)),
+		zap.Bool("allowed", allowed),
+	)
+	return allowed
 }
 
 // Lend gives a part of this box's budget to another one.
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -89,7 +89,7 @@
 // mayRepeat takes one more send from the budget.
 func (p *passage) mayRepeat(service string) bool {
 	if p.begun && p.route.Kind == routing.Streaming {
-		return p.gateway.mayContinue(p.request.Context(), service)
+		return p.mayContinue(service)
 	}
 	return p.gateway.mayRepeat(service)
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -17,9 +17,8 @@
 const defaultRetryAfter = 300 * time.Millisecond
 
 // backupMost is the fullest that an engine's memory may get by a copy: copies
-// protect against an engine's death, and preempted runs pay for them. While
-// other boxes' copies weren't told, 0.3 was best on the grown sites' scale days,
-// but calm days on small ones lost streams for want of copies.
+// protect against an engine's death, and preempted runs pay for them. What else
+// was tried stands in docs/design/platform.md.
 const backupMost = 0.5
 
 // place chooses an endpoint for the next send.
