gateway, core: move streams off a leaving engine in turns

Each box began all its moves at once; the copies shared the engine's one link for 0.9 to 1.7 s, then all runs were stopped together and their last copies queued. At 13.09 s the engine ended and every one of the streams was cut.

Ruled out: that the notice is too short. A stream holds some 0.65 GB, the link carries 3 GB/s: six or seven fit into the shortest notice of 1.5 s, one after the other.

The boxes of a group tell each other which runs they have there; each computes the same order (rank, then worth for the link's time) and moves its run when the one before is over, or after twice its copy's time if nobody says so. A stream whose backup leaves too is taken into the plan then; before, it stayed without protection. Changes of belief are told once the view holds them, so that engines that leave together are no targets for each other.

Changelog-changed: streams leave a departing engine one after the other

--- a/box/box.go
+++ b/box/box.go
@@ -90,7 +90,7 @@
 		Zone:    s.Zone,
 		Address: s.Peer,
 		Life:    rand.Uint64(),
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating))
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +110,7 @@
 		gateway.WithMover(engines),
 		gateway.WithBoxes(b.peers.Sharers),
 		gateway.WithOnPlaced(b.peers.Tell),
+		gateway.WithOnEvacuating(b.peers.Evacuate),
 		gateway.WithBorrow(b.peers.BorrowNow),
 	)
 	b.peers.SetBudgets(b.gateway)
@@ -202,6 +203,13 @@
 	}
 }
 
+// evacuating hands a fellow's word on an engine that leaves to the gateway.
+func (b *Box) evacuating(now time.Time, e fleet.Evacuating) {
+	if b.gateway != nil {
+		b.gateway.Evacuating(now, e)
+	}
+}
+
 // reported hands an engine's report to the gateway.
 func (b *Box) reported(at time.Time, r routing.Report) {
 	if b.gateway != nil {
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	view     atomic.Pointer[View]
 	onChange func(Change)
+	untold   []Change // told once the view holds them
 	entries  map[string]*entry
 	touched  map[string]bool      // entries that changed since the last view
 	left     map[string]time.Time // leaving incarnations, with when that was learned
@@ -71,7 +72,8 @@
 // BeliefOption changes how a belief is built.
 type BeliefOption func(*Belief)
 
-// WithOnChange is called for each change, in order and under the belief's lock.
+// WithOnChange is called for each change, in order and under the belief's lock,
+// when the view holds it and those that came with it.
 func WithOnChange(onChange func(Change)) BeliefOption {
 	return func(b *Belief) { b.onChange = onChange }
 }
@@ -170,7 +172,7 @@
 	}
 	if !b.listed {
 		b.since = b.changed
-		b.onChange(Change{
+		b.untold = append(b.untold, Change{
 			Kind:     ListKnown,
 			Count:    len(b.entries),
 			Revision: b.changed,
@@ -286,7 +288,7 @@
 		return
 	}
 	b.table = routing.NewTable(d)
-	b.onChange(Change{
+	b.untold = append(b.untold, Change{
 		Kind:    ConfigurationInForce,
 		Version: d.Version,
 		Routes:  len(d.Routes),
@@ -294,7 +296,8 @@
 	})
 }
 
-// publish makes the next view from the last one and the entries that changed.
+// publish makes the next view from the last one and the entries that changed, and
+// tells of the changes.
 func (b *Belief) publish() {
 	v := b.view.Load().next(b.touched, func(id string) (routing.Endpoint, bool) {
 		e := b.entries[id]
@@ -309,4 +312,8 @@
 	v.Changed = b.changed
 	v.Confirmed = b.confirm
 	b.view.Store(v)
+	for _, c := range b.untold {
+		b.onChange(c)
+	}
+	b.untold = b.untold[:0]
 }
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -85,7 +85,7 @@
 }
 
 func (b *Belief) tell(kind ChangeKind, from string, e routing.Endpoint) {
-	b.onChange(Change{
+	b.untold = append(b.untold, Change{
 		Kind:     kind,
 		Endpoint: e,
 		Revision: e.Revision,
--- /dev/null
+++ b/fleet/evacuation.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// Evacuating is what a box tells its group of an engine that leaves: the runs
+// that it has to move off it, and those that are over.
+type Evacuating struct {
+	Endpoint string      `cbor:"1,keyasint"`
+	Runs     []MovingRun `cbor:"2,keyasint,omitempty"`
+	Over     []string    `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind names the message.
+func (Evacuating) Kind() string { return "evacuating" }
+
+// MovingRun is a run that waits for its move.
+type MovingRun struct {
+	ID      string        `cbor:"1,keyasint"`
+	Rank    int           `cbor:"2,keyasint,omitempty"`
+	Worth   float64       `cbor:"3,keyasint"`
+	Copying time.Duration `cbor:"4,keyasint"` // on a free link
+}
+
+// WithEvacuations is called with what other boxes of the group tell of engines
+// that leave.
+func WithEvacuations(onEvacuating func(time.Time, Evacuating)) PeersOption {
+	return func(p *Peers) { p.onEvacuating = onEvacuating }
+}
+
+// Evacuate tells the boxes of the group at once: an engine that leaves is gone
+// after a second or two.
+func (p *Peers) Evacuate(e Evacuating) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range p.fellows {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+			defer cancel()
+			// Who doesn't hear it lets the turns pass.
+			if c, err := p.pool.Get(ctx, address); err == nil {
+				_ = c.Push(ctx, e)
+			}
+		}()
+	}
+}
+
+// evacuating takes a fellow's word on an engine that leaves.
+func (p *Peers) evacuating(_ context.Context, _ *wire.Conn, e Evacuating) {
+	p.onEvacuating(time.Now(), e)
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -50,9 +50,12 @@
 	reports   *Reports
 	budgets   Budgets
 	onPlaced  func(time.Time, Placement)
-	untold    []Placement
-	seen      []newsKey // the news that were handed on last
-	telling   map[netip.AddrPort]bool
+
+	onEvacuating func(time.Time, Evacuating)
+
+	untold  []Placement
+	seen    []newsKey // the news that were handed on last
+	telling map[netip.AddrPort]bool
 }
 
 // PeersOption changes how peers are built.
@@ -87,7 +90,10 @@
 		handlers: wire.NewHandlers(),
 		alive:    make(map[string]bool),
 		onPlaced: func(time.Time, Placement) {},
-		telling:  make(map[netip.AddrPort]bool),
+
+		onEvacuating: func(time.Time, Evacuating) {},
+
+		telling: make(map[netip.AddrPort]bool),
 	}
 	for _, o := range options {
 		o(p)
@@ -96,6 +102,7 @@
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
 	wire.Answer(p.handlers, p.lend)
 	wire.Take(p.handlers, p.heard)
+	wire.Take(p.handlers, p.evacuating)
 	wire.Take(p.handlers, p.newsCame)
 	p.pool = wire.NewPool(p.handlers)
 	server, err := wire.Listen(self.Address, p.handlers)
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -7,51 +7,49 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
 // move copies the run while it goes on, stops it, copies the rest, and leaves
-// the copy's name for the stream's reader. A run with a sound backup stays
-// where it is to the last: its copy is there already. What fails is tried again
-// while the engine is there: the stream is lost otherwise.
-func (p *passage) move(source routing.Endpoint, until time.Time) {
-	engine := p.service.Engine
-	if engine == nil || !engine.Moves || p.backupServes() {
-		return
-	}
+// the copy's name for the stream's reader. What fails is tried again with another
+// target; true says that it is worth another turn, later.
+func (p *passage) move(source string) bool {
 	if !p.beginMove() {
-		return
+		return false
 	}
 	defer p.endMove()
 	ctx, cancel := context.WithTimeout(p.request.Context(), moveTime)
 	defer cancel()
 	full := make(map[string]bool) // targets without room
 	for ctx.Err() == nil && p.runsAt(source) {
-		target, ok := p.moveTarget(source, full)
-		if !ok && len(full) == 0 {
-			p.note("no target to move to", zap.String("endpoint", source.ID))
-			return
-		}
+		from := p.engine()
+		target, ok := p.moveTarget(from, full)
 		if !ok {
-			clear(full)
-			fleet.Sleep(ctx, moveAgain)
-			continue
+			p.note("no target to move to", zap.String("endpoint", source), zap.Int("without_room", len(full)))
+			return len(full) > 0
 		}
-		err := p.moveTo(ctx, source, target, until)
+		err := p.moveTo(ctx, from, target)
 		var refusal *EngineError
 		switch {
 		case err == nil:
-			return
+			return false
 		case !errors.As(err, &refusal):
-			p.note("engine of a move is gone", zap.String("endpoint", source.ID), zap.Error(err))
-			return
+			p.note("engine of a move is gone", zap.String("endpoint", source), zap.Error(err))
+			return false
 		case refusal.Why == RunUnknown, refusal.Why == MoveUnderWay:
-			fleet.Sleep(ctx, moveAgain)
+			return true
 		default:
 			full[target.ID] = true
 		}
 	}
+	return false
+}
+
+// engine gives the endpoint that the run is at.
+func (p *passage) engine() routing.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpoint
 }
 
 // beginMove tells whether nobody moves the run yet: an engine that leaves is told
@@ -73,10 +71,10 @@
 }
 
 // runsAt tells whether the run is still at an engine.
-func (p *passage) runsAt(e routing.Endpoint) bool {
+func (p *passage) runsAt(endpoint string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.done && p.handover == nil && p.endpoint.ID == e.ID
+	return !p.done && p.handover == nil && p.endpoint.ID == endpoint
 }
 
 func (p *passage) moveTarget(source routing.Endpoint, full map[string]bool) (routing.Endpoint, bool) {
@@ -90,24 +88,26 @@
 	return p.gateway.spread.Pick(time.Now(), p.gateway.view().Serving(p.service.Name), w)
 }
 
-// copyAlong copies while the run goes on, again and again, until a copy takes a
-// short time: then no other moves queue on the engine's link, and the last copy,
-// for which the run stops, is short too.
-func (p *passage) copyAlong(ctx context.Context, m Move, until time.Time) error {
+// copyAlong copies while the run goes on, until a copy waited for no other: then
+// the last one, for which the run stops, is short too.
+func (p *passage) copyAlong(ctx context.Context, m Move) error {
+	until := time.Now().Add(copyTime)
+	expected := p.copying()
 	for {
 		begun := time.Now()
 		if _, err := p.gateway.mover.Move(ctx, m); err != nil {
 			p.note("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
 			return err
 		}
-		if time.Since(begun) < shortCopy || time.Now().After(until) {
+		if time.Since(begun) < expected+shortCopy || time.Now().After(until) {
 			return nil
 		}
+		expected = 0 // only what is new is copied
 	}
 }
 
 // moveTo moves the run to one target; an error says that it goes on where it is.
-func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint, until time.Time) error {
+func (p *passage) moveTo(ctx context.Context, source, target routing.Endpoint) error {
 	tokens := p.want(nil).Tokens
 	p.gateway.spread.Copy(time.Now(), target.ID, tokens)
 	defer p.gateway.spread.Copy(time.Now(), target.ID, -tokens)
@@ -117,7 +117,7 @@
 		Target:  target,
 	}
 	begun := time.Now()
-	if err := p.copyAlong(ctx, m, until); err != nil {
+	if err := p.copyAlong(ctx, m); err != nil {
 		return err
 	}
 	copied := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,16 +32,22 @@
 	protocol Protocol
 	mover    Mover
 	onPlaced func(fleet.Placement)
-	borrow   func(ctx context.Context, service string)
-	view     func() *fleet.View
-	boxes    func() int
-	spread   *admission.Spread
-	pool     *Pool
-	log      *zap.Logger
-	counts   *counts
-	mu       sync.Mutex
-	budgets  map[string]*core.SharedBudget
-	streams  map[string]map[*passage]bool // by the endpoint that runs them
+
+	onEvacuating func(fleet.Evacuating)
+
+	borrow  func(ctx context.Context, service string)
+	view    func() *fleet.View
+	boxes   func() int
+	spread  *admission.Spread
+	pool    *Pool
+	log     *zap.Logger
+	counts  *counts
+	mu      sync.Mutex
+	budgets map[string]*core.SharedBudget
+	streams map[string]map[*passage]bool // by the endpoint that runs them
+
+	evacuations map[string]*evacuation // by the endpoint that leaves
+
 	buffered atomic.Int64
 	active   atomic.Int64
 	stopping atomic.Bool
@@ -77,6 +83,12 @@
 	return func(g *Gateway) { g.onPlaced = onPlaced }
 }
 
+// WithOnEvacuating is called with what the other boxes of the group must know of
+// this box's runs at engines that leave.
+func WithOnEvacuating(onEvacuating func(fleet.Evacuating)) Option {
+	return func(g *Gateway) { g.onEvacuating = onEvacuating }
+}
+
 // New builds a gateway in an availability zone.
 func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
 	g := &Gateway{
@@ -85,11 +97,16 @@
 		view:     view,
 		boxes:    func() int { return 1 },
 		onPlaced: func(fleet.Placement) {},
-		spread:   admission.NewSpread(zone, rand.Float64),
-		log:      zap.NewNop(),
-		counts:   newCounts(),
-		budgets:  make(map[string]*core.SharedBudget),
-		streams:  make(map[string]map[*passage]bool),
+
+		onEvacuating: func(fleet.Evacuating) {},
+
+		spread:  admission.NewSpread(zone, rand.Float64),
+		log:     zap.NewNop(),
+		counts:  newCounts(),
+		budgets: make(map[string]*core.SharedBudget),
+		streams: make(map[string]map[*passage]bool),
+
+		evacuations: make(map[string]*evacuation),
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
 	for _, o := range options {
@@ -131,6 +148,7 @@
 		e, ok := v.Endpoint(id)
 		return ok && !e.Leaving
 	})
+	g.dropPlans(now)
 }
 
 // SetShare tells which engines the box's group uses first.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -19,8 +19,8 @@
 	// copyTime is how long a run goes on beside its copies; an engine that is
 	// taken away at short notice is gone after a second and a half.
 	copyTime = 900 * time.Millisecond
-	// shortCopy is a copy that waited for no other: what a run made since the
-	// copy before takes some milliseconds.
+	// shortCopy is how much longer than on a free link a copy may take that
+	// waited for no other: two calls on the way, and a short move before it.
 	shortCopy = 80 * time.Millisecond
 	// moveNear is what another zone adds for the target of a move: copies take
 	// twice as long there.
@@ -89,39 +89,31 @@
 
 // enrol makes a stream known under the endpoint that runs it.
 func (g *Gateway) enrol(p *passage) {
+	id := p.endpoint.ID
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	all := g.streams[p.endpoint.ID]
+	all := g.streams[id]
 	if all == nil {
 		all = make(map[*passage]bool)
-		g.streams[p.endpoint.ID] = all
+		g.streams[id] = all
 	}
 	all[p] = true
+	leaving := g.evacuations[id]
+	g.mu.Unlock()
+	if leaving != nil {
+		go leaving.gather()
+	}
 }
 
 func (g *Gateway) leave(endpoint string, p *passage) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	delete(g.streams[endpoint], p)
 	if len(g.streams[endpoint]) == 0 {
 		delete(g.streams, endpoint)
 	}
-}
-
-// evacuate moves the streams of an endpoint that leaves to others.
-func (g *Gateway) evacuate(e routing.Endpoint) {
-	if g.mover == nil {
-		return
-	}
-	g.mu.Lock()
-	var all []*passage
-	for p := range g.streams[e.ID] {
-		all = append(all, p)
-	}
+	leaving := g.evacuations[endpoint]
 	g.mu.Unlock()
-	until := time.Now().Add(copyTime)
-	for _, p := range all {
-		go p.move(e, until)
+	if leaving != nil {
+		go leaving.over(p)
 	}
 }
 
@@ -184,9 +176,9 @@
 func (g *Gateway) Changed(c fleet.Change) {
 	switch c.Kind {
 	case fleet.EndpointLeaving:
-		g.evacuate(c.Endpoint)
+		go g.evacuate(c.Endpoint)
 	case fleet.EndpointGone:
-		g.evacuate(c.Endpoint)
+		go g.evacuate(c.Endpoint)
 		g.spread.Forget(c.Endpoint.ID)
 	}
 }
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,7 +48,8 @@
 	answer   *answer
 	last     string // the id of the last event that the caller has
 	order    order
-	events   int // passed on
+	events   int          // passed on
+	made     atomic.Int64 // events passed on, for the plans of moves
 
 	queued    float64       // tokens of prompts to be read before the first event
 	first     time.Duration // until the first event
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -120,6 +120,7 @@
 	p.gateway.spread.Heard(now, p.endpoint.ID)
 	p.last = e.id
 	p.events++
+	p.made.Store(int64(p.events))
 	return http.NewResponseController(p.writer).Flush()
 }
 
