gateway: go on from the copy before when the last one waits

Ruled out: a second copy beside the run before the last one; whether the link is free isn't known a moment later.

Change: a stopped run waits 40 ms for its last copy and then goes on from the one before; the target reads what that lacks anew.

Test: last copies that take 3 s; without the change the stream breaks off.

Changelog-fixed: streams stuttered while the last copy of a move waited

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -116,17 +116,18 @@
 
 // copyAlong copies while the run goes on, until a copy waited for no other: then
 // the last one, for which the run stops, is short too.
-func (p *passage) copyAlong(ctx context.Context, m Move) error {
+func (p *passage) copyAlong(ctx context.Context, m Move) (Moved, error) {
 	until := time.Now().Add(copyTime)
 	expected := p.copying()
 	for {
 		begun := time.Now()
-		if _, err := p.gateway.mover.Move(ctx, m); err != nil {
+		moved, err := p.gateway.mover.Move(ctx, m)
+		if err != nil {
 			p.note("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
-			return err
+			return moved, err
 		}
 		if time.Since(begun) < expected+shortCopy || time.Now().After(until) {
-			return nil
+			return moved, nil
 		}
 		expected = 0 // only what is new is copied
 	}
@@ -144,7 +145,8 @@
 	}
 	begun := time.Now()
 	p.gateway.sends(source.ID, p.in.ID, target.ID)
-	if err := p.copyAlong(ctx, m); err != nil {
+	along, err := p.copyAlong(ctx, m)
+	if err != nil {
 		return err
 	}
 	copied := time.Now()
@@ -156,8 +158,7 @@
 		return nil
 	}
 	defer close(h.done)
-	m.Last = true
-	moved, err := p.gateway.mover.Move(ctx, m)
+	moved, err := p.stopAndCopy(ctx, m, along)
 	h.copy = moved.Copy
 	if err != nil && moved.Copy != "" {
 		// The run stopped and its memory stayed: it goes on where it was.
@@ -173,3 +174,29 @@
 	)
 	return nil
 }
+
+// stopAndCopy stops the run and copies what it made since the copy before. Where
+// that waits for another copy, the stream goes on from the copy before, and the
+// target reads the last events anew.
+func (p *passage) stopAndCopy(ctx context.Context, m Move, along Moved) (Moved, error) {
+	type result struct {
+		moved Moved
+		err   error
+	}
+	m.Last = true
+	ended := make(chan result, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTime)
+		defer cancel()
+		moved, err := p.gateway.mover.Move(ctx, m)
+		ended <- result{moved, err}
+	}()
+	t := time.NewTimer(lastCopyTime)
+	defer t.Stop()
+	select {
+	case r := <-ended:
+		return r.moved, r.err
+	case <-t.C:
+		return along, nil
+	}
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -22,6 +22,8 @@
 	// shortCopy is how much longer than on a free link a copy may take that
 	// waited for no other: two calls on the way, and a short move before it.
 	shortCopy = 80 * time.Millisecond
+	// lastCopyTime is how long a stopped run waits for its last copy.
+	lastCopyTime = 40 * time.Millisecond
 	// moveMost is the fullest that an engine's memory may get by a move as long as
 	// there is another one: a target without room turns the move away.
 	moveMost = 0.95
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -144,6 +144,29 @@
 		Entry("for another move under way", http.StatusConflict, http.StatusConflict),
 	)
 
+	// Last copies that queued behind another one's memory stopped streams for 170 to
+	// 340 ms, which callers see as a stutter.
+	It("goes on from the copy before when the last one has to wait", func() {
+		first := b.add("e-1", emulator.Model)
+		first.Events, first.EventGap = 12, eventGap
+		first.SlowLast(3 * time.Second)
+		done := make(chan emulator.Outcome, 1)
+		go func() { done <- stream("h1") }()
+		Eventually(first.Runs).Should(HaveLen(1))
+		second, err := b.deployment.Add("e-2", emulator.Model)
+		Expect(err).NotTo(HaveOccurred())
+		second.Events, second.EventGap = 12, time.Millisecond
+		b.refresh()
+		b.deployment.List(first, emulator.Model, "draining")
+		b.refresh()
+		// The wait is longer than a stream waits for its copy at all.
+		o := <-done
+		Expect(o.Fault).To(BeEmpty())
+		Expect(o.Whole).To(BeTrue())
+		Expect(o.Events).To(Equal(12))
+		Expect(second.Runs()).To(HaveLen(1))
+	})
+
 	It("is stopped at its engine when its caller leaves", func() {
 		s := b.add("e-1", emulator.Model)
 		s.Events, s.EventGap = 10_000, time.Millisecond
