--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -105,29 +104,6 @@
 	return v.next(now)
 }
 
-// Waits tells whether runs wait for their turns or have them.
-func (v *Evacuation) Waits() bool {
-	return v.turn != nil || v.first() != nil
-}
-
-// DealTargets gives the part of a zone's other engines to which one of its engines
-// that leave moves its runs first. Every box deals the same parts, so that engines
-// that leave together don't send to the same target before their boxes could tell
-// each other.
-func DealTargets(source string, sources, targets []string) map[string]bool {
-	sources = append(slices.DeleteFunc(slices.Clone(sources), func(s string) bool { return s == source }), source)
-	byHash(sources)
-	targets = slices.Clone(targets)
-	byHash(targets)
-	mine := make(map[string]bool)
-	for i, t := range targets {
-		if sources[i%len(sources)] == source {
-			mine[t] = true
-		}
-	}
-	return mine
-}
-
 // find takes a run. One that was over is in the plan again when its own box says
 // so: its move may be tried once more.
 func (v *Evacuation) find(r EvacuatedRun, own bool) {
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -90,29 +90,6 @@
 	})
 })
 
-var _ = Describe("the targets of engines that leave together", func() {
-	It("are dealt out among them, the same way by every box", func() {
-		sources := []string{"s1", "s2", "s3"}
-		targets := []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7"}
-		seen := make(map[string]int)
-		for _, s := range sources {
-			part := core.DealTargets(s, sources, targets)
-			Expect(len(part)).To(BeNumerically("~", 2, 1))
-			Expect(core.DealTargets(s, []string{"s3", "s1", "s2"}, targets)).To(Equal(part))
-			for t := range part {
-				seen[t]++
-			}
-		}
-		for _, t := range targets {
-			Expect(seen[t]).To(Equal(1))
-		}
-	})
-
-	It("are all an engine's that leaves alone, or that isn't known to leave", func() {
-		Expect(core.DealTargets("s", nil, []string{"t1", "t2"})).To(HaveLen(2))
-	})
-})
-
 // TestEvacuationOrder plays boxes whose messages come late, or get lost: each
 // run is moved exactly once by its own box, and where nothing is lost no two
 // moves are under way together.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -89,12 +88,10 @@
 	all := slices.DeleteFunc(slices.Clone(g.view().Serving(p.service.Name)), func(e routing.Endpoint) bool {
 		return e.ID == source.ID || full[e.ID]
 	})
-	near := core.DealTargets(source.ID, g.emptying(source.Zone), ids(all, source.Zone))
 	w := p.want(nil)
 	w.Zone = source.Zone
 	w.Most = moveMost
 	for _, fits := range []func(routing.Endpoint) bool{
-		func(e routing.Endpoint) bool { return near[e.ID] && !busy[e.ID] },
 		func(e routing.Endpoint) bool { return e.Zone == source.Zone && !busy[e.ID] },
 		func(e routing.Endpoint) bool { return !busy[e.ID] },
 		func(e routing.Endpoint) bool { return e.Zone == source.Zone },
@@ -107,17 +104,6 @@
 	return g.spread.Pick(time.Now(), all, w)
 }
 
-// ids gives the names of the endpoints in a zone.
-func ids(all []routing.Endpoint, zone string) []string {
-	var names []string
-	for _, e := range all {
-		if e.Zone == zone {
-			names = append(names, e.ID)
-		}
-	}
-	return names
-}
-
 func filter(all []routing.Endpoint, fits func(routing.Endpoint) bool) []routing.Endpoint {
 	var some []routing.Endpoint
 	for _, e := range all {
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -138,21 +138,6 @@
 	return busy
 }
 
-// emptying gives the engines of a zone with runs that wait for their moves.
-func (g *Gateway) emptying(zone string) []string {
-	view := g.view()
-	var sources []string
-	for _, v := range g.plans() {
-		v.mu.Lock()
-		waits := v.plan.Waits()
-		v.mu.Unlock()
-		if e, ok := view.Endpoint(v.endpoint); waits && ok && e.Zone == zone {
-			sources = append(sources, v.endpoint)
-		}
-	}
-	return sources
-}
-
 func (v *evacuation) sends(run, target string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
