fleet: take an engine's own word that it leaves

Cause: while the store is silent nobody hears that engines leave. An engine's report says that it leaves, half a second late.

Change: the report's state is read; the box that asks marks the engine as leaving and tells its group at once, and word that runs wait for their moves counts as news of it too. While the list is older than a second, engines are asked five times a second instead of twice.

Changelog-added: engines that leave while the store is silent are noticed

--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -16,8 +16,12 @@
 // that an old view can't bring it back; far above what any view lags.
 const leftMemory = 10 * time.Minute
 
-// fromStore names the store as the source of a change.
-const fromStore = "store"
+// Names of the sources of changes.
+const (
+	fromStore  = "store"
+	fromPeer   = "peer"
+	fromEngine = "engine" // the endpoint itself
+)
 
 // ChangeKind names a change of belief, for logs.
 type ChangeKind string
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Leaves takes an endpoint's own word, by way of who told it, that it is on its
+// way out; true says that this was news.
+func (b *Belief) Leaves(now time.Time, from, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[id]
+	if e == nil || e.Leaving {
+		return false
+	}
+	e.Leaving = true
+	b.left[id] = now
+	b.touched[id] = true
+	b.tell(EndpointLeaving, from, e.Endpoint)
+	b.publish()
+	return true
+}
+
 // remove takes an entry that went. One that went with the store away has its
 // time to come back; any other is leaving for good.
 func (b *Belief) remove(now time.Time, from, id string, e *entry, revision uint64) {
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -61,6 +61,35 @@
 		Expect(known).To(BeTrue())
 	})
 
+	// With the store silent for eight seconds nobody told of nine engines that left,
+	// and some 35 streams were cut.
+	It("takes an engine's own word that it leaves, whatever the store said last", func() {
+		Expect(b.Leaves(noon, "engine", "a")).To(BeTrue())
+		Expect(b.Leaves(noon, "peer", "a")).To(BeFalse())
+		Expect(b.Leaves(noon, "peer", "nobody knows it")).To(BeFalse())
+		Expect(serving(b)).To(Equal([]string{"b"}))
+		Expect(changes).To(ContainElement(fleet.EndpointLeaving))
+		b.ApplySnapshot(noon.Add(time.Second), snapshot(11, endpoint("a", 1, false), endpoint("b", 2, false)))
+		Expect(serving(b)).To(Equal([]string{"b"}))
+	})
+
+	It("tells of a change when its view holds it, and all that came with it", func() {
+		seen := 0
+		var told *fleet.Belief
+		told = fleet.NewBelief(fleet.WithOnChange(func(c fleet.Change) {
+			if c.Kind == fleet.EndpointLeaving {
+				seen++
+				Expect(serving(told)).To(Equal([]string{"c"}))
+			}
+		}))
+		told.ApplySnapshot(noon, snapshot(10, endpoint("a", 1, false), endpoint("b", 2, false), endpoint("c", 3, false)))
+		told.ApplyChanges(noon, &fleet.Changes{
+			Revision: 12,
+			Updated:  []routing.Endpoint{endpoint("a", 11, true), endpoint("b", 12, true)},
+		})
+		Expect(seen).To(Equal(2))
+	})
+
 	It("drops an endpoint whose entry goes, at once", func() {
 		b.ApplyChanges(noon, &fleet.Changes{
 			Revision: 12,
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -51,7 +51,10 @@
 	}
 }
 
-// evacuating takes a fellow's word on an engine that leaves.
+// evacuating takes a fellow's word on an engine that leaves, which may be the first
+// that this box hears of it.
 func (p *Peers) evacuating(_ context.Context, _ *wire.Conn, e Evacuating) {
-	p.onEvacuating(time.Now(), e)
+	now := time.Now()
+	p.belief.Leaves(now, fromPeer, e.Endpoint)
+	p.onEvacuating(now, e)
 }
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -78,7 +78,7 @@
 		n.Age = math.MaxInt64
 	}
 	if !n.Large {
-		p.belief.ApplyNews(time.Now(), "peer", n)
+		p.belief.ApplyNews(time.Now(), fromPeer, n)
 	}
 	v := p.belief.View()
 	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
@@ -113,7 +113,7 @@
 			p.log.Info("newer views didn't come after news", zap.Uint64("version", n.Version), zap.Error(err))
 			return
 		}
-		p.belief.ApplyViews(time.Now(), "peer", views)
+		p.belief.ApplyViews(time.Now(), fromPeer, views)
 	}
 	if p.firstSeen(n) {
 		p.spread(n, c)
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -121,6 +121,19 @@
 		Expect(purses[2].has()).To(Equal(2))
 	})
 
+	It("tell each other at once of an engine that leaves by its own word", func() {
+		all, beliefs := fleetOf(3)
+		for i, p := range all {
+			Eventually(func() []string { return p.Group().Members }).WithTimeout(patience).Should(HaveLen(2))
+			beliefs[i].ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
+		}
+		beliefs[0].Leaves(time.Now(), "engine", "x")
+		all[0].Evacuate(fleet.Evacuating{Endpoint: "x"})
+		for _, b := range beliefs {
+			Eventually(func() []string { return serving(b) }).WithTimeout(patience).Should(BeEmpty())
+		}
+	})
+
 	It("agree on a few readers among many, and replace one that leaves", func() {
 		all, _ := fleetOf(9)
 		for _, p := range all {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -15,6 +15,11 @@
 	// reportEvery spaces the questions to one engine; each has a price, and an
 	// engine's word is half a second old when it is given.
 	reportEvery = 500 * time.Millisecond
+	// staleEvery spaces them while the list is older than staleList: only the
+	// engines themselves tell then that they leave, with 1.5 to 2 s notice, and
+	// half a second late.
+	staleEvery = 200 * time.Millisecond
+	staleList  = time.Second
 	// reportTime bounds one question.
 	reportTime = 700 * time.Millisecond
 	// reportLife is how long a report is handed on.
@@ -63,7 +68,11 @@
 		for _, e := range r.mine() {
 			go r.ask(ctx, e)
 		}
-		Sleep(ctx, reportEvery)
+		every := reportEvery
+		if time.Since(r.belief.View().Confirmed) > staleList {
+			every = staleEvery
+		}
+		Sleep(ctx, every)
 	}
 }
 
@@ -109,13 +118,20 @@
 		r.log.Debug("engine gave no report", zap.String("endpoint", e.ID), zap.Error(err))
 		return
 	}
-	r.take(time.Now(), report)
+	now := time.Now()
+	if report.Leaving && r.belief.Leaves(now, fromEngine, e.ID) {
+		r.peers.Evacuate(Evacuating{Endpoint: e.ID})
+	}
+	r.take(now, report)
 }
 
 // Hear takes reports that another box handed on.
 func (r *Reports) Hear(now time.Time, reports []routing.Report) {
 	for _, report := range reports {
 		if report.Age >= 0 && report.Age < reportLife {
+			if report.Leaving {
+				r.belief.Leaves(now, fromPeer, report.Endpoint)
+			}
 			r.take(now, report)
 		}
 	}
--- a/routing/report.go
+++ b/routing/report.go
@@ -10,4 +10,5 @@
 	Used     int           `cbor:"4,keyasint,omitempty"` // tokens of memory that can't give way
 	Total    int           `cbor:"5,keyasint,omitempty"` // tokens of memory in all
 	Age      time.Duration `cbor:"6,keyasint"`
+	Leaving  bool          `cbor:"7,keyasint,omitempty"` // it is on its way out by its own word
 }
