losses: tell from logs which requests were lost, when and why

The lines of ends carry customer, rank and whether the route's target was missed.

Changelog-added: dillsaddle losses

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -53,3 +55,36 @@
 		Expect(code).To(Equal(2))
 	})
 })
+
+var _ = Describe("losses", func() {
+	write := func(text string) string {
+		name := filepath.Join(GinkgoT().TempDir(), "box.log")
+		Expect(os.WriteFile(name, []byte(text), 0o600)).To(Succeed())
+		return name
+	}
+
+	It("tells what was lost, as tables and as JSON", func() {
+		name := write(`{"event":"placed","request":"r-1","route":"long","endpoint":"e-1"}` + "\n")
+		code, out := run("losses", name)
+		Expect(code).To(Equal(0))
+		Expect(out).To(ContainSubstring("its box ended under way"))
+		code, out = run("losses", "-json", name)
+		Expect(code).To(Equal(0))
+		Expect(out).To(ContainSubstring(`"count": 1`))
+	})
+
+	It("refuses a file that isn't a box's log, and a call without one", func() {
+		for _, one := range []struct {
+			arguments []string
+			code      int
+		}{
+			{[]string{"losses", write("hello\n")}, 1},
+			{[]string{"losses", "no-such-file.log"}, 1},
+			{[]string{"losses"}, 2},
+		} {
+			code, out := run(one.arguments...)
+			Expect(code).To(Equal(one.code))
+			Expect(out).To(BeEmpty())
+		}
+	})
+})
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -118,6 +118,8 @@
 		zap.String("endpoint", p.endpoint.ID),
 		zap.Int("sends", p.call.Sends()),
 		zap.Duration("took", time.Since(p.start)),
+		zap.String("customer", p.customerName()),
+		zap.Int("rank", p.rank()),
 	)
 	p.problem(status, string(c.Reason))
 	p.count("given up")
@@ -143,19 +145,37 @@
 		zap.Int("sends", p.call.Sends()),
 		zap.String("last_event", p.last),
 		zap.Duration("took", time.Since(p.start)),
+		zap.String("customer", p.customerName()),
+		zap.Int("rank", p.rank()),
+		zap.Bool("late", p.late()),
 	)...)
 	p.count(outcome)
 }
 
 func (p *passage) count(outcome string) {
-	route, customer := "", ""
+	route := ""
 	if p.route != nil {
 		route = p.route.Name
 	}
-	if p.customer != nil {
-		customer = p.customer.Name
+	p.gateway.counts.ended(route, p.customerName(), outcome, time.Since(p.start))
+}
+
+func (p *passage) customerName() string {
+	if p.customer == nil {
+		return ""
+	}
+	return p.customer.Name
+}
+
+// late tells whether an answer missed its route's target: by its first event or,
+// for a call, its end, or by a pause between events.
+func (p *passage) late() bool {
+	took := p.first
+	if p.events == 0 {
+		took = time.Since(p.start)
 	}
-	p.gateway.counts.ended(route, customer, outcome, time.Since(p.start))
+	slow := p.route.Target > 0 && took > p.route.Target
+	return slow || (p.route.PauseTarget > 0 && p.longest > p.route.PauseTarget)
 }
 
 // decided logs one decision on the request, with the configuration's version.
--- /dev/null
+++ b/losses/text.go
@@ -0,0 +1,55 @@
+package losses
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// WriteText writes the report as tables.
+func (r *Report) WriteText(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "route\tasked\tlost\tlate\n")
+	for _, total := range r.Totals {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", named(total.Route), total.Asked, total.Lost, total.Late)
+	}
+	fmt.Fprintf(t, "\nlosses\troute\tmoment\tcause\trequests\n")
+	for _, row := range r.Rows {
+		kind := "lost"
+		if row.Late {
+			kind = "late"
+		}
+		fmt.Fprintf(t, "%d %s\t%s\t%s\t%s\t%s\n", row.Count, kind, named(row.Route), row.Moment, row.Cause, strings.Join(row.Requests, " "))
+	}
+	for _, part := range []struct {
+		head string
+		all  []Felt
+	}{
+		{"streams by route", r.Routes},
+		{"by customer", r.Customers},
+		{"by rank", r.Ranks},
+	} {
+		fmt.Fprintf(t, "\n%s\tstreams\tfirst event p50\tp99\tlongest pause p50\tp99\tstutters\n", part.head)
+		for _, f := range part.all {
+			fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%s\t%d\n", named(f.Name), f.Streams,
+				short(f.FirstMedian), short(f.FirstTail), short(f.PauseMedian), short(f.PauseTail), f.Stutters)
+		}
+	}
+	fmt.Fprintf(t, "\n%d lines read", r.Lines)
+	if r.Skipped.Count > 0 {
+		fmt.Fprintf(t, ", %d of them skipped; the first is line %d: %s", r.Skipped.Count, r.Skipped.First, r.Skipped.Why)
+	}
+	fmt.Fprintln(t)
+	return t.Flush()
+}
+
+func named(name string) string {
+	if name == "" {
+		return "-"
+	}
+	return name
+}
+
+func short(d time.Duration) string { return d.Round(time.Millisecond).String() }
