--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -119,5 +119,5 @@
 		EncodeDuration: zapcore.StringDurationEncoder,
 		EncodeName:     zapcore.FullNameEncoder,
 	})
-	return zap.New(zapcore.NewCore(encoder, s, level))
+	return zap.New(plainErrors{zapcore.NewCore(encoder, s, level)})
 }
--- a/eventlog/log_test.go
+++ b/eventlog/log_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/eventlog"
@@ -27,6 +28,17 @@
 }
 
 var _ = Describe("the log", func() {
+	It("writes errors by their messages, without stacks", func() {
+		out := &lines{}
+		s := eventlog.NewSink(out)
+		eventlog.New(s, zap.InfoLevel).Info("send failed", zap.Error(errors.New("connection reset")), zap.Error(nil))
+		s.Close(time.Second)
+		var line map[string]any
+		Expect(json.Unmarshal(out.all.Bytes(), &line)).To(Succeed())
+		Expect(line).To(HaveKeyWithValue("error", "connection reset"))
+		Expect(line).NotTo(HaveKey("errorVerbose"))
+	})
+
 	It("writes one object of JSON a line", func() {
 		out := &lines{}
 		s := eventlog.NewSink(out)
