admission: compare two engines while others' placements aren't heard

A box that has just started knows the engines' reports but hears nobody's placements yet, and takes the emptiest of five: all take the same ones.

Change: two choices until a placement of another box was heard within a second.

Test: how often the emptiest of twenty engines is taken, unheard and heard.

Changelog-changed: boxes that have just started spread prompts more widely

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -62,8 +62,13 @@
 	// latencyWeight is the weight of the newest answer in an endpoint's usual
 	// time.
 	latencyWeight = 0.1
-	// choiceCount is how many endpoints one request compares.
-	choiceCount = 5
+	// choiceCount is how many endpoints one request compares; blindChoices is how
+	// many by a box that heard of no other box's placements for blindTime. After all
+	// boxes of a fleet of 66 had restarted, every box took the emptiest of five by
+	// the same old reports, and some engines got eight prompts in half a second.
+	choiceCount  = 5
+	blindChoices = 2
+	blindTime    = time.Second
 	// strangerChoices is how many engines of other groups are among them, for
 	// the case that the group's own are all busy.
 	strangerChoices = 2
@@ -79,9 +84,10 @@
 	draw   func() float64
 	share  map[string]bool // the group's engines; nil for all
 	known  map[string]*endpointLoad
-	prompt float64 // mean tokens of a prompt, learned
-	rate   float64 // tokens of prompts that an engine reads in a second, learned
-	output float64 // mean tokens generated, learned
+	prompt float64   // mean tokens of a prompt, learned
+	rate   float64   // tokens of prompts that an engine reads in a second, learned
+	output float64   // mean tokens generated, learned
+	heard  time.Time // when another box last told of a placement
 }
 
 // reportLag is how old an engine's word is when it is given.
@@ -111,6 +117,7 @@
 	Memory  int             // tokens that an engine holds; 0 elsewhere
 	Exclude map[string]bool // endpoints that had the request already
 	Zone    string          // the zone to prefer; empty for the box's own
+	Shared  bool            // other boxes place there too
 	Most    float64         // the fullest that an engine's memory may get; 0 for any
 }
 
@@ -152,7 +159,11 @@
 	}
 	// The group's own engines come first, then the strangers.
 	var chosen []routing.Endpoint
-	for _, i := range append(s.some(own, choiceCount), s.some(strange, strangerChoices)...) {
+	most := choiceCount
+	if w.Shared && now.Sub(s.heard) > blindTime {
+		most = blindChoices
+	}
+	for _, i := range append(s.some(own, most), s.some(strange, strangerChoices)...) {
 		chosen = append(chosen, endpoints[i])
 	}
 	return chosen
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -60,6 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.load(now, id).add(now, prompt+int(s.output))
+	s.heard = now
 }
 
 // CopiedElsewhere counts a copy that another box sends to an engine.
--- a/admission/spread_test.go
+++ b/admission/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -51,6 +52,33 @@
 		}
 	})
 
+	It("takes the emptiest engine only where it hears what other boxes place", func() {
+		all := engines(20)
+		shared := want
+		shared.Shared = true
+		random := admission.NewSpread("z", rand.New(rand.NewPCG(1, 2)).Float64)
+		emptiest := func() int {
+			n := 0
+			for range 100 {
+				if e, _ := random.Pick(now, all, shared); e.ID == "e0" {
+					n++
+				}
+			}
+			return n
+		}
+		for i, e := range all {
+			random.Memory(now, routing.Report{
+				Endpoint: e.ID,
+				Used:     500 * i,
+				Total:    10_000,
+			})
+		}
+		// Of 20, each pick draws two, or five.
+		Expect(emptiest()).To(BeNumerically("~", 10, 6))
+		random.PlacedElsewhere(now, "e19", 10)
+		Expect(emptiest()).To(BeNumerically("~", 25, 9))
+	})
+
 	It("avoids an engine whose memory is full, by its report", func() {
 		s.Memory(now, routing.Report{
 			Endpoint: "e0",
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -52,6 +52,7 @@
 	if engine := p.service.Engine; engine != nil {
 		w.Tokens = p.tokens()
 		w.Memory = engine.MemoryTokens
+		w.Shared = p.gateway.boxes() > 1
 	}
 	return w
 }
