--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -146,11 +145,6 @@
 	}
 	begun := time.Now()
 	p.gateway.sends(source.ID, p.in.ID, target.ID)
-	p.gateway.onPlaced(fleet.Placement{
-		Endpoint: target.ID,
-		Tokens:   tokens,
-		Copy:     true,
-	})
 	along, err := p.copyAlong(ctx, m)
 	if err != nil {
 		return err
