gateway: stop waiting for an answer at a send's first event

Cause: the wait for an overdue answer ended with the stream's first event only; a stream that went on elsewhere was watched for ever, and 2 s later its new engine got the record of a failure, here and in the group, while events came (logs: a line "answer overdue" 2.0 s after each move).

Change: the wait ends with the first event of the send that it watches.

Test: a stream that is moved and goes on for longer than the wait; failed before.

Changelog-fixed: engines that took streams over were taken for silent

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -89,6 +89,7 @@
 			a.close()
 			return p.broken(err)
 		}
+		p.overdue.stop()
 		switch p.order.take(e.id) {
 		case seen:
 			continue
@@ -128,7 +129,6 @@
 // longest pause are what the caller feels.
 func (p *passage) paced(now time.Time) {
 	if p.events == 0 {
-		p.overdue.stop()
 		p.gateway.usual.learn(p.route.Name, now.Sub(p.placedAt))
 		p.first = now.Sub(p.start)
 		p.gateway.spread.Started(p.queued, now.Sub(p.placedAt))
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/gateway"
@@ -206,6 +208,28 @@
 		Entry("for another move under way", http.StatusConflict, http.StatusConflict),
 	)
 
+	// A stream that went on elsewhere was watched for its first event for ever: its
+	// new engine was told to owe an answer while events came.
+	It("isn't overdue once events come, also after it was moved", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		b = newBenchWith(true, gateway.WithLog(zap.New(core)))
+		first := b.add("e-1", emulator.Model)
+		Expect(stream("w1").Whole).To(BeTrue())
+		first.Events, first.EventGap = 20, eventGap
+		done := make(chan emulator.Outcome, 1)
+		go func() { done <- stream("w2") }()
+		Eventually(first.Runs).Should(HaveLen(2))
+		second, err := b.deployment.Add("e-2", emulator.Model)
+		Expect(err).NotTo(HaveOccurred())
+		second.Events, second.EventGap = 20, eventGap
+		b.refresh()
+		b.deployment.List(first, emulator.Model, "draining")
+		b.refresh()
+		Expect((<-done).Whole).To(BeTrue())
+		Expect(second.Runs()).To(HaveLen(1))
+		Expect(lines.FilterMessage("answer overdue").Len()).To(Equal(0))
+	})
+
 	// Last copies that queued behind another one's memory stopped streams for 170 to
 	// 340 ms, which callers see as a stutter.
 	It("goes on from the copy before when the last one has to wait", func() {
