admission: avoid engines that couldn't be emptied in time

Change: an engine whose memory, with the new run, would hold more than its link carries within a short notice (from the published link and sizes; 1.3 s) costs more. A target of moves is chosen by the same cost.

Changelog-changed: engines that couldn't be emptied on short notice get less work

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -40,6 +40,10 @@
 	// fullCost is what each part of memory beyond the whole adds: a preempted
 	// generation is read anew.
 	fullCost = 8.0
+	// crowdCost is what each part of memory adds that can't leave the engine within a
+	// short notice: of engines that were told to go, those with up to five runs lost
+	// one stream in thirty, those with eight or more a third of them.
+	crowdCost = 3.0
 	// slowStart is what an engine that is new adds at first, as a part of its
 	// memory, and startTime how long that lasts: an empty engine would get the
 	// prompts of all boxes at once and read them one after the other.
@@ -118,6 +122,7 @@
 	Exclude map[string]bool // endpoints that had the request already
 	Zone    string          // the zone to prefer; empty for the box's own
 	Shared  bool            // other boxes place there too
+	Movable int             // tokens of runs that can leave an engine within a short notice; 0 when not known
 	Most    float64         // the fullest that an engine's memory may get; 0 for any
 }
 
@@ -190,6 +195,9 @@
 	if w.Memory > 0 {
 		full := s.fullness(now, l, w)
 		score += full + fullCost*math.Max(0, full-1) + engineNoise*s.draw()
+		if w.Movable > 0 {
+			score += crowdCost * math.Max(0, full-float64(w.Movable)/float64(w.Memory))
+		}
 		if s.share != nil && !s.share[e.ID] {
 			score += strangerCost
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -9,6 +9,7 @@
 
 	"dillsaddle.example/dillsaddle/admission"
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // defaultRetryAfter is when a caller that was turned away may come back; long
@@ -47,10 +48,24 @@
 		w.Tokens = p.tokens()
 		w.Memory = engine.MemoryTokens
 		w.Shared = p.gateway.boxes() > 1
+		w.Movable = movable(engine)
 	}
 	return w
 }
 
+// shortNotice is what is left of the shortest notice, of a second and a half, for the
+// copies off an engine that leaves.
+const shortNotice = 1300 * time.Millisecond
+
+// movable gives the tokens of runs that can leave an engine within a short notice, or
+// 0 where nobody knows its link.
+func movable(e *routing.Engine) int {
+	if !e.Moves || e.LinkMbps <= 0 || e.BytesPerToken <= 0 {
+		return 0
+	}
+	return int(e.LinkMbps * bitsPerMegabit / bitsPerByte / e.BytesPerToken * shortNotice.Seconds())
+}
+
 // tokens estimates what a run holds at its end.
 func (p *passage) tokens() int {
 	out := p.in.MaxTokens
