--- a/box/box.go
+++ b/box/box.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"log"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
@@ -133,49 +129,6 @@
 	return b, nil
 }
 
-func (b *Box) listen() error {
-	b.front = &http.Server{
-		Handler:           b.gateway,
-		ReadHeaderTimeout: headerTime,
-		IdleTimeout:       callerRest,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          log.New(serverErrors{b.log}, "", 0),
-	}
-	ready := http.NewServeMux()
-	ready.HandleFunc("/ready", b.answerReady)
-	operators := http.NewServeMux()
-	operators.HandleFunc("/metrics", b.answerMetrics)
-	operators.HandleFunc("/status", b.answerStatus)
-	for _, l := range []struct {
-		address netip.AddrPort
-		server  *http.Server
-	}{
-		{b.settings.Front, b.front},
-		{b.settings.Ready, &http.Server{Handler: ready}},
-		{netip.AddrPortFrom(b.settings.Front.Addr(), uint16(b.options.MetricsPort)), &http.Server{Handler: operators}},
-	} {
-		socket, err := net.Listen("tcp", l.address.String())
-		if err != nil {
-			return errors.Wrap(err, "listen on "+l.address.String())
-		}
-		go func() {
-			if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-				b.log.Error("a listener ended", zap.Stringer("address", l.address), zap.Error(err))
-			}
-		}()
-	}
-	return nil
-}
-
-// serverErrors gives the standard library's server errors a line in the log.
-type serverErrors struct{ log *zap.Logger }
-
-// Write takes one message of the server.
-func (e serverErrors) Write(line []byte) (int, error) {
-	e.log.Debug("caller's connection", zap.ByteString("what", line))
-	return len(line), nil
-}
-
 // changed logs a change of belief and tells the gateway.
 func (b *Box) changed(c fleet.Change) {
 	fields := []zap.Field{
@@ -275,31 +228,3 @@
 	b.peers.SetSeeds(s.Seeds)
 	b.log.Info("settings read", zap.String("why", why), zap.Int("seeds", len(s.Seeds)))
 }
-
-// Left is closed when the box may end.
-func (b *Box) Left() <-chan struct{} { return b.left }
-
-// Stop begins the planned stop; a second call changes nothing.
-func (b *Box) Stop() {
-	b.once.Do(func() {
-		b.stopping.Store(true)
-		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
-		b.gateway.Stop()
-		b.peers.Leave()
-		go b.leave(time.Now().Add(b.settings.Grace - graceMargin))
-	})
-}
-
-// leave waits until the balancer sends no more callers and the requests under
-// way have ended, but not beyond the time of the kill.
-func (b *Box) leave(limit time.Time) {
-	time.Sleep(min(balancerTime, time.Until(limit)))
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	if err := b.front.Shutdown(ctx); err != nil {
-		b.log.Warn("requests were still under way at the end", zap.Int("active", b.gateway.Active()), zap.Error(err))
-	}
-	b.cancel()
-	b.log.Info("left", zap.Int64("log_lines_left_out", b.sink.LeftOut()))
-	close(b.left)
-}
--- /dev/null
+++ b/box/listen.go
@@ -0,0 +1,54 @@
+package box
+
+import (
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+func (b *Box) listen() error {
+	b.front = &http.Server{
+		Handler:           b.gateway,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       callerRest,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          log.New(serverErrors{b.log}, "", 0),
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("/ready", b.answerReady)
+	operators := http.NewServeMux()
+	operators.HandleFunc("/metrics", b.answerMetrics)
+	operators.HandleFunc("/status", b.answerStatus)
+	for _, l := range []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{b.settings.Front, b.front},
+		{b.settings.Ready, &http.Server{Handler: ready}},
+		{netip.AddrPortFrom(b.settings.Front.Addr(), uint16(b.options.MetricsPort)), &http.Server{Handler: operators}},
+	} {
+		socket, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return errors.Wrap(err, "listen on "+l.address.String())
+		}
+		go func() {
+			if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+				b.log.Error("a listener ended", zap.Stringer("address", l.address), zap.Error(err))
+			}
+		}()
+	}
+	return nil
+}
+
+// serverErrors gives the standard library's server errors a line in the log.
+type serverErrors struct{ log *zap.Logger }
+
+// Write takes one message of the server.
+func (e serverErrors) Write(line []byte) (int, error) {
+	e.log.Debug("caller's connection", zap.ByteString("what", line))
+	return len(line), nil
+}
--- /dev/null
+++ b/fleet/belief_apply.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// ApplySnapshot takes all that the store published. A list that is older than
+// what is believed changes nothing.
+func (b *Belief) ApplySnapshot(now time.Time, s *Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.takeDocument(fromStore, s.Document)
+	if !b.listed || s.Revision >= b.changed {
+		b.takeList(now, fromStore, s.Revision, s.Endpoints)
+		b.confirm = now
+	}
+	b.publish()
+}
+
+// ApplyViews takes what a peer believes. What it dropped is gone: the peer has
+// given it its time to come back.
+func (b *Belief) ApplyViews(now time.Time, from string, v Views) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.takeDocument(from, v.Document)
+	switch {
+	case v.Changed == 0 || (b.listed && v.Changed <= b.changed):
+	case v.Partial && b.listed:
+		b.takeChanges(now, from, News{
+			Updated: v.Endpoints,
+			Removed: v.Removed,
+		})
+		b.changed = v.Changed
+	case !v.Partial:
+		b.takeList(now, from, v.Changed, v.Endpoints)
+		b.changed = v.Changed
+	}
+	b.confirmBy(now, v.Changed, v.Age)
+	b.publish()
+}
+
+// takeList replaces the list. The revision of the last change is known only
+// from the entries that are there; a removal may be as new as the list itself.
+func (b *Belief) takeList(now time.Time, from string, revision uint64, all []routing.Endpoint) {
+	seen := make(map[string]bool, len(all))
+	for _, e := range all {
+		seen[e.ID] = true
+		b.update(now, from, e)
+		b.changed = max(b.changed, e.Revision)
+	}
+	for id, e := range b.entries {
+		if !seen[id] {
+			b.remove(now, from, id, e, revision)
+			b.changed = max(b.changed, revision)
+		}
+	}
+	if !b.listed {
+		b.since = b.changed
+		b.untold = append(b.untold, Change{
+			Kind:     ListKnown,
+			Count:    len(b.entries),
+			Revision: b.changed,
+			From:     from,
+		})
+	}
+	b.listed = true
+}
+
+// ApplyChanges takes what the store says has changed since the last view, and
+// gives the news of it for the peers, if there are any.
+func (b *Belief) ApplyChanges(now time.Time, c *Changes) (News, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := News{
+		After:   b.changed,
+		Updated: c.Updated,
+		Removed: c.Removed,
+	}
+	if c.Document != nil {
+		news.Version = c.Document.Version
+	}
+	b.takeDocument(fromStore, c.Document)
+	b.takeChanges(now, fromStore, news)
+	b.changed = max(b.changed, news.newest())
+	b.confirm = now
+	news.Changed = b.changed
+	b.publish()
+	return news, !news.empty()
+}
+
+// ApplyNews takes changes that a peer hands on, and tells whether they were
+// new. News with a gap before them leave the view's age as it is; the next
+// greeting closes the gap.
+func (b *Belief) ApplyNews(now time.Time, from string, n News) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fresh := n.Changed > b.changed
+	if !fresh || !b.listed {
+		return fresh
+	}
+	b.takeChanges(now, from, n)
+	if n.After <= b.changed {
+		b.changed = max(b.changed, n.Changed)
+		b.confirmBy(now, n.Changed, n.Age)
+	}
+	b.publish()
+	return true
+}
+
+func (b *Belief) takeChanges(now time.Time, from string, n News) {
+	for _, e := range n.Updated {
+		b.update(now, from, e)
+	}
+	for _, r := range n.Removed {
+		if e := b.entries[r.ID]; e != nil && e.Revision < r.Revision {
+			b.remove(now, from, r.ID, e, r.Revision)
+		}
+	}
+}
+
+// Confirm takes a peer's word that it knew of no later change than a revision,
+// some time ago.
+func (b *Belief) Confirm(now time.Time, changed uint64, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmBy(now, changed, age)
+	v := *b.view.Load()
+	v.Confirmed = b.confirm
+	b.view.Store(&v)
+}
+
+// confirmBy moves the time at which the list was last known to be whole, if this
+// box believes no less than who says so.
+func (b *Belief) confirmBy(now time.Time, changed uint64, age time.Duration) {
+	at := now.Add(-age)
+	if age >= 0 && b.listed && b.changed >= changed && at.After(b.confirm) {
+		b.confirm = at
+	}
+}
+
+// ApplyDocument takes a configuration that a peer has in force.
+func (b *Belief) ApplyDocument(from string, d *routing.Document) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.takeDocument(from, d)
+	b.publish()
+}
+
+func (b *Belief) takeDocument(from string, d *routing.Document) {
+	if d == nil || (b.table != nil && d.Version <= b.table.Version()) {
+		return
+	}
+	b.table = routing.NewTable(d)
+	b.untold = append(b.untold, Change{
+		Kind:    ConfigurationInForce,
+		Version: d.Version,
+		Routes:  len(d.Routes),
+		From:    from,
+	})
+}
