gateway: refuse streams that would outlast a planned stop

Change: the pace of a service's events is learned; a stream whose usual first event and expected length, by its caller's guess or its limit, go beyond the box's end is refused at once, not run, with a Retry-After: another box can serve it whole. Also: when a stream last broke off is kept on the monotonic clock; it was compared by the time of day, which may jump.

Test: a stream that would outlast the stop is refused and never sent, others are served.

Changelog-changed: a stopping box refuses streams that it couldn't finish

--- a/box/stop.go
+++ b/box/stop.go
@@ -15,9 +15,10 @@
 	b.once.Do(func() {
 		b.stopping.Store(true)
 		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
-		b.gateway.Stop()
+		limit := time.Now().Add(b.settings.Grace - graceMargin)
+		b.gateway.Stop(limit)
 		b.peers.Leave()
-		go b.leave(time.Now().Add(b.settings.Grace - graceMargin))
+		go b.leave(limit)
 	})
 }
 
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -62,12 +62,12 @@
 // off without notice.
 func (g *Gateway) protects(now time.Time) bool {
 	at := g.brokeAt.Load()
-	return at != 0 && now.Sub(time.Unix(0, at)) < copyMemory
+	return at != nil && now.Sub(*at) < copyMemory
 }
 
 // brokeOff notes that a stream broke off unannounced, here or at another box.
 func (g *Gateway) brokeOff(now time.Time) {
-	g.brokeAt.Store(now.UnixNano())
+	g.brokeAt.Store(&now)
 }
 
 // noteBreak looks whether a break was unannounced, and tells the group.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,14 +41,15 @@
 	log          *zap.Logger
 	counts       *counts
 	mu           sync.Mutex
-	usual        usualTimes
+	usual        usualTimes // to the begin of an answer, by route
+	paces        usualTimes // between events, by service
 	budgets      map[string]*core.SharedBudget
 	streams      map[string]map[*passage]bool // by the endpoint that runs them
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
 	buffered     atomic.Int64
 	active       atomic.Int64
-	stopping     atomic.Bool
-	brokeAt      atomic.Int64 // when a stream last broke off unannounced; 0 for never
+	stopAt       atomic.Pointer[time.Time] // when the box will have ended, in a planned stop; nil for none
+	brokeAt      atomic.Pointer[time.Time] // when a stream last broke off unannounced; nil for never
 }
 
 // Option changes how a gateway is built.
@@ -99,7 +100,8 @@
 		spread:       admission.NewSpread(zone, rand.Float64),
 		log:          zap.NewNop(),
 		counts:       newCounts(),
-		usual:        usualTimes{all: make(map[string]time.Duration)},
+		usual:        newUsualTimes(),
+		paces:        newUsualTimes(),
 		budgets:      make(map[string]*core.SharedBudget),
 		streams:      make(map[string]map[*passage]bool),
 
@@ -115,16 +117,13 @@
 // Active counts the requests under way.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
-// Stop asks callers to close their connections with the answers that follow.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // ServeHTTP carries one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	// A length beside chunks is dropped by the library; who reads by the length
 	// sees another request in what follows, so that nothing may follow.
-	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
+	if g.stopAt.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	p := &passage{
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -18,32 +18,36 @@
 	// overdueTarget is the least such time, as a part of the route's target: what
 	// comes elsewhere within the rest of it is still in time.
 	overdueTarget = 0.5
-	// usualWeight is the weight of the newest answer in a route's usual time.
+	// usualWeight is the weight of the newest time in a usual one.
 	usualWeight = 0.1
 )
 
-// usualTimes are how long the answers of each route take to begin, learned.
+// usualTimes are learned times, each by a name.
 type usualTimes struct {
 	mu  sync.Mutex
 	all map[string]time.Duration
 }
 
-func (u *usualTimes) learn(route string, took time.Duration) {
+func newUsualTimes() usualTimes {
+	return usualTimes{all: make(map[string]time.Duration)}
+}
+
+func (u *usualTimes) learn(name string, took time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	usual, known := u.all[route]
+	usual, known := u.all[name]
 	if !known {
-		u.all[route] = took
+		u.all[name] = took
 		return
 	}
-	u.all[route] = usual + time.Duration(usualWeight*float64(took-usual))
+	u.all[name] = usual + time.Duration(usualWeight*float64(took-usual))
 }
 
-// of gives a route's usual time, or 0 before any answer.
-func (u *usualTimes) of(route string) time.Duration {
+// of gives the usual time of a name, or 0 before any was learned.
+func (u *usualTimes) of(name string) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.all[route]
+	return u.all[name]
 }
 
 // overdue waits for a send's answer to begin. An endpoint that fails part of its
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -56,6 +56,7 @@
 	longest   time.Duration // between two events
 	longestAt string        // the id of the event before it
 	lastAt    time.Time     // of the last event
+	begunAt   time.Time     // of the first event
 	begun     bool          // whether the head of the answer went to the caller
 	placedAt  time.Time
 	resume    *handover // where the stream goes on
@@ -74,6 +75,10 @@
 		return
 	}
 	p.limit = p.start.Add(p.timeout())
+	if p.outlastsStop() {
+		p.refuse(http.StatusServiceUnavailable, "this box stops before the stream would end; another one can serve it")
+		return
+	}
 	if !p.readBody() {
 		return
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -67,12 +67,14 @@
 }
 
 // tokens estimates what a run holds at its end.
-func (p *passage) tokens() int {
-	out := p.in.MaxTokens
+func (p *passage) tokens() int { return p.in.PromptTokens + p.output() }
+
+// output estimates the tokens that a run generates.
+func (p *passage) output() int {
 	if p.in.LengthHint > 0 {
-		out = min(p.in.LengthHint, out)
+		return min(p.in.LengthHint, p.in.MaxTokens)
 	}
-	return p.in.PromptTokens + out
+	return p.in.MaxTokens
 }
 
 // refuse answers a request that was not sent anywhere.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -131,6 +131,7 @@
 	if p.events == 0 {
 		p.gateway.usual.learn(p.route.Name, now.Sub(p.placedAt))
 		p.first = now.Sub(p.start)
+		p.begunAt = now
 		p.gateway.spread.Started(p.queued, now.Sub(p.placedAt))
 	} else if gap := now.Sub(p.lastAt); gap > p.longest {
 		p.longest = gap
@@ -139,8 +140,11 @@
 	p.lastAt = now
 }
 
-// learn takes a whole generation's size into the placement's means.
+// learn takes a whole generation's pace and size into the learned means.
 func (p *passage) learn() {
+	if p.events > 1 {
+		p.gateway.paces.learn(p.service.Name, p.lastAt.Sub(p.begunAt)/time.Duration(p.events-1))
+	}
 	if engine := p.service.Engine; engine != nil && p.in.PromptTokens > 0 {
 		p.gateway.spread.Learn(p.in.PromptTokens, p.events*max(engine.EventTokens, 1))
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -221,6 +221,19 @@
 		leaves("h1", first, 12, time.Millisecond)
 	})
 
+	It("that would outlast a planned stop is refused before it is sent, others are served", func() {
+		s := b.add("e-1", emulator.Model)
+		s.Events, s.EventGap = 12, eventGap
+		Expect(stream("p1").Whole).To(BeTrue())
+		b.gateway.Stop(time.Now().Add(300 * time.Millisecond))
+		o := stream("p2")
+		Expect(o.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(o.RetryIn).NotTo(BeEmpty())
+		Expect(s.Runs()).To(HaveLen(1))
+		b.gateway.Stop(time.Now().Add(10 * time.Second))
+		Expect(stream("p3").Whole).To(BeTrue())
+	})
+
 	It("is stopped at its engine when its caller leaves", func() {
 		s := b.add("e-1", emulator.Model)
 		s.Events, s.EventGap = 10_000, time.Millisecond
