model: the specification of moves off an engine that leaves

By hand: with turns that pass at once it finds two moves at a time, with others' runs taken for own a run that is moved twice.

--- a/model/proof.go
+++ b/model/proof.go
@@ -106,6 +106,7 @@
 		},
 	}
 	all = append(all, callChecks()...)
+	all = append(all, evacuationChecks()...)
 	all = append(all, claimChecks()...)
 	all = append(all, leaseChecks()...)
 	return append(all, fenceChecks()...)
@@ -168,6 +169,26 @@
 	}
 }
 
+// evacuationChecks are for moves off an engine that leaves: a run that two boxes
+// moved, or that was moved twice, would go on from two copies.
+func evacuationChecks() []Check {
+	check := func(boxes, runs int) Check {
+		return Check{
+			Name:     fmt.Sprintf("moves off an engine that leaves, %d boxes with %d runs each", boxes, runs),
+			Promises: []Promise{TokensOnce},
+			States:   30000,
+			First: func(deep bool, _ ...core.Option) State {
+				return Evacuations(EvacuationRules{
+					Boxes:  boxes,
+					Runs:   runs,
+					Faults: pick(deep, 2, 4),
+				})
+			},
+		}
+	}
+	return []Check{check(2, 2), check(3, 1)}
+}
+
 func claimChecks() []Check {
 	guards := map[ClaimScenario][]core.Guard{
 		SameList:    {core.GuardClaimRecord, core.GuardClaimRestart, core.GuardClaimTakeover},
