admission: drop the slow start of new engines

It was meant to keep the prompts of all boxes from an empty engine; since placements are told and boxes that hear none compare two engines only, there is nothing left for it to do, and it keeps work away from the engines with the most room.

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -44,11 +44,6 @@
 	// short notice: of engines that were told to go, those with up to five runs lost
 	// one stream in thirty, those with eight or more a third of them.
 	crowdCost = 3.0
-	// slowStart is what an engine that is new adds at first, as a part of its
-	// memory, and startTime how long that lasts: an empty engine would get the
-	// prompts of all boxes at once and read them one after the other.
-	slowStart = 0.3
-	startTime = 3 * time.Second
 	// engineNoise spreads requests over engines that look alike.
 	engineNoise = 0.06
 	// firstRate is how many tokens of prompts an engine reads in a second until
@@ -153,7 +148,7 @@
 	var own, strange []int
 	for i := range endpoints {
 		id := endpoints[i].ID
-		if w.Exclude[id] || (w.Most > 0 && s.fullness(now, s.load(now, id), w) > w.Most) {
+		if w.Exclude[id] || (w.Most > 0 && s.fullness(now, s.load(id), w) > w.Most) {
 			continue
 		}
 		if s.share == nil || s.share[id] {
@@ -185,7 +180,7 @@
 }
 
 func (s *Spread) score(now time.Time, e routing.Endpoint, w Want) float64 {
-	l := s.load(now, e.ID)
+	l := s.load(e.ID)
 	slots := float64(max(e.Slots, 1))
 	load := float64(l.running)
 	if now.Sub(l.answerAt) < answerLife {
@@ -202,7 +197,6 @@
 			score += strangerCost
 		}
 		score += delayCost * l.waiting(now, s.rate) / s.rate
-		score += slowStart * math.Max(0, 1-float64(now.Sub(l.met))/float64(startTime))
 	}
 	if e.Zone != w.zone(s) {
 		score += w.zoneCost()
@@ -275,10 +269,10 @@
 	return l.failures * math.Exp(-float64(now.Sub(l.failedAt))/float64(failureDecay))
 }
 
-func (s *Spread) load(now time.Time, id string) *endpointLoad {
+func (s *Spread) load(id string) *endpointLoad {
 	l := s.known[id]
 	if l == nil {
-		l = &endpointLoad{met: now}
+		l = &endpointLoad{}
 		s.known[id] = l
 	}
 	return l
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -26,8 +26,7 @@
 	heard    time.Time   // of the endpoint, on any connection of this box
 	latency  float64     // seconds, learned
 	used     time.Time
-	met      time.Time // when this box learned of it
-	queue    float64   // tokens of prompts that wait to be read, at queueAt
+	queue    float64 // tokens of prompts that wait to be read, at queueAt
 	queueAt  time.Time
 }
 
@@ -47,7 +46,7 @@
 func (s *Spread) Placed(now time.Time, id string, prompt int) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.queue = l.waiting(now, s.rate) + float64(prompt)
 	l.queueAt = now
 	return l.queue
@@ -59,7 +58,7 @@
 	s.Placed(now, id, prompt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(now, id).add(now, prompt+int(s.output))
+	s.load(id).add(now, prompt+int(s.output))
 	s.heard = now
 }
 
@@ -67,7 +66,7 @@
 func (s *Spread) CopiedElsewhere(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(now, id).add(now, tokens)
+	s.load(id).add(now, tokens)
 }
 
 // Started takes how long an engine took to read what waited, with a prompt of
@@ -85,7 +84,7 @@
 func (s *Spread) Begin(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.running++
 	l.since++
 	l.tokens += tokens
@@ -98,7 +97,7 @@
 func (s *Spread) Heard(now time.Time, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(now, id).heard = now
+	s.load(id).heard = now
 }
 
 func (l *endpointLoad) add(now time.Time, tokens int) {
@@ -114,7 +113,7 @@
 func (s *Spread) End(now time.Time, id string, begun time.Time, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	if i := slices.Index(l.pending, begun); i >= 0 {
 		l.pending = slices.Delete(l.pending, i, i+1)
 	}
@@ -127,7 +126,7 @@
 func (s *Spread) Copy(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.copies += tokens
 	l.add(now, tokens)
 }
@@ -136,7 +135,7 @@
 func (s *Spread) Answered(now time.Time, id string, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.answered = busy
 	l.since = 0
 	l.answerAt = now
@@ -146,7 +145,7 @@
 func (s *Spread) Memory(at time.Time, r routing.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(at, r.Endpoint)
+	l := s.load(r.Endpoint)
 	if !at.After(l.memoryAt) {
 		return
 	}
@@ -177,7 +176,7 @@
 func (s *Spread) Succeeded(now time.Time, id string, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.heard = now
 	l.latency += latencyWeight * (took.Seconds() - l.latency)
 	l.failures = l.record(now) / 2
@@ -189,7 +188,7 @@
 func (s *Spread) Failed(now time.Time, id string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.load(now, id)
+	l := s.load(id)
 	l.failures = math.Min(1, l.record(now)+failureStep)
 	l.failedAt = now
 	if silent {
