--- a/admission/spread.go
+++ b/admission/spread.go
@@ -42,7 +42,8 @@
 	fullCost = 8.0
 	// crowdCost is what each part of memory adds that can't leave the engine within a
 	// short notice: of engines that were told to go, those with up to five runs lost
-	// one stream in thirty, those with eight or more a third of them.
+	// one stream in thirty, those with eight or more a third of them. It gained 0.007
+	// +- 0.005 of the worth on days with only leaving engines (12 in pairs).
 	crowdCost = 3.0
 	// engineNoise spreads requests over engines that look alike.
 	engineNoise = 0.06
@@ -64,7 +65,8 @@
 	// choiceCount is how many endpoints one request compares; blindChoices is how
 	// many by a box that heard of no other box's placements for blindTime. After all
 	// boxes of a fleet of 66 had restarted, every box took the emptiest of five by
-	// the same old reports, and some engines got eight prompts in half a second.
+	// the same old reports, and some engines got eight prompts in half a second
+	// (0.0045 +- 0.0018 of the worth, 4 days in pairs).
 	choiceCount  = 5
 	blindChoices = 2
 	blindTime    = time.Second
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -16,7 +16,8 @@
 	// milliseconds, and an opening packet that was dropped comes again after a
 	// second. connectElsewhere does so while another endpoint can take the request:
 	// one that went without a word held each request placed there for a second, 26
-	// of them on one day while the store was silent.
+	// of them on one day while the store was silent (0.032 +- 0.008 of the worth on
+	// such days, 6 in pairs).
 	connectTime      = 1300 * time.Millisecond
 	connectElsewhere = 250 * time.Millisecond
 	// restTime is how long a connection rests at most; endpoints that say
