fleet, wire, platform, box: log and count how configurations travel

The logs of late configurations couldn't tell whether copies were too large for the links, readers late, or news lost. Each large answer to another box and of the store has a line now with its bytes and time, a configuration in force says how long the box had known of it, and a copy that didn't come says from whom and after how long. No logic changes.

Changelog-added: log lines and metrics of configurations under way

--- a/box/box.go
+++ b/box/box.go
@@ -116,7 +116,7 @@
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
-	follower := fleet.NewFollower(platform.NewStore(s.Store), b.belief, min(s.ConfigBound, s.DrainBound),
+	follower := fleet.NewFollower(platform.NewStore(s.Store, platform.WithOnAnswer(b.storeAnswered)), b.belief, min(s.ConfigBound, s.DrainBound),
 		fleet.WithFollowerLog(log.Named("store")),
 		fleet.WithReader(b.peers.Reader),
 		fleet.WithOnNews(b.peers.Spread),
@@ -137,7 +137,9 @@
 	}
 	switch c.Kind {
 	case fleet.ConfigurationInForce:
-		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes))
+		waited := c.Waited(time.Now())
+		configurationWait.Update(waited.Seconds())
+		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes), zap.Duration("waited", waited))
 	case fleet.ListKnown:
 		fields = append(fields, zap.Int("endpoints", c.Count))
 	default:
--- a/box/operators.go
+++ b/box/operators.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// largeStoreAnswer is the size in bytes from which an answer of the store has a log
+// line; changes of endpoints take less.
+const largeStoreAnswer = 64 << 10
+
+// configurationWait is how long boxes that had heard of a configuration were without
+// it.
+var configurationWait = metrics.NewHistogram("dillsaddle_configuration_wait_seconds")
+
+// storeAnswered logs a large answer of the store.
+func (b *Box) storeAnswered(call string, bytes int, took time.Duration) {
+	if bytes >= largeStoreAnswer {
+		b.log.Info("large answer of the store", zap.String("call", call), zap.Int("bytes", bytes), zap.Duration("took", took))
+	}
+}
+
 // countStoreCalls counts the calls to the store by their result.
 func countStoreCalls(result string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_store_calls_total{result=%q}", result)).Inc()
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -45,6 +45,10 @@
 	Count    int    // of endpoints in the first list
 	Revision uint64
 	From     string // the store or a peer
+
+	// For a configuration: when this process first heard of this version or a
+	// newer one, from anyone; zero when it came unannounced.
+	Announced time.Time
 }
 
 // Belief holds the newest view and makes the next ones.
@@ -62,6 +66,8 @@
 	confirm  time.Time
 	backAt   time.Time // when the store came back after an outage
 	away     bool
+	heardOf  uint64 // the newest configuration that anyone told of
+	heardAt  time.Time
 
 	removed   []Removal // the last ones, for partial lists
 	since     uint64    // the list's last change when this box first had one
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -148,15 +148,33 @@
 	b.publish()
 }
 
+// HeardOf notes that a version of the configuration exists; how long it then takes
+// until one at least as new is in force is told with the change.
+func (b *Belief) HeardOf(now time.Time, version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version <= b.heardOf || (b.table != nil && version <= b.table.Version()) {
+		return
+	}
+	if b.table == nil || b.heardOf <= b.table.Version() {
+		b.heardAt = now
+	}
+	b.heardOf = version
+}
+
 func (b *Belief) takeDocument(from string, d *routing.Document) {
 	if d == nil || (b.table != nil && d.Version <= b.table.Version()) {
 		return
 	}
 	b.table = routing.NewTable(d)
 	b.untold = append(b.untold, Change{
-		Kind:    ConfigurationInForce,
-		Version: d.Version,
-		Routes:  len(d.Routes),
-		From:    from,
+		Kind:      ConfigurationInForce,
+		Version:   d.Version,
+		Routes:    len(d.Routes),
+		From:      from,
+		Announced: b.heardAt,
 	})
+	if d.Version >= b.heardOf {
+		b.heardAt = time.Time{}
+	}
 }
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -80,6 +80,7 @@
 	if !n.Large {
 		p.belief.ApplyNews(time.Now(), fromPeer, n)
 	}
+	p.belief.HeardOf(time.Now(), n.Version)
 	v := p.belief.View()
 	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
 		go p.pull(c, n)
@@ -105,14 +106,16 @@
 		if n.Large {
 			want.Changed = v.Changed
 		}
+		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), greetTime)
 		defer cancel()
 		views, err := wire.Call[Views](ctx, c, want)
 		if err != nil {
 			// The next partner's news or greeting brings it.
-			p.log.Info("newer views didn't come after news", zap.Uint64("version", n.Version), zap.Error(err))
+			p.log.Info("newer views didn't come after news", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", n.Version), zap.Duration("took", time.Since(began)), zap.Error(err))
 			return
 		}
+		p.viewsCame(c.Remote(), views, began)
 		p.belief.ApplyViews(time.Now(), fromPeer, views)
 	}
 	if p.firstSeen(n) {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -85,7 +85,6 @@
 		belief:       belief,
 		seeds:        others(seeds, self.Address),
 		log:          zap.NewNop(),
-		handlers:     wire.NewHandlers(),
 		alive:        make(map[string]bool),
 		onPlaced:     func(time.Time, Placement) {},
 		onEvacuating: func(time.Time, Evacuating) {},
@@ -94,6 +93,7 @@
 	for _, o := range options {
 		o(p)
 	}
+	p.handlers = wire.NewHandlers(wire.WithOnAnswered(p.answered))
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(g), nil })
 	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
 	wire.Answer(p.handlers, p.lend)
@@ -255,14 +255,17 @@
 	if g.Configuration <= v.Configuration() && !listLate {
 		return
 	}
+	began := time.Now()
+	p.belief.HeardOf(began, g.Configuration)
 	views, err := wire.Request[Views](ctx, p.pool, address, Want{
 		Configuration: v.Configuration(),
 		Changed:       v.Changed,
 	})
 	if err != nil {
-		p.log.Info("newer views didn't come", zap.Stringer("address", address), zap.Error(err))
+		p.log.Info("newer views didn't come", zap.Stringer("box_address", address), zap.Uint64("version", g.Configuration), zap.Duration("took", time.Since(began)), zap.Error(err))
 		return
 	}
+	p.viewsCame(address, views, began)
 	p.belief.ApplyViews(time.Now(), g.From.Box, views)
 }
 
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -29,6 +29,7 @@
 // Conn is one connection between two processes.
 type Conn struct {
 	socket   *websocket.Conn
+	remote   netip.AddrPort
 	handlers *Handlers
 	mu       sync.Mutex
 	next     uint64
@@ -37,10 +38,11 @@
 	once     sync.Once
 }
 
-func newConn(socket *websocket.Conn, handlers *Handlers) *Conn {
+func newConn(socket *websocket.Conn, remote netip.AddrPort, handlers *Handlers) *Conn {
 	socket.SetReadLimit(maxMessage)
 	return &Conn{
 		socket:   socket,
+		remote:   remote,
 		handlers: handlers,
 		pending:  make(map[uint64]chan envelope),
 		closed:   make(chan struct{}),
@@ -55,11 +57,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to "+address.String())
 	}
-	c := newConn(socket, handlers)
+	c := newConn(socket, address, handlers)
 	go c.serve(context.WithoutCancel(ctx))
 	return c, nil
 }
 
+// Remote gives the other side's address; the port is the one it listens on only
+// where this side connected.
+func (c *Conn) Remote() netip.AddrPort { return c.remote }
+
 // Closed is closed when the connection has ended.
 func (c *Conn) Closed() <-chan struct{} { return c.closed }
 
@@ -126,42 +132,52 @@
 		c.fault(ctx, e.ID, err.Error())
 		return
 	}
-	_ = c.write(ctx, envelope{
+	began := time.Now()
+	size, err := c.write(ctx, envelope{
 		ID:     e.ID,
 		Answer: true,
 	}, answer)
+	c.handlers.onAnswered(Answered{
+		Conn:  c,
+		Kind:  answer.Kind(),
+		Bytes: size,
+		Took:  time.Since(began),
+		Err:   err,
+	})
 }
 
 func (c *Conn) fault(ctx context.Context, id uint64, text string) {
 	if id == 0 {
 		return
 	}
-	_ = c.write(ctx, envelope{
+	_, _ = c.write(ctx, envelope{
 		ID:     id,
 		Answer: true,
 		Fault:  text,
 	}, nil)
 }
 
-func (c *Conn) write(ctx context.Context, e envelope, body Message) error {
+// write sends a message and gives its size in bytes.
+func (c *Conn) write(ctx context.Context, e envelope, body Message) (int, error) {
 	e.Versions = c.handlers.versions()
 	data, err := seal(e, body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	c.handlers.traffic.sent(len(data))
 	if err := c.socket.Write(ctx, websocket.MessageBinary, data); err != nil {
 		c.Close()
-		return errors.Wrap(err, "write to the other process")
+		return len(data), errors.Wrap(err, "write to the other process")
 	}
-	return nil
+	return len(data), nil
 }
 
 // Push sends a message that gets no answer.
 func (c *Conn) Push(ctx context.Context, m Message) error {
-	return c.write(ctx, envelope{}, m)
+	_, err := c.write(ctx, envelope{}, m)
+	return err
 }
 
 func (c *Conn) register() (uint64, chan envelope) {
@@ -183,7 +199,7 @@
 func Call[A Message](ctx context.Context, c *Conn, q Message) (A, error) {
 	var answer A
 	id, waiting := c.register()
-	if err := c.write(ctx, envelope{ID: id}, q); err != nil {
+	if _, err := c.write(ctx, envelope{ID: id}, q); err != nil {
 		c.forget(id)
 		return answer, err
 	}
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -15,6 +16,17 @@
 	onVers   func(c *Conn, v Versions)
 	versions func() Versions
 	traffic  *Traffic
+
+	onAnswered func(Answered)
+}
+
+// Answered is an answer that was handed to its connection, or couldn't be.
+type Answered struct {
+	Conn  *Conn
+	Kind  string
+	Bytes int
+	Took  time.Duration // until the connection had taken all of it
+	Err   error
 }
 
 // HandlersOption changes how handlers are built.
@@ -30,6 +42,11 @@
 	return func(h *Handlers) { h.onVers = seen }
 }
 
+// WithOnAnswered is called after each answer.
+func WithOnAnswered(onAnswered func(Answered)) HandlersOption {
+	return func(h *Handlers) { h.onAnswered = onAnswered }
+}
+
 // NewHandlers builds an empty table.
 func NewHandlers(options ...HandlersOption) *Handlers {
 	h := &Handlers{
@@ -37,6 +54,8 @@
 		onVers:   func(*Conn, Versions) {},
 		versions: func() Versions { return Versions{} },
 		traffic:  &Traffic{},
+
+		onAnswered: func(Answered) {},
 	}
 	for _, o := range options {
 		o(h)
--- a/wire/server.go
+++ b/wire/server.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		return
 	}
-	c := newConn(socket, s.handlers)
+	remote, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		remote = netip.AddrPort{} // only logs name it
+	}
+	c := newConn(socket, remote, s.handlers)
 	s.track(c, true)
 	defer s.track(c, false)
 	c.serve(context.WithoutCancel(r.Context()))
