--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -66,14 +66,19 @@
 	confirm  time.Time
 	backAt   time.Time // when the store came back after an outage
 	away     bool
-	heardOf  uint64 // the newest configuration that anyone told of
-	heardAt  time.Time
+	heardOf  []heard // versions that are newer than the one in force, oldest first
 
 	removed   []Removal // the last ones, for partial lists
 	since     uint64    // the list's last change when this box first had one
 	forgotten uint64    // removals up to this revision are not known any more
 }
 
+// heard is when anyone first told of a version of the configuration.
+type heard struct {
+	version uint64
+	at      time.Time
+}
+
 type entry struct {
 	routing.Endpoint
 	missing bool // it lapsed during an outage and may still come back
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"dillsaddle.example/dillsaddle/routing"
@@ -153,13 +154,16 @@
 func (b *Belief) HeardOf(now time.Time, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version <= b.heardOf || (b.table != nil && version <= b.table.Version()) {
+	if b.table != nil && version <= b.table.Version() {
 		return
 	}
-	if b.table == nil || b.heardOf <= b.table.Version() {
-		b.heardAt = now
+	if n := len(b.heardOf); n > 0 && version <= b.heardOf[n-1].version {
+		return
 	}
-	b.heardOf = version
+	b.heardOf = append(b.heardOf, heard{
+		version: version,
+		at:      now,
+	})
 }
 
 func (b *Belief) takeDocument(from string, d *routing.Document) {
@@ -172,9 +176,17 @@
 		Version:   d.Version,
 		Routes:    len(d.Routes),
 		From:      from,
-		Announced: b.heardAt,
+		Announced: b.announced(d.Version),
 	})
-	if d.Version >= b.heardOf {
-		b.heardAt = time.Time{}
-	}
+}
+
+// announced gives when anyone first told of a version or a newer one, and forgets
+// those that are not newer.
+func (b *Belief) announced(version uint64) time.Time {
+	var at time.Time
+	if i := slices.IndexFunc(b.heardOf, func(h heard) bool { return h.version >= version }); i >= 0 {
+		at = b.heardOf[i].at
+	}
+	b.heardOf = slices.DeleteFunc(b.heardOf, func(h heard) bool { return h.version <= version })
+	return at
 }
