fleet, core, wire, platform: hand configurations on in parts, to a few at a time

Cause: a copy's time is its size by the number of copies by the link, and the bounds on it were fixed. All partners of a reader asked it at once for the whole document (17 x 120 KB on 10 Mbit/s: 1.6 s), each gave up after 0.8 s, and the bytes given up went on filling the link, so that greetings failed, boxes that were well were suspected, and readers lost a store that was well. A box asked only who had just told it; having given up it waited to be told again. A watch that took over 1.5 s, or brought over 4 MB, was asked for again from the same revision, with still more in it: for good.

Ruled out: slow decoding (processors at 6% of a core at most), a store that tells late (four readers had version 13 1.4 s before it was confirmed).

Change: views are packed once (47 KB of 244 for 2,850 routes) and taken in parts of 16 KB with a bound on each part; a box gives large ones to two at a time, and tells others to come back or ask elsewhere; a box remembers all that offered newer views and asks one after the other until it has them (core.Pull and core.Giving, pure); who has a configuration tells its partners. Changes of the list don't wait behind a configuration any more.

Also found: a box that took only a configuration from another also took that one's word that its list was whole, though the list hadn't come with it.

Changelog-fixed: configurations in force too late over small links

--- /dev/null
+++ b/core/pull.go
@@ -0,0 +1,208 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// Offer says how new the views are that a box has: the version of its configuration
+// and the last change of its list. Zero says nothing of either.
+type Offer struct {
+	Configuration uint64
+	Changed       uint64
+}
+
+// Newer tells whether an offer has anything that is newer than another.
+func (o Offer) Newer(than Offer) bool {
+	return o.Configuration > than.Configuration || o.Changed > than.Changed
+}
+
+// PullRules say how long a box is left alone before it is asked again.
+type PullRules struct {
+	Busy   time.Duration // after it said that it gives to others
+	Failed time.Duration // after it didn't give; doubled with each time in a row
+	Most   time.Duration // bounds the doubling
+	Forget time.Duration // after which an offer that nobody repeated is forgotten
+}
+
+// DefaultPullRules gives the rules that the boxes use. A copy of 50 KB, which is a
+// configuration of 2,850 routes, takes 40 to 80 ms on a link of 10 Mbit/s: to ask a busy
+// box again after half of that costs two or three small messages.
+func DefaultPullRules() PullRules {
+	return PullRules{
+		Busy:   30 * time.Millisecond,
+		Failed: 200 * time.Millisecond,
+		Most:   2 * time.Second,
+		Forget: 30 * time.Second,
+	}
+}
+
+// Pull decides whom to ask for newer views, one at a time. It remembers everyone who
+// offered some until this box has them: who asked once and gave up was without a
+// configuration for 3 s, with three boxes around that had it. K tells boxes apart.
+type Pull[K comparable] struct {
+	rules   PullRules
+	holders []holder[K]
+}
+
+type holder[K comparable] struct {
+	key    K
+	offer  Offer
+	told   time.Time
+	after  time.Time // not asked before
+	failed int       // times in a row
+}
+
+// NewPull builds a pull that knows nobody.
+func NewPull[K comparable](rules PullRules) *Pull[K] {
+	return &Pull[K]{rules: rules}
+}
+
+// Told takes a box's word of what it has.
+func (p *Pull[K]) Told(now time.Time, key K, o Offer) {
+	h := p.find(key)
+	if h == nil {
+		p.holders = append(p.holders, holder[K]{key: key})
+		h = &p.holders[len(p.holders)-1]
+	}
+	h.offer.Configuration = max(h.offer.Configuration, o.Configuration)
+	h.offer.Changed = max(h.offer.Changed, o.Changed)
+	h.told = now
+}
+
+// Next gives the box to ask now, and what it offered: of those that are not to be left
+// alone, any of the newest, by draw, so that many askers spread over all that
+// have it. Without one, it gives how long to wait; zero says that there is nothing
+// newer to ask for.
+func (p *Pull[K]) Next(now time.Time, have Offer, draw func(n int) int) (key K, o Offer, wait time.Duration) {
+	p.holders = slices.DeleteFunc(p.holders, func(h holder[K]) bool {
+		return !h.offer.Newer(have) || now.Sub(h.told) > p.rules.Forget
+	})
+	var newest []holder[K]
+	for _, h := range p.holders {
+		if left := h.after.Sub(now); left > 0 {
+			if wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
+		if len(newest) > 0 && newest[0].offer.Newer(h.offer) {
+			continue
+		}
+		if len(newest) > 0 && h.offer.Newer(newest[0].offer) {
+			newest = newest[:0]
+		}
+		newest = append(newest, h)
+	}
+	if len(newest) == 0 {
+		return key, o, wait
+	}
+	h := newest[draw(len(newest))]
+	return h.key, h.offer, 0
+}
+
+// Busy notes that a box gives to others at present.
+func (p *Pull[K]) Busy(now time.Time, key K) {
+	if h := p.find(key); h != nil {
+		h.after = now.Add(p.rules.Busy)
+	}
+}
+
+// Failed notes that a box didn't give what it offered.
+func (p *Pull[K]) Failed(now time.Time, key K) {
+	h := p.find(key)
+	if h == nil {
+		return
+	}
+	h.after = now.Add(min(p.rules.Failed<<h.failed, p.rules.Most))
+	h.failed = min(h.failed+1, doublings)
+}
+
+// doublings bounds the shift of a pause; far above any that the rules' bound allows.
+const doublings = 16
+
+// Gave notes that a box gave what it was asked for.
+func (p *Pull[K]) Gave(key K) {
+	if h := p.find(key); h != nil {
+		h.failed = 0
+	}
+}
+
+// Gone drops a box that can't be asked any more.
+func (p *Pull[K]) Gone(key K) {
+	p.holders = slices.DeleteFunc(p.holders, func(h holder[K]) bool { return h.key == key })
+}
+
+func (p *Pull[K]) find(key K) *holder[K] {
+	i := slices.IndexFunc(p.holders, func(h holder[K]) bool { return h.key == key })
+	if i < 0 {
+		return nil
+	}
+	return &p.holders[i]
+}
+
+// GivingRules bound what a box gives at once.
+type GivingRules struct {
+	Most int           // whole copies on their way at a time
+	Idle time.Duration // after which a taker that asks for no further part has left
+}
+
+// DefaultGivingRules gives the rules that the boxes use. Of 17 copies that share one
+// link none is whole before all are; of two, both soon are, and their takers give in
+// their turn: after n rounds 3^n boxes have it. A taker asks for its next part within some
+// tens of milliseconds on a link of 10 Mbit/s.
+func DefaultGivingRules() GivingRules {
+	return GivingRules{
+		Most: 2,
+		Idle: 300 * time.Millisecond,
+	}
+}
+
+// Giving decides who may take a large copy now. K tells takers apart.
+type Giving[K comparable] struct {
+	rules  GivingRules
+	takers []taker[K]
+}
+
+type taker[K comparable] struct {
+	key   K
+	began time.Time
+	last  time.Time
+}
+
+// NewGiving builds a giving without takers.
+func NewGiving[K comparable](rules GivingRules) *Giving[K] {
+	return &Giving[K]{rules: rules}
+}
+
+// May tells whether a taker may have its next part now. One that has begun may always go
+// on.
+func (g *Giving[K]) May(now time.Time, key K) bool {
+	if i := slices.IndexFunc(g.takers, func(t taker[K]) bool { return t.key == key }); i >= 0 {
+		g.takers[i].last = now
+		return true
+	}
+	g.takers = slices.DeleteFunc(g.takers, func(t taker[K]) bool { return now.Sub(t.last) > g.rules.Idle })
+	if len(g.takers) >= g.rules.Most {
+		return false
+	}
+	g.takers = append(g.takers, taker[K]{
+		key:   key,
+		began: now,
+		last:  now,
+	})
+	return true
+}
+
+// Done notes that a taker gets its last part, and gives the time since its first.
+func (g *Giving[K]) Done(now time.Time, key K) time.Duration {
+	var took time.Duration
+	g.takers = slices.DeleteFunc(g.takers, func(t taker[K]) bool {
+		if t.key != key {
+			return false
+		}
+		took = now.Sub(t.began)
+		return true
+	})
+	return took
+}
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -154,7 +154,7 @@
 func (b *Belief) HeardOf(now time.Time, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.table != nil && version <= b.table.Version() {
+	if version == 0 || (b.table != nil && version <= b.table.Version()) {
 		return
 	}
 	if n := len(b.heardOf); n > 0 && version <= b.heardOf[n-1].version {
--- a/fleet/sight.go
+++ b/fleet/counts.go
@@ -10,38 +10,30 @@
 	"dillsaddle.example/dillsaddle/wire"
 )
 
-// largeAnswer is the size in bytes from which views that a box gave or got have a
-// log line of their own: an answer that the usual changes of some endpoints fit
-// into says nothing.
-const largeAnswer = 8 << 10
-
 var (
 	viewsGiven    = metrics.NewCounter("dillsaddle_views_given_bytes_total")
 	viewsGiveTime = metrics.NewHistogram("dillsaddle_views_give_seconds")
 	viewsTakeTime = metrics.NewHistogram("dillsaddle_views_take_seconds")
+	viewsBusy     = metrics.NewCounter("dillsaddle_views_busy_total")
 )
 
-// answered logs and counts the views that this box gave.
+// answered counts the views that this box gives, part by part.
 func (p *Peers) answered(a wire.Answered) {
-	if a.Kind != (Views{}).Kind() {
+	if a.Kind != (Part{}).Kind() {
 		return
 	}
 	viewsGiven.Add(a.Bytes)
 	viewsGiveTime.Update(a.Took.Seconds())
-	if a.Bytes < largeAnswer {
-		return
-	}
-	p.log.Info("views given", zap.Stringer("box_address", a.Conn.Remote()), zap.Int("bytes", a.Bytes), zap.Duration("took", a.Took), zap.Error(a.Err))
 }
 
 // viewsCame logs and counts the views that another box gave.
-func (p *Peers) viewsCame(from netip.AddrPort, v Views, asked time.Time) {
+func (p *Peers) viewsCame(from netip.AddrPort, v Views, bytes int, asked time.Time) {
 	took := time.Since(asked)
 	viewsTakeTime.Update(took.Seconds())
 	if v.Document == nil {
 		return
 	}
-	p.log.Info("views came", zap.Stringer("box_address", from), zap.Uint64("version", v.Document.Version), zap.Duration("took", took))
+	p.log.Info("views came", zap.Stringer("box_address", from), zap.Uint64("version", v.Document.Version), zap.Int("bytes", bytes), zap.Duration("took", took))
 }
 
 // Waited gives how long a process that had heard of a version was without it.
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -142,6 +142,13 @@
 		f.log.Info("the store dropped its history, reading everything", zap.Uint64("after", after))
 		return 0, false
 	}
+	if errors.Is(err, ErrTooMuch) {
+		// The store holds each version that came since, and only the last is
+		// wanted; to ask for them again would bring still more.
+		f.calls("too much")
+		f.log.Info("the changes are larger than all there is, reading everything", zap.Uint64("after", after))
+		return 0, false
+	}
 	if err != nil {
 		f.failed(ctx, "watch", err)
 		return after, true
--- /dev/null
+++ b/fleet/give.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+const (
+	// partBytes is what one answer holds of packed views: 13 ms of a link of
+	// 10 Mbit/s, so that greetings and news on the same connection don't wait for a whole
+	// copy, and a part comes or doesn't within partTime.
+	partBytes = 16 << 10
+	// packedKept is how many packed views a box keeps for those that take parts of
+	// them: of the last versions, for takers with some different ones.
+	packedKept = 4
+)
+
+// Part is a piece of packed views.
+type Part struct {
+	Digest uint64        `cbor:"1,keyasint,omitempty"` // of the whole, to ask for more of it
+	Size   int           `cbor:"2,keyasint,omitempty"` // of the whole; 0 when there is nothing newer, or no such digest
+	Data   []byte        `cbor:"3,keyasint,omitempty"`
+	Busy   bool          `cbor:"4,keyasint,omitempty"` // the box gives to others; ask again, or another
+	Age    time.Duration `cbor:"5,keyasint"`           // since the list in it was confirmed; below 0 when that isn't known
+}
+
+// Kind names the message.
+func (Part) Kind() string { return "part" }
+
+// WantPart asks for more of packed views.
+type WantPart struct {
+	Digest uint64 `cbor:"1,keyasint"`
+	Offset int    `cbor:"2,keyasint"`
+}
+
+// Kind names the message.
+func (WantPart) Kind() string { return "want-part" }
+
+// noList in a Want says that only a configuration is asked for.
+const noList = math.MaxUint64
+
+// giver gives this box's views to others, in parts and to a few at a time.
+type giver struct {
+	belief *Belief
+	log    *zap.Logger
+	mu     sync.Mutex
+	giving *core.Giving[*wire.Conn]
+	kept   []packed // the last used at the end
+}
+
+// packed is what answers one kind of question.
+type packed struct {
+	want   Want
+	of     core.Offer // the view that it was made from
+	digest uint64
+	data   []byte
+}
+
+func newGiver(b *Belief, log *zap.Logger) *giver {
+	return &giver{
+		belief: b,
+		log:    log,
+		giving: core.NewGiving[*wire.Conn](core.DefaultGivingRules()),
+	}
+}
+
+// offerOf says how new a view is.
+func offerOf(v *View) core.Offer {
+	return core.Offer{
+		Configuration: v.Configuration(),
+		Changed:       v.Changed,
+	}
+}
+
+// first answers a box that asks for newer views: with all of them where they are
+// small, else with the first part or word that it must wait.
+func (g *giver) first(_ context.Context, c *wire.Conn, w Want) (Part, error) {
+	v := g.belief.View()
+	out := Part{Age: -1}
+	if w.Changed != noList {
+		out.Age = time.Since(v.Confirmed)
+	}
+	if !offerOf(v).Newer(core.Offer{
+		Configuration: w.Configuration,
+		Changed:       w.Changed,
+	}) {
+		return out, nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k, err := g.pack(w, v)
+	if err != nil {
+		return Part{}, err
+	}
+	if len(k.data) > partBytes && !g.giving.May(time.Now(), c) {
+		return Part{Busy: true}, nil
+	}
+	out.Digest = k.digest
+	out.Size = len(k.data)
+	out.Data = k.data[:min(partBytes, len(k.data))]
+	return out, nil
+}
+
+// more answers a box that takes the next part.
+func (g *giver) more(_ context.Context, c *wire.Conn, w WantPart) (Part, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.IndexFunc(g.kept, func(k packed) bool { return k.digest == w.Digest })
+	if i < 0 || w.Offset < 0 || w.Offset >= len(g.kept[i].data) {
+		return Part{}, nil
+	}
+	if !g.giving.May(time.Now(), c) {
+		return Part{Busy: true}, nil
+	}
+	data := g.kept[i].data
+	end := min(w.Offset+partBytes, len(data))
+	if end == len(data) {
+		took := g.giving.Done(time.Now(), c)
+		g.log.Info("views given", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", g.kept[i].of.Configuration), zap.Int("bytes", len(data)), zap.Duration("took", took))
+	}
+	return Part{
+		Digest: w.Digest,
+		Size:   len(data),
+		Data:   data[w.Offset:end],
+		Age:    -1,
+	}, nil
+}
+
+// pack gives a view's answer to a question, made once for all that ask the same.
+func (g *giver) pack(w Want, v *View) (packed, error) {
+	of := offerOf(v)
+	if w.Changed == noList {
+		of.Changed = 0
+	}
+	if i := slices.IndexFunc(g.kept, func(k packed) bool { return k.want == w && k.of == of }); i >= 0 {
+		k := g.kept[i]
+		g.kept = append(slices.Delete(g.kept, i, i+1), k)
+		return k, nil
+	}
+	data, err := wire.Pack(g.views(w, v))
+	if err != nil {
+		return packed{}, err
+	}
+	k := packed{
+		want:   w,
+		of:     of,
+		digest: xxhash.Sum64(data),
+		data:   data,
+	}
+	g.kept = append(g.kept, k)
+	if len(g.kept) > packedKept {
+		g.kept = slices.Delete(g.kept, 0, 1)
+	}
+	return k, nil
+}
+
+// views gives what is newer than somebody has.
+func (g *giver) views(w Want, v *View) Views {
+	var out Views
+	if v.Configuration() > w.Configuration {
+		out.Document = v.Table.Document()
+	}
+	if !v.Listed || v.Changed <= w.Changed {
+		return out
+	}
+	out.Changed = v.Changed
+	if updated, removed, ok := g.belief.Since(w.Changed); ok {
+		out.Partial = true
+		out.Endpoints = updated
+		out.Removed = removed
+		return out
+	}
+	out.Endpoints = v.all()
+	slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -21,7 +21,8 @@
 // Kind names the message.
 func (Greeting) Kind() string { return "greeting" }
 
-// Want asks a peer for its views where they are newer.
+// Want asks a peer for its views where they are newer; the first part of them answers
+// it.
 type Want struct {
 	Configuration uint64 `cbor:"1,keyasint"`
 	Changed       uint64 `cbor:"2,keyasint"`
@@ -36,12 +37,12 @@
 	Document  *routing.Document  `cbor:"1,keyasint,omitempty"`
 	Endpoints []routing.Endpoint `cbor:"2,keyasint,omitempty"`
 	Changed   uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
-	Age       time.Duration      `cbor:"4,keyasint"`
+	Age       time.Duration      `cbor:"-"` // since the list was confirmed; it goes with the first part
 	Partial   bool               `cbor:"5,keyasint,omitempty"` // only what changed
 	Removed   []Removal          `cbor:"6,keyasint,omitempty"` // with a partial list
 }
 
-// Kind names the message.
+// Kind names the views.
 func (Views) Kind() string { return "views" }
 
 // newsMost is how many changes one piece of news carries; each takes some
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -43,7 +44,7 @@
 	return before
 }
 
-// Spread hands news on to the partners at once.
+// Spread tells the partners at once of what this box has learned.
 func (p *Peers) Spread(n News) {
 	if p.firstSeen(n) {
 		p.spread(n.announcement(), nil)
@@ -72,7 +73,8 @@
 	}
 }
 
-// newsCame takes news from a peer and hands on what is new.
+// newsCame takes news from a peer, asks for what they leave out, and hands on what
+// is new. Word of what this box doesn't have to give goes on once it has.
 func (p *Peers) newsCame(_ context.Context, c *wire.Conn, n News) {
 	if n.Age < 0 {
 		n.Age = math.MaxInt64
@@ -80,45 +82,13 @@
 	if !n.Large {
 		p.belief.ApplyNews(time.Now(), fromPeer, n)
 	}
-	p.belief.HeardOf(time.Now(), n.Version)
-	v := p.belief.View()
-	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
-		go p.pull(c, n)
-		return
-	}
-	if p.firstSeen(n) {
-		p.spread(n, c)
+	o := core.Offer{Configuration: n.Version}
+	if n.Large {
+		o.Changed = n.Changed
 	}
-}
-
-// pull asks who told of a newer configuration for it, and then hands the news
-// on. One asks at a time: configurations are large against the links of small
-// boxes, and all partners tell of the same one.
-func (p *Peers) pull(c *wire.Conn, n News) {
-	p.pulling <- struct{}{}
-	defer func() { <-p.pulling }()
-	v := p.belief.View()
-	if n.Version > v.Configuration() || (n.Large && n.Changed > v.Changed) {
-		want := Want{
-			Configuration: v.Configuration(),
-			Changed:       math.MaxUint64,
-		}
-		if n.Large {
-			want.Changed = v.Changed
-		}
-		began := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), greetTime)
-		defer cancel()
-		views, err := wire.Call[Views](ctx, c, want)
-		if err != nil {
-			// The next partner's news or greeting brings it.
-			p.log.Info("newer views didn't come after news", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", n.Version), zap.Duration("took", time.Since(began)), zap.Error(err))
-			return
-		}
-		p.viewsCame(c.Remote(), views, began)
-		p.belief.ApplyViews(time.Now(), fromPeer, views)
-	}
-	if p.firstSeen(n) {
+	p.offered(c, o)
+	n.Version = 0
+	if n.Changed > 0 && !n.Large && p.firstSeen(n) {
 		p.spread(n, c)
 	}
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
-	"dillsaddle.example/dillsaddle/routing"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -22,7 +20,7 @@
 	// is away, when peers are the only source.
 	greetEvery = 250 * time.Millisecond
 	greetLost  = 150 * time.Millisecond
-	// greetTime bounds one greeting or fetch.
+	// greetTime bounds one greeting.
 	greetTime = 800 * time.Millisecond
 	// listPatience is how long a list may be behind a partner's before it is asked
 	// for: news bring most changes within milliseconds.
@@ -31,8 +29,10 @@
 
 // Peers exchanges views and the roster with other boxes.
 type Peers struct {
-	pulling      chan struct{} // held by the one that asks for newer views
-	mu           sync.Mutex    // guards all that follows
+	mu           sync.Mutex // guards all that follows
+	pull         *core.Pull[*wire.Conn]
+	pulling      bool          // whether newer views are asked for
+	woken        chan struct{} // tells who asks for them that somebody offered some
 	memo         shareMemo
 	roster       *core.Roster
 	belief       *Belief
@@ -96,15 +96,18 @@
 		onPlaced:     func(time.Time, Placement) {},
 		onEvacuating: func(time.Time, Evacuating) {},
 		telling:      make(map[netip.AddrPort]bool),
-		pulling:      make(chan struct{}, 1),
+		pull:         core.NewPull[*wire.Conn](core.DefaultPullRules()),
+		woken:        make(chan struct{}, 1),
 		network:      wire.Sockets{},
 	}
 	for _, o := range options {
 		o(p)
 	}
 	p.handlers = wire.NewHandlers(wire.WithOnAnswered(p.answered), wire.WithNetwork(p.network))
-	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(g), nil })
-	wire.Answer(p.handlers, func(_ context.Context, _ *wire.Conn, w Want) (Views, error) { return p.views(w), nil })
+	wire.Answer(p.handlers, func(_ context.Context, c *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(c, g), nil })
+	give := newGiver(belief, p.log)
+	wire.Answer(p.handlers, give.first)
+	wire.Answer(p.handlers, give.more)
 	wire.Answer(p.handlers, p.lend)
 	wire.Take(p.handlers, p.heard)
 	wire.Take(p.handlers, p.evacuating)
@@ -218,7 +221,11 @@
 		return
 	}
 	p.take(answer)
-	p.fetch(ctx, address, answer)
+	c, err := p.pool.Get(ctx, address)
+	if err != nil {
+		return // it was dropped meanwhile; the next greeting opens another
+	}
+	p.compare(c, answer)
 }
 
 func (p *Peers) greeting() Greeting {
@@ -239,9 +246,9 @@
 	return g
 }
 
-func (p *Peers) greeted(g Greeting) Greeting {
+func (p *Peers) greeted(c *wire.Conn, g Greeting) Greeting {
 	p.take(g)
-	p.belief.Confirm(time.Now(), g.Changed, g.Age)
+	p.compare(c, g)
 	return p.greeting()
 }
 
@@ -256,45 +263,13 @@
 	p.roster.Meet(now, g.From)
 }
 
-// fetch takes a peer's newer views, or its word that nothing is newer.
-func (p *Peers) fetch(ctx context.Context, address netip.AddrPort, g Greeting) {
+// compare takes a box's word that nothing is newer, or what it has.
+func (p *Peers) compare(c *wire.Conn, g Greeting) {
 	v := p.belief.View()
 	p.belief.Confirm(time.Now(), g.Changed, g.Age)
-	listLate := g.Changed > v.Changed && (!v.Listed || time.Since(v.Confirmed) > listPatience)
-	if g.Configuration <= v.Configuration() && !listLate {
-		return
-	}
-	began := time.Now()
-	p.belief.HeardOf(began, g.Configuration)
-	views, err := wire.Request[Views](ctx, p.pool, address, Want{
-		Configuration: v.Configuration(),
-		Changed:       v.Changed,
-	})
-	if err != nil {
-		p.log.Info("newer views didn't come", zap.Stringer("box_address", address), zap.Uint64("version", g.Configuration), zap.Duration("took", time.Since(began)), zap.Error(err))
-		return
-	}
-	p.viewsCame(address, views, began)
-	p.belief.ApplyViews(time.Now(), g.From.Box, views)
-}
-
-func (p *Peers) views(w Want) Views {
-	v := p.belief.View()
-	out := Views{Age: time.Since(v.Confirmed)}
-	if v.Configuration() > w.Configuration {
-		out.Document = v.Table.Document()
-	}
-	if !v.Listed || v.Changed <= w.Changed {
-		return out
-	}
-	out.Changed = v.Changed
-	if updated, removed, ok := p.belief.Since(w.Changed); ok {
-		out.Partial = true
-		out.Endpoints = updated
-		out.Removed = removed
-		return out
+	o := core.Offer{Configuration: g.Configuration}
+	if !v.Listed || time.Since(v.Confirmed) > listPatience {
+		o.Changed = g.Changed
 	}
-	out.Endpoints = v.all()
-	slices.SortFunc(out.Endpoints, func(a, b routing.Endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
-	return out
+	p.offered(c, o)
 }
--- /dev/null
+++ b/fleet/pull.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// partTime bounds the wait for one part of newer views. A part's 16 KB take 13 ms of
+// a link of 10 Mbit/s, and a lost packet is sent again within some hundred.
+const partTime = 800 * time.Millisecond
+
+// These are a giver's ways to say no.
+var (
+	errBusy    = errors.New("the box gives to others; ask again soon")
+	errDropped = errors.New("the box has dropped what it gave parts of; ask for its newest")
+	errNothing = errors.New("the box has nothing newer after all; ask another")
+)
+
+// offered takes a box's word that it has newer views, and asks for them unless that is
+// under way.
+func (p *Peers) offered(c *wire.Conn, o core.Offer) {
+	now := time.Now()
+	p.belief.HeardOf(now, o.Configuration)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !o.Newer(offerOf(p.belief.View())) {
+		return
+	}
+	p.pull.Told(now, c, o)
+	if !p.pulling {
+		p.pulling = true
+		go p.pullAll()
+		return
+	}
+	select {
+	case p.woken <- struct{}{}:
+	default: // it is awake, or will be
+	}
+}
+
+// pullAll asks until this box has the newest views that anyone offered. It asks one
+// box at a time: copies are large against the links of small boxes.
+func (p *Peers) pullAll() {
+	for {
+		c, o, wait := p.nextHolder()
+		if c != nil {
+			p.pullFrom(c, o)
+			continue
+		}
+		if wait == 0 {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-p.woken:
+		}
+	}
+}
+
+// nextHolder gives whom to ask, or how long to wait; neither ends the asking.
+func (p *Peers) nextHolder() (*wire.Conn, core.Offer, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		c, o, wait := p.pull.Next(time.Now(), offerOf(p.belief.View()), rand.N)
+		if c == nil {
+			p.pulling = wait > 0
+			return nil, o, wait
+		}
+		if !c.IsClosed() {
+			return c, o, 0
+		}
+		p.pull.Gone(c)
+	}
+}
+
+// pullFrom takes the newer views of one box, and tells the others of them.
+func (p *Peers) pullFrom(c *wire.Conn, o core.Offer) {
+	v := p.belief.View()
+	want := Want{
+		Configuration: v.Configuration(),
+		Changed:       v.Changed,
+	}
+	if o.Changed <= v.Changed {
+		want.Changed = noList
+	}
+	began := time.Now()
+	views, size, err := take(c, want)
+	if err != nil {
+		p.refused(c, o, began, err)
+		return
+	}
+	p.mu.Lock()
+	p.pull.Gave(c)
+	p.mu.Unlock()
+	p.viewsCame(c.Remote(), views, size, began)
+	p.belief.ApplyViews(time.Now(), c.Remote().String(), views)
+	p.handOn(v, p.belief.View())
+}
+
+// handOn tells the partners of what this box can give since it has taken it.
+func (p *Peers) handOn(before, now *View) {
+	if now.Configuration() > before.Configuration() {
+		p.Spread(News{Version: now.Configuration()})
+	}
+	if now.Changed > before.Changed {
+		p.Spread(News{
+			Changed: now.Changed,
+			Age:     time.Since(now.Confirmed),
+			Large:   true,
+		})
+	}
+}
+
+// refused notes that a box didn't give what it offered.
+func (p *Peers) refused(c *wire.Conn, o core.Offer, began time.Time, err error) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, errBusy) {
+		viewsBusy.Inc()
+		p.pull.Busy(now, c)
+		return
+	}
+	p.pull.Failed(now, c)
+	p.log.Info("newer views didn't come", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", o.Configuration), zap.Duration("took", now.Sub(began)), zap.Error(err))
+}
+
+// take gives a box's newer views, and the bytes that they took.
+func take(c *wire.Conn, want Want) (Views, int, error) {
+	asked := time.Now()
+	first, err := part(c, want)
+	if err != nil {
+		return Views{}, 0, err
+	}
+	if first.Size == 0 {
+		return Views{}, 0, errNothing
+	}
+	data := first.Data
+	for len(data) < first.Size {
+		next, err := part(c, WantPart{
+			Digest: first.Digest,
+			Offset: len(data),
+		})
+		if err != nil {
+			return Views{}, len(data), err
+		}
+		if next.Digest != first.Digest || len(next.Data) == 0 {
+			return Views{}, len(data), errDropped
+		}
+		data = append(data, next.Data...)
+	}
+	views, err := wire.Unpack[Views](data)
+	views.Age = first.Age
+	if first.Age >= 0 {
+		views.Age += time.Since(asked)
+	}
+	return views, len(data), err
+}
+
+// part asks for one part. A box that doesn't answer is connected to anew: a stalled
+// link doesn't break by itself.
+func part(c *wire.Conn, q wire.Message) (Part, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), partTime)
+	defer cancel()
+	answer, err := wire.Call[Part](ctx, c, q)
+	if err != nil && ctx.Err() != nil {
+		c.Close()
+	}
+	if err == nil && answer.Busy {
+		return answer, errBusy
+	}
+	return answer, err
+}
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -44,6 +44,10 @@
 // revision asked for; the remedy is to read everything again.
 var ErrHistoryLost = errors.New("the store dropped its history; read everything again")
 
+// ErrTooMuch reports that an answer about changes is larger than all that is published
+// now; the remedy is to read everything again.
+var ErrTooMuch = errors.New("the changes are larger than all there is; read everything again")
+
 // RefusedError reports that the store answered and turned the call away.
 type RefusedError struct {
 	Status int
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -70,6 +70,16 @@
 // Closed is closed when the connection has ended.
 func (c *Conn) Closed() <-chan struct{} { return c.closed }
 
+// IsClosed tells whether the connection has ended.
+func (c *Conn) IsClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.once.Do(func() {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -75,15 +75,7 @@
 }
 
 func (s *slot) live() bool {
-	if s.conn == nil {
-		return false
-	}
-	select {
-	case <-s.conn.closed:
-		return false
-	default:
-		return true
-	}
+	return s.conn != nil && !s.conn.IsClosed()
 }
 
 // Drop closes the connection to an address, as one that has stalled.
