--- a/fleet/message.go
+++ b/fleet/message.go
@@ -37,7 +37,7 @@
 	Document  *routing.Document  `cbor:"1,keyasint,omitempty"`
 	Endpoints []routing.Endpoint `cbor:"2,keyasint,omitempty"`
 	Changed   uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
-	Age       time.Duration      `cbor:"-"` // since the list was confirmed; it goes with the first part
+	Age       time.Duration      `cbor:"-"`                    // since the list was confirmed; it goes with the first part
 	Partial   bool               `cbor:"5,keyasint,omitempty"` // only what changed
 	Removed   []Removal          `cbor:"6,keyasint,omitempty"` // with a partial list
 }
