--- /dev/null
+++ b/core/pull_test.go
@@ -0,0 +1,143 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+var _ = Describe("whom to ask for newer views", func() {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	rules := core.DefaultPullRules()
+	first := func(int) int { return 0 }
+	version := func(v uint64) core.Offer { return core.Offer{Configuration: v} }
+	var p *core.Pull[string]
+	BeforeEach(func() { p = core.NewPull[string](rules) })
+
+	It("is nobody when nobody has anything newer", func() {
+		p.Told(start, "a", version(3))
+		key, _, wait := p.Next(start, version(3), first)
+		Expect(key).To(BeEmpty())
+		Expect(wait).To(BeZero())
+	})
+
+	It("is who has the newest, or an older one while that box is busy", func() {
+		p.Told(start, "a", version(4))
+		p.Told(start, "b", version(5))
+		key, o, _ := p.Next(start, version(3), first)
+		Expect(key).To(Equal("b"))
+		Expect(o).To(Equal(version(5)))
+		p.Busy(start, "b")
+		key, _, _ = p.Next(start, version(3), first)
+		Expect(key).To(Equal("a"))
+		key, _, _ = p.Next(start.Add(rules.Busy), version(4), first)
+		Expect(key).To(Equal("b"))
+	})
+
+	It("stays remembered until this box has it, though it failed", func() {
+		p.Told(start, "a", version(4))
+		now := start
+		for range 6 {
+			p.Failed(now, "a")
+			key, _, wait := p.Next(now, version(3), first)
+			Expect(key).To(BeEmpty())
+			Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", rules.Most)))
+			now = now.Add(wait)
+			key, _, _ = p.Next(now, version(3), first)
+			Expect(key).To(Equal("a"))
+		}
+		_, _, wait := p.Next(now, version(4), first)
+		Expect(wait).To(BeZero())
+	})
+
+	It("is dropped with its connection, and forgotten when it says nothing for long", func() {
+		p.Told(start, "a", version(4))
+		p.Gone("a")
+		key, _, wait := p.Next(start, version(3), first)
+		Expect(key).To(BeEmpty())
+		Expect(wait).To(BeZero())
+		p.Told(start, "b", version(4))
+		key, _, _ = p.Next(start.Add(rules.Forget+1), version(3), first)
+		Expect(key).To(BeEmpty())
+	})
+
+	It("is another one after a box of two that failed", func() {
+		p.Told(start, "a", version(4))
+		p.Told(start, "b", version(4))
+		p.Failed(start, "a")
+		key, _, _ := p.Next(start, version(3), first)
+		Expect(key).To(Equal("b"))
+	})
+})
+
+// Whatever boxes say and do, a box that something newer was offered to asks for it
+// again within the longest pause, as long as who offered it repeats that.
+func TestPullNeverForgetsAnOffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := core.DefaultPullRules()
+		p := core.NewPull[int](rules)
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		have := core.Offer{}
+		var newest core.Offer
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			box := rapid.IntRange(0, 3).Draw(t, "box")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				newest.Configuration++
+				p.Told(now, box, newest)
+			case 1:
+				p.Busy(now, box)
+			case 2:
+				p.Failed(now, box)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			case 4:
+				if key, o, _ := p.Next(now, have, func(n int) int { return n - 1 }); o.Newer(have) {
+					p.Gave(key)
+					have = o
+				}
+			}
+		}
+		p.Told(now, 0, newest)
+		_, o, wait := p.Next(now, have, func(int) int { return 0 })
+		switch {
+		case !newest.Newer(have):
+			return
+		case o.Newer(have):
+			return
+		case wait <= 0 || wait > rules.Most:
+			t.Fatalf("something newer is there, and the next question is in %v", wait)
+		}
+	})
+}
+
+var _ = Describe("giving large copies", func() {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	rules := core.DefaultGivingRules()
+	var g *core.Giving[string]
+	BeforeEach(func() { g = core.NewGiving[string](rules) })
+
+	It("goes to a few at a time, who may go on", func() {
+		Expect(g.May(start, "a")).To(BeTrue())
+		Expect(g.May(start, "b")).To(BeTrue())
+		Expect(g.May(start, "c")).To(BeFalse())
+		Expect(g.May(start, "a")).To(BeTrue())
+		Expect(g.Done(start.Add(time.Second), "a")).To(Equal(time.Second))
+		Expect(g.May(start, "c")).To(BeTrue())
+	})
+
+	It("waits for nobody who has stopped asking", func() {
+		g.May(start, "a")
+		g.May(start, "b")
+		later := start.Add(rules.Idle)
+		g.May(later, "b")
+		Expect(g.May(later, "c")).To(BeFalse())
+		Expect(g.May(later.Add(time.Millisecond), "c")).To(BeTrue())
+		Expect(g.May(later.Add(time.Millisecond), "d")).To(BeFalse())
+	})
+})
