--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -22,6 +22,7 @@
 	version  uint64
 	fault    error
 	lost     bool
+	much     bool // a watch brings too much
 	reads    int
 	watches  int
 }
@@ -94,6 +95,9 @@
 	if s.lost {
 		return nil, fleet.ErrHistoryLost
 	}
+	if s.much && after < s.revision {
+		return nil, fleet.ErrTooMuch
+	}
 	c := &fleet.Changes{Revision: s.revision}
 	for _, e := range s.all {
 		if e.Revision > after {
@@ -145,6 +149,20 @@
 	})
 }
 
+// A watch that brings too much is not made again from the same revision: it would
+// bring still more.
+func TestReaderReadsAnewWhenTheChangesAreTooMuch(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.mu.Lock()
+		s.much = true
+		s.mu.Unlock()
+		s.put("b")
+		time.Sleep(within / 2)
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}))
+		g.Expect(b.Away()).To(gomega.BeFalse(), "the store is well")
+	})
+}
+
 func TestReaderCatchesUpAfterAnOutage(t *testing.T) {
 	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
 		s.set(errors.New("away"), false)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -32,6 +32,7 @@
 	mu           sync.Mutex // guards all that follows
 	pull         *core.Pull[*wire.Conn]
 	pulling      bool          // whether newer views are asked for
+	ended        chan struct{} // closed when this box greets nobody any more
 	woken        chan struct{} // tells who asks for them that somebody offered some
 	memo         shareMemo
 	roster       *core.Roster
@@ -97,6 +98,7 @@
 		onEvacuating: func(time.Time, Evacuating) {},
 		telling:      make(map[netip.AddrPort]bool),
 		pull:         core.NewPull[*wire.Conn](core.DefaultPullRules()),
+		ended:        make(chan struct{}),
 		woken:        make(chan struct{}, 1),
 		network:      wire.Sockets{},
 	}
@@ -145,6 +147,7 @@
 		}
 		Sleep(ctx, every*3/4+rand.N(every/2))
 	}
+	close(p.ended)
 	p.server.Close()
 }
 
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -60,6 +60,8 @@
 		select {
 		case <-time.After(wait):
 		case <-p.woken:
+		case <-p.ended:
+			return
 		}
 	}
 }
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -59,6 +59,7 @@
 		p, err := fleet.NewPeers(core.Peer{
 			Box:     fmt.Sprintf("box-%02d", i),
 			Address: netip.AddrPortFrom(hostOf(i), 8000),
+			Zone:    fmt.Sprintf("zone-%d", i%2),
 			Life:    uint64(i + 1),
 		}, []netip.AddrPort{seed}, b, fleet.WithNetwork(n.At(hostOf(i))))
 		if err != nil {
@@ -74,11 +75,13 @@
 
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
 
-// learn lets one box have a configuration from the store.
-func (f *smallFleet) learn(box int, d *routing.Document) {
+// learn lets one box have a configuration from the store, and changes of endpoints
+// that came with it.
+func (f *smallFleet) learn(box int, d *routing.Document, changed ...routing.Endpoint) {
 	news, _ := f.beliefs[box].ApplyChanges(time.Now(), &fleet.Changes{
 		Revision: d.Version,
 		Document: d,
+		Updated:  changed,
 	})
 	f.peers[box].Spread(news)
 }
@@ -149,3 +152,61 @@
 		g.Expect(f.without(12)).To(gomega.BeZero(), "boxes without the last configuration after %v", inForce)
 	})
 }
+
+// Word of a leaving endpoint that came with a configuration waited at each box until
+// that had taken the configuration, and crossed the fleet at the speed of the copies.
+func TestEndpointsDoNotWaitForTheConfigurationTheyCameWith(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := startFleet(t, 30, smallLink)
+		f.learn(0, document(2), endpoint("x", 3, false))
+		time.Sleep(inForce)
+		f.learn(0, largeDocument(7, 2850), endpoint("x", 8, true))
+		time.Sleep(60 * time.Millisecond)
+		for i, b := range f.beliefs {
+			g.Expect(serving(b)).To(gomega.BeEmpty(), "box %d still sends to an endpoint that leaves", i)
+		}
+	})
+}
+
+// Greetings waited behind copies on the same links until they were given up: 185
+// times a box that was well was suspected, and others took its place as readers.
+func TestNobodyIsSuspectedWhileConfigurationsGoRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := startFleet(t, 18, smallLink)
+		for version := uint64(7); version < 27; version++ {
+			f.learn(int(version)%3, largeDocument(version, 2850))
+			for range 4 {
+				time.Sleep(100 * time.Millisecond)
+				for i, p := range f.peers {
+					g.Expect(p.Group().Members).To(gomega.HaveLen(17), "box %d misses others", i)
+				}
+			}
+		}
+	})
+}
+
+// A box that took a configuration alone also took the giver's word that its list was
+// whole, without having the list: it then believed an old one to be fresh.
+func TestAConfigurationAloneSaysNothingOfTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := startFleet(t, 2, smallLink)
+		f.learn(0, document(2), endpoint("x", 3, false))
+		time.Sleep(inForce)
+		before := f.beliefs[1].View()
+		g.Expect(before.Changed).To(gomega.BeEquivalentTo(3))
+		// A change of the list that the other box doesn't hear of, and then a configuration.
+		f.beliefs[0].ApplyChanges(time.Now(), &fleet.Changes{
+			Revision: 9,
+			Updated:  []routing.Endpoint{endpoint("x", 9, true)},
+		})
+		f.learn(0, document(10))
+		time.Sleep(10 * time.Millisecond)
+		after := f.beliefs[1].View()
+		g.Expect(after.Configuration()).To(gomega.BeEquivalentTo(10))
+		g.Expect(after.Changed).To(gomega.BeEquivalentTo(3))
+		g.Expect(after.Confirmed).To(gomega.Equal(before.Confirmed))
+	})
+}
