--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -175,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		f := startFleet(t, 18, smallLink)
-		for version := uint64(7); version < 15; version++ {
+		for version := uint64(7); version < 19; version++ {
 			f.learn(int(version)%3, largeDocument(version, 2850))
 			for range 4 {
 				time.Sleep(100 * time.Millisecond)
