fleet: a failing test of a configuration that nobody gives

A box that isn't a reader looks at the age of its list alone: one that has heard of a newer configuration, and gets it from nobody, never reads the store while greetings say that its list is whole.

--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -201,3 +201,19 @@
 		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}), "the readers are gone, so that it reads itself")
 	}, fleet.WithReader(func() bool { return false }))
 }
+
+// A box that had heard of a newer configuration and got it from nobody kept waiting, as
+// long as other boxes' word said that its list was whole.
+func TestOtherBoxesReadAConfigurationThatNobodyGivesThem(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.mu.Lock()
+		s.version = 9
+		s.mu.Unlock()
+		b.HeardOf(time.Now(), 9)
+		for range 10 {
+			b.Confirm(time.Now(), b.View().Changed, 0)
+			time.Sleep(within / 10)
+		}
+		g.Expect(b.View().Configuration()).To(gomega.BeEquivalentTo(9))
+	}, fleet.WithReader(func() bool { return false }))
+}
