fleet: read the store for a configuration that nobody gives

Cause: beside the age of the list nothing made a box read the store itself. After 0.3 of the time in which a change must be in force, it does so now for a configuration that it has heard of. The test before failed for good; it passes now.

--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -13,6 +13,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.takeDocument(fromStore, s.Document)
+	// The store gives nothing older than what anyone had from it before; what was heard
+	// of while it answered is heard of again.
+	b.heardOf = nil
 	if !b.listed || s.Revision >= b.changed {
 		b.takeList(now, fromStore, s.Revision, s.Endpoints)
 		b.confirm = now
@@ -166,6 +169,17 @@
 	})
 }
 
+// Awaited gives how long this box has known of a newer configuration than its own, or
+// zero.
+func (b *Belief) Awaited(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.heardOf) == 0 {
+		return 0
+	}
+	return now.Sub(b.heardOf[0].at)
+}
+
 func (b *Belief) takeDocument(from string, d *routing.Document) {
 	if d == nil || (b.table != nil && d.Version <= b.table.Version()) {
 		return
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -28,6 +28,11 @@
 	// that is older than the second means that no reader reaches this box.
 	watchPart = 0.25
 	stalePart = 0.6
+	// awaitPart is the part of that time after which a box that has heard of a newer
+	// configuration, and has it from nobody, reads the store itself. 73 boxes have one
+	// of 2,850 routes from each other within a tenth of it; half of what is left after
+	// this part is enough to read 0.77 MB over 10 Mbit/s.
+	awaitPart = 0.3
 )
 
 // Follower keeps a belief up to date from the store: as one of the readers, or
@@ -113,9 +118,11 @@
 		if f.reader() || !v.Listed || v.Table == nil {
 			return
 		}
-		if age := time.Since(v.Confirmed); age > f.part(stalePart) {
-			f.log.Info("nothing from the readers, reading the store", zap.Duration("list_age", age))
-			f.helper = time.Now().Add(helperTime)
+		now := time.Now()
+		age, awaited := now.Sub(v.Confirmed), f.belief.Awaited(now)
+		if age > f.part(stalePart) || awaited > f.part(awaitPart) {
+			f.log.Info("nothing from the readers, reading the store", zap.Duration("list_age", age), zap.Duration("configuration_awaited", awaited))
+			f.helper = now.Add(helperTime)
 			return
 		}
 		Sleep(ctx, lookEvery)
