--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -49,7 +49,11 @@
 func startFleet(t *testing.T, boxes int, bytesPerSecond float64) *smallFleet {
 	n := emulator.NewNetwork(hop)
 	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		cancel()
+		// Whatever is still under way ends within this: time stops with the test.
+		time.Sleep(settle)
+	})
 	f := &smallFleet{}
 	seed := netip.AddrPortFrom(hostOf(0), 8000)
 	for i := range boxes {
