core, fleet, platform, box: let the boxes with the widest links read the store

Cause: the five readers were drawn by their names alone, and on fleets with a few large boxes among many small ones most had links of 10 Mbit/s. A version of 0.77 MB was 0.65 s on its way to each of them; in that time they heard of nothing else, their lists aged, and six boxes that don't read took it from the store as well.

Change: boxes tell each other the speed of their link, which the settings give; the widest read, and rendezvous hashing decides among links of about the same speed.

Changelog-changed: the boxes with the widest links read the store

--- a/box/box.go
+++ b/box/box.go
@@ -86,6 +86,8 @@
 		Zone:    s.Zone,
 		Address: s.Peer,
 		Life:    rand.Uint64(),
+
+		LinkMbps: s.LinkMbps,
 	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating))
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/core/readers.go
@@ -0,0 +1,37 @@
+package core
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// readerKey is what boxes' names are hashed with to rank them as readers.
+const readerKey = "readers"
+
+// Reads tells whether a box is among some that read the store for all: those with the
+// widest links, and among links of about the same speed those that rendezvous hashing
+// ranks first. A configuration of 0.77 MB takes 0.65 s of a link of 10 Mbit/s, in which
+// the reader hears of no other change, and 0.04 s of one of 200 Mbit/s.
+func Reads(self Peer, others []Peer, count int) bool {
+	before := 0
+	for _, other := range others {
+		if readsBefore(other, self) {
+			before++
+		}
+	}
+	return before < count
+}
+
+func readsBefore(a, b Peer) bool {
+	if ours, theirs := linkTier(a), linkTier(b); ours != theirs {
+		return ours > theirs
+	}
+	return readerWeight(a) > readerWeight(b)
+}
+
+// linkTier puts links whose speeds differ by less than about twice into one class, so
+// that reading isn't all one zone's where speeds differ a little.
+func linkTier(p Peer) int { return bits.Len32(p.LinkMbps) }
+
+func readerWeight(p Peer) uint64 { return xxhash.Sum64String(p.Box + "/" + readerKey) }
--- /dev/null
+++ b/core/readers_test.go
@@ -0,0 +1,38 @@
+package core_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+var _ = Describe("who reads the store for all", func() {
+	box := func(name string, mbps uint32) core.Peer {
+		return core.Peer{
+			Box:      name,
+			LinkMbps: mbps,
+		}
+	}
+	readers := func(all []core.Peer, count int) []string {
+		var out []string
+		for i, p := range all {
+			others := append(append([]core.Peer(nil), all[:i]...), all[i+1:]...)
+			if core.Reads(p, others, count) {
+				out = append(out, p.Box)
+			}
+		}
+		return out
+	}
+
+	It("are the boxes with the widest links", func() {
+		all := []core.Peer{box("a", 10), box("b", 200), box("c", 10), box("d", 190), box("e", 10), box("f", 10)}
+		Expect(readers(all, 2)).To(Equal([]string{"b", "d"}))
+		Expect(readers(all, 3)).To(And(HaveLen(3), ContainElements("b", "d")))
+	})
+
+	It("are as many where no link's speed is known", func() {
+		all := []core.Peer{box("a", 0), box("b", 0), box("c", 0), box("d", 0)}
+		Expect(readers(all, 2)).To(HaveLen(2))
+	})
+})
--- a/core/roster.go
+++ b/core/roster.go
@@ -15,6 +15,8 @@
 	Silence time.Duration  `cbor:"5,keyasint"` // since it was last heard of, by whom tells
 	Leaving bool           `cbor:"6,keyasint,omitempty"`
 	Suspect bool           `cbor:"7,keyasint,omitempty"` // a box that greets it got no answer
+
+	LinkMbps uint32 `cbor:"8,keyasint,omitempty"` // of the box's link; 0 when unknown
 }
 
 // RosterRules bound what a roster keeps and tells.
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
@@ -23,25 +22,11 @@
 // they travel for some tens of milliseconds.
 const newsMemory = 128
 
-// readerKey is what the boxes' names are hashed with to rank them as readers.
-const readerKey = "readers"
-
 // Reader tells whether this box is among those that read the store for all.
 func (p *Peers) Reader() bool {
-	self, others := p.aliveNames()
-	return rank(self, others) < readerCount
-}
-
-// rank counts the boxes that go before one by rendezvous hashing.
-func rank(self string, others []string) int {
-	weight := xxhash.Sum64String(self + "/" + readerKey)
-	before := 0
-	for _, other := range others {
-		if xxhash.Sum64String(other+"/"+readerKey) > weight {
-			before++
-		}
-	}
-	return before
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return core.Reads(p.roster.Self(), p.roster.Alive(time.Now()), readerCount)
 }
 
 // Spread tells the partners at once of what this box has learned.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -180,16 +180,6 @@
 	return p.roster.Self().Box
 }
 
-// aliveNames gives the name of this box and those of the others that are there.
-func (p *Peers) aliveNames() (self string, others []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.roster.Alive(time.Now()) {
-		others = append(others, m.Box)
-	}
-	return p.roster.Self().Box, others
-}
-
 // Members gives all boxes that are known but this one.
 func (p *Peers) Members() []core.Peer {
 	p.mu.Lock()
