wire, watch: bound the pauses of a large answer, not the whole of it

The question is given up now when nothing has come for a second, or after 10 s.

Not changed: a starting watch still serves after a second without its peers' answers, as the core's join decides.

--- a/watch/follower.go
+++ b/watch/follower.go
@@ -71,10 +71,10 @@
 // ask takes what the watch answers; a watch that doesn't answer is connected to
 // anew, since a stalled link doesn't break by itself.
 func (f *follower) ask(ctx context.Context, c *wire.Conn, q wire.Message) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchMost)
 	defer cancel()
 	asked := time.Now()
-	s, err := wire.Call[wire.Snapshot](ctx, c, q)
+	s, err := wire.CallPatiently[wire.Snapshot](ctx, c, q, peerTimeout)
 	if err != nil {
 		c.Close()
 		return
--- a/watch/join.go
+++ b/watch/join.go
@@ -69,11 +69,13 @@
 }
 
 func (w *Watch) askPeer(ctx context.Context, j *joining, address netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	dialing, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	c, err := w.pool.Get(ctx, address)
+	c, err := w.pool.Get(dialing, address)
 	if err == nil {
-		err = w.fetchFrom(ctx, c)
+		fetching, cancel := context.WithTimeout(ctx, fetchMost)
+		defer cancel()
+		err = w.fetchFrom(fetching, c)
 	}
 	if err != nil {
 		j.step(core.PeerSilent{Box: address.String()})
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -21,6 +21,7 @@
 	heartbeatEvery = time.Second
 	pollFaultPause = time.Second
 	peerTimeout    = time.Second
+	fetchMost      = 10 * time.Second // a configuration of a megabyte over 1 Mbit/s takes 8
 )
 
 // peerCount is how many boxes a watch compares versions with.
@@ -260,7 +261,7 @@
 	}
 	go func() {
 		defer w.fetching.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchMost)
 		defer cancel()
 		_ = w.fetchFrom(ctx, c)
 	}()
@@ -270,7 +271,7 @@
 	asked := time.Now()
 	have := w.state.Versions()
 	peerFetches.Inc()
-	s, err := wire.Call[wire.Snapshot](ctx, c, wire.Fetch(have))
+	s, err := wire.CallPatiently[wire.Snapshot](ctx, c, wire.Fetch(have), peerTimeout)
 	if err == nil {
 		w.state.Take(s, asked)
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -36,6 +38,8 @@
 	pending  map[uint64]chan envelope
 	closed   chan struct{}
 	once     sync.Once
+	began    time.Time
+	progress atomic.Int64 // from then until bytes came last, in nanoseconds
 }
 
 func newConn(socket *websocket.Conn, remote netip.AddrPort, handlers *Handlers) *Conn {
@@ -43,6 +47,7 @@
 	return &Conn{
 		socket:   socket,
 		remote:   remote,
+		began:    time.Now(),
 		handlers: handlers,
 		pending:  make(map[uint64]chan envelope),
 		closed:   make(chan struct{}),
@@ -91,7 +96,7 @@
 func (c *Conn) serve(ctx context.Context) {
 	defer c.Close()
 	for {
-		_, data, err := c.socket.Read(ctx)
+		data, err := c.read(ctx)
 		if err != nil {
 			return
 		}
@@ -105,6 +110,17 @@
 	}
 }
 
+func (c *Conn) read(ctx context.Context) ([]byte, error) {
+	_, message, err := c.socket.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(progressing{
+		from: message,
+		conn: c,
+	})
+}
+
 func (c *Conn) dispatch(ctx context.Context, e envelope) {
 	if e.Answer {
 		c.deliver(e)
