--- a/core/pull.go
+++ b/core/pull.go
@@ -175,14 +175,11 @@
 	return &Giving[K]{rules: rules}
 }
 
-// May tells whether a taker may have its next part now. One that has begun may always go
-// on.
-func (g *Giving[K]) May(now time.Time, key K) bool {
-	if i := slices.IndexFunc(g.takers, func(t taker[K]) bool { return t.key == key }); i >= 0 {
-		g.takers[i].last = now
-		return true
-	}
-	g.takers = slices.DeleteFunc(g.takers, func(t taker[K]) bool { return now.Sub(t.last) > g.rules.Idle })
+// Begin tells whether a taker may have its first part now.
+func (g *Giving[K]) Begin(now time.Time, key K) bool {
+	g.takers = slices.DeleteFunc(g.takers, func(t taker[K]) bool {
+		return t.key == key || now.Sub(t.last) > g.rules.Idle
+	})
 	if len(g.takers) >= g.rules.Most {
 		return false
 	}
@@ -194,6 +191,15 @@
 	return true
 }
 
+// GoOn notes that a taker has its next part. One that has begun always goes on, also after
+// others took the place of a taker that seemed to have left: what it has would
+// be lost otherwise.
+func (g *Giving[K]) GoOn(now time.Time, key K) {
+	if i := slices.IndexFunc(g.takers, func(t taker[K]) bool { return t.key == key }); i >= 0 {
+		g.takers[i].last = now
+	}
+}
+
 // Done notes that a taker gets its last part, and gives the time since its first.
 func (g *Giving[K]) Done(now time.Time, key K) time.Duration {
 	var took time.Duration
--- a/fleet/give.go
+++ b/fleet/give.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return Part{}, err
 	}
-	if len(k.data) > partBytes && !g.giving.May(time.Now(), c) {
+	if len(k.data) > partBytes && !g.giving.Begin(time.Now(), c) {
 		return Part{Busy: true}, nil
 	}
 	out.Digest = k.digest
@@ -120,9 +120,7 @@
 	if i < 0 || w.Offset < 0 || w.Offset >= len(g.kept[i].data) {
 		return Part{}, nil
 	}
-	if !g.giving.May(time.Now(), c) {
-		return Part{Busy: true}, nil
-	}
+	g.giving.GoOn(time.Now(), c)
 	data := g.kept[i].data
 	end := min(w.Offset+partBytes, len(data))
 	if end == len(data) {
