--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -40,6 +40,7 @@
 
 // smallFleet is boxes in memory, each with its link.
 type smallFleet struct {
+	network *emulator.Network
 	peers   []*fleet.Peers
 	beliefs []*fleet.Belief
 }
@@ -54,7 +55,7 @@
 		// Whatever is still under way ends within this: time stops with the test.
 		time.Sleep(settle)
 	})
-	f := &smallFleet{}
+	f := &smallFleet{network: n}
 	seed := netip.AddrPortFrom(hostOf(0), 8000)
 	for i := range boxes {
 		n.Join(hostOf(i), bytesPerSecond)
@@ -157,6 +158,21 @@
 	})
 }
 
+// A box that falls silent while it gives keeps its takers for one part's time, and no
+// longer: others have the version by then.
+func TestConfigurationIsInForceInTimeThoughItsFirstGiverFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := startFleet(t, 18, smallLink)
+		f.learn(0, largeDocument(7, 2850))
+		time.Sleep(30 * time.Millisecond)
+		f.network.Silence(hostOf(0))
+		f.learn(1, largeDocument(7, 2850))
+		time.Sleep(inForce - 30*time.Millisecond)
+		g.Expect(f.without(7)).To(gomega.BeZero(), "boxes without the configuration after %v", inForce)
+	})
+}
+
 // Word of a leaving endpoint that came with a configuration waited at each box until
 // that had taken the configuration, and crossed the fleet at the speed of the copies.
 func TestEndpointsDoNotWaitForTheConfigurationTheyCameWith(t *testing.T) {
