--- a/entry/writer.go
+++ b/entry/writer.go
@@ -88,15 +88,16 @@
 	return nil
 }
 
-// usageChunk is the last chunk of a stream whose caller asked for usage.
-type usageChunk struct {
-	ID      string       `json:"id"`
-	Object  string       `json:"object"`
-	Created int64        `json:"created"`
-	Model   string       `json:"model"`
-	Choices []any        `json:"choices"`
-	Usage   usageBody    `json:"usage"`
-	Outcome core.Outcome `json:"Dillsaddle-Outcome"`
+// lastBody is a whole answer, or the last chunk of a stream whose caller asked for
+// usage, which has no choices.
+type lastBody struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   usageBody     `json:"usage"`
+	Outcome core.Outcome  `json:"Dillsaddle-Outcome"`
 }
 
 type usageBody struct {
@@ -119,12 +120,12 @@
 		return w.done(id, offset, core.Ran)
 	}
 	w.token(id, offset, last.Data)
-	chunk, err := json.Marshal(usageChunk{
+	chunk, err := json.Marshal(lastBody{
 		ID:      last.Origin.Generation,
 		Object:  objectName(w.p.chat, true),
 		Created: time.Now().Unix(),
 		Model:   w.p.model,
-		Choices: []any{},
+		Choices: []wholeChoice{},
 		Usage:   usageOf(last.Usage),
 		Outcome: core.Ran,
 	})
@@ -225,16 +226,6 @@
 
 func (w *wholeWriter) flush() error { return nil }
 
-type wholeBody struct {
-	ID      string        `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []wholeChoice `json:"choices"`
-	Usage   usageBody     `json:"usage"`
-	Outcome core.Outcome  `json:"Dillsaddle-Outcome"`
-}
-
 type wholeChoice struct {
 	Index   int           `json:"index"`
 	Text    *string       `json:"text,omitempty"`
@@ -265,7 +256,7 @@
 	}
 	w.c.Response.Header.Set(requestHeader, id)
 	w.c.Response.Header.Set(outcomeHeader, string(core.Ran))
-	w.c.JSON(http.StatusOK, wholeBody{
+	w.c.JSON(http.StatusOK, lastBody{
 		ID:      last.Origin.Generation,
 		Object:  objectName(w.p.chat, false),
 		Created: time.Now().Unix(),
