--- a/core/pull.go
+++ b/core/pull.go
@@ -38,8 +38,9 @@
 }
 
 // Pull decides whom to ask for newer views, one at a time. It remembers everyone who
-// offered some until this box has them: who asked once and gave up was without a
-// configuration for 3 s, with three boxes around that had it. K tells boxes apart.
+// offered some until this box has them: a box that waits to be told again after a
+// question that failed is without them for as long, 3 s in one of 73 boxes' logs. K
+// tells boxes apart.
 type Pull[K comparable] struct {
 	rules   PullRules
 	holders []holder[K]
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -13,7 +13,7 @@
 )
 
 // partTime bounds the wait for one part of newer views. A part's 16 KB take 13 ms of
-// a link of 10 Mbit/s, and a lost packet is sent again within some hundred.
+// a link of 10 Mbit/s, and a lost packet is sent again within some hundred ms.
 const partTime = 800 * time.Millisecond
 
 // These are a giver's ways to say no.
