fleet: give a configuration on as it came

Cause: each box that gave a configuration packed it anew, and once more for askers with other versions, though the answer is the same for all.

A box keeps what it took and gives that on; what somebody is taking is dropped after all else. A pack of 2,850 routes takes 3.1 ms of a core (benchmark).

--- a/fleet/give.go
+++ b/fleet/give.go
@@ -121,11 +121,12 @@
 		return Part{}, nil
 	}
 	g.giving.GoOn(time.Now(), c)
-	data := g.kept[i].data
+	k := g.use(i)
+	data := k.data
 	end := min(w.Offset+partBytes, len(data))
 	if end == len(data) {
 		took := g.giving.Done(time.Now(), c)
-		g.log.Info("views given", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", g.kept[i].of.Configuration), zap.Int("bytes", len(data)), zap.Duration("took", took))
+		g.log.Info("views given", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", k.of.Configuration), zap.Int("bytes", len(data)), zap.Duration("took", took))
 	}
 	return Part{
 		Digest: w.Digest,
@@ -139,17 +140,42 @@
 func (g *giver) pack(w Want, v *View) (packed, error) {
 	of := offerOf(v)
 	if w.Changed == noList {
-		of.Changed = 0
+		w, of = alone(of.Configuration)
 	}
 	if i := slices.IndexFunc(g.kept, func(k packed) bool { return k.want == w && k.of == of }); i >= 0 {
-		k := g.kept[i]
-		g.kept = append(slices.Delete(g.kept, i, i+1), k)
-		return k, nil
+		return g.use(i), nil
 	}
 	data, err := wire.Pack(g.views(w, v))
 	if err != nil {
 		return packed{}, err
 	}
+	return g.keep(w, of, data), nil
+}
+
+// alone gives the question for a configuration alone, whose answer is the same whatever
+// the asker has, and what that answer holds.
+func alone(version uint64) (Want, core.Offer) {
+	return Want{Changed: noList}, core.Offer{Configuration: version}
+}
+
+// took keeps a configuration as another box packed it, to be given as it came: to pack
+// one of 2,850 routes anew takes 3.1 ms of a core.
+func (g *giver) took(version uint64, data []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	want, of := alone(version)
+	g.keep(want, of, data)
+}
+
+// use gives one of those that are kept, which is dropped after all others now: versions
+// that come close together must not push out what somebody is taking.
+func (g *giver) use(i int) packed {
+	k := g.kept[i]
+	g.kept = append(slices.Delete(g.kept, i, i+1), k)
+	return k
+}
+
+func (g *giver) keep(w Want, of core.Offer, data []byte) packed {
 	k := packed{
 		want:   w,
 		of:     of,
@@ -160,7 +186,7 @@
 	if len(g.kept) > packedKept {
 		g.kept = slices.Delete(g.kept, 0, 1)
 	}
-	return k, nil
+	return k
 }
 
 // views gives what is newer than somebody has.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -29,6 +29,7 @@
 
 // Peers exchanges views and the roster with other boxes.
 type Peers struct {
+	give         *giver
 	mu           sync.Mutex // guards all that follows
 	pull         *core.Pull[*wire.Conn]
 	pulling      bool          // whether newer views are asked for
@@ -107,9 +108,9 @@
 	}
 	p.handlers = wire.NewHandlers(wire.WithOnAnswered(p.answered), wire.WithNetwork(p.network))
 	wire.Answer(p.handlers, func(_ context.Context, c *wire.Conn, g Greeting) (Greeting, error) { return p.greeted(c, g), nil })
-	give := newGiver(belief, p.log)
-	wire.Answer(p.handlers, give.first)
-	wire.Answer(p.handlers, give.more)
+	p.give = newGiver(belief, p.log)
+	wire.Answer(p.handlers, p.give.first)
+	wire.Answer(p.handlers, p.give.more)
 	wire.Answer(p.handlers, p.lend)
 	wire.Take(p.handlers, p.heard)
 	wire.Take(p.handlers, p.evacuating)
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -94,7 +94,7 @@
 		want.Changed = noList
 	}
 	began := time.Now()
-	views, size, err := take(c, want)
+	views, data, err := take(c, want)
 	if err != nil {
 		p.refused(c, o, began, err)
 		return
@@ -102,7 +102,10 @@
 	p.mu.Lock()
 	p.pull.Gave(c)
 	p.mu.Unlock()
-	p.viewsCame(c.Remote(), views, size, began)
+	p.viewsCame(c.Remote(), views, len(data), began)
+	if want.Changed == noList && views.Document != nil {
+		p.give.took(views.Document.Version, data)
+	}
 	p.belief.ApplyViews(time.Now(), c.Remote().String(), views)
 	p.handOn(v, p.belief.View())
 }
@@ -135,15 +138,15 @@
 	p.log.Info("newer views didn't come", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", o.Configuration), zap.Duration("took", now.Sub(began)), zap.Error(err))
 }
 
-// take gives a box's newer views, and the bytes that they took.
-func take(c *wire.Conn, want Want) (Views, int, error) {
+// take gives a box's newer views, and their bytes as they came.
+func take(c *wire.Conn, want Want) (Views, []byte, error) {
 	asked := time.Now()
 	first, err := part(c, want)
 	if err != nil {
-		return Views{}, 0, err
+		return Views{}, nil, err
 	}
 	if first.Size == 0 {
-		return Views{}, 0, errNothing
+		return Views{}, nil, errNothing
 	}
 	data := first.Data
 	for len(data) < first.Size {
@@ -152,10 +155,10 @@
 			Offset: len(data),
 		})
 		if err != nil {
-			return Views{}, len(data), err
+			return Views{}, nil, err
 		}
 		if next.Digest != first.Digest || len(next.Data) == 0 {
-			return Views{}, len(data), errDropped
+			return Views{}, nil, errDropped
 		}
 		data = append(data, next.Data...)
 	}
@@ -164,7 +167,7 @@
 	if first.Age >= 0 {
 		views.Age += time.Since(asked)
 	}
-	return views, len(data), err
+	return views, data, err
 }
 
 // part asks for one part. A box that doesn't answer is connected to anew: a stalled
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -15,6 +15,7 @@
 	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 	"dillsaddle.example/dillsaddle/routing"
+	"dillsaddle.example/dillsaddle/wire"
 )
 
 // Callers of a fleet of 73 boxes, most with links of 10 Mbit/s, were answered by an
@@ -232,3 +233,14 @@
 		g.Expect(after.Confirmed).To(gomega.Equal(before.Confirmed))
 	})
 }
+
+// BenchmarkPackedConfiguration measures what a box saves that gives a configuration on as
+// it came, for 2,850 routes: 3.1 ms of a core for each version before, none now.
+func BenchmarkPackedConfiguration(b *testing.B) {
+	views := fleet.Views{Document: largeDocument(7, 2850)}
+	for b.Loop() {
+		if _, err := wire.Pack(views); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
