--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -94,7 +94,7 @@
 		want.Changed = noList
 	}
 	began := time.Now()
-	views, data, err := take(c, want)
+	views, data, err := takeViews(c, want)
 	if err != nil {
 		p.refused(c, o, began, err)
 		return
@@ -138,10 +138,10 @@
 	p.log.Info("newer views didn't come", zap.Stringer("box_address", c.Remote()), zap.Uint64("version", o.Configuration), zap.Duration("took", now.Sub(began)), zap.Error(err))
 }
 
-// take gives a box's newer views, and their bytes as they came.
-func take(c *wire.Conn, want Want) (Views, []byte, error) {
+// takeViews gives a box's newer views, and their bytes as they came.
+func takeViews(c *wire.Conn, want Want) (Views, []byte, error) {
 	asked := time.Now()
-	first, err := part(c, want)
+	first, err := askPart(c, want)
 	if err != nil {
 		return Views{}, nil, err
 	}
@@ -150,7 +150,7 @@
 	}
 	data := first.Data
 	for len(data) < first.Size {
-		next, err := part(c, WantPart{
+		next, err := askPart(c, WantPart{
 			Digest: first.Digest,
 			Offset: len(data),
 		})
@@ -170,16 +170,17 @@
 	return views, data, err
 }
 
-// part asks for one part. A box that doesn't answer is connected to anew: a stalled
+// askPart asks for one part. A box that doesn't answer is connected to anew: a stalled
 // link doesn't break by itself.
-func part(c *wire.Conn, q wire.Message) (Part, error) {
+func askPart(c *wire.Conn, q wire.Message) (Part, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), partTime)
 	defer cancel()
 	answer, err := wire.Call[Part](ctx, c, q)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
 		c.Close()
-	}
-	if err == nil && answer.Busy {
+		return answer, err
+	case err == nil && answer.Busy:
 		return answer, errBusy
 	}
 	return answer, err
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -15,7 +15,7 @@
 
 // Pack gives a message's body compressed, to be sent in parts. Names and paths of
 // routes are random, the rest of them is alike: a configuration of 2,850 routes takes
-// 47 KB of 244, and a list of endpoints about a third; packing takes 3 ms of a core.
+// 47 KB of 244; packing takes 3.1 ms of a core.
 func Pack(m Message) ([]byte, error) {
 	raw, err := encoding.Marshal(m)
 	if err != nil {
