wire: answer a question of a kind that is only pushed

The new log of answers took each answer's kind: a pushed kind that came as a question has none, and ended the process. Found by reading; the test panicked before.

--- a/box/box.go
+++ b/box/box.go
@@ -82,11 +82,10 @@
 	engines := platform.NewEngines()
 	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
 	peers, err := fleet.NewPeers(core.Peer{
-		Box:     s.Box,
-		Zone:    s.Zone,
-		Address: s.Peer,
-		Life:    rand.Uint64(),
-
+		Box:      s.Box,
+		Zone:     s.Zone,
+		Address:  s.Peer,
+		Life:     rand.Uint64(),
 		LinkMbps: s.LinkMbps,
 	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating))
 	if err != nil {
--- a/core/roster.go
+++ b/core/roster.go
@@ -8,15 +8,14 @@
 
 // Peer is what a box tells others about itself or another box.
 type Peer struct {
-	Box     string         `cbor:"1,keyasint"`
-	Zone    string         `cbor:"2,keyasint,omitempty"`
-	Address netip.AddrPort `cbor:"3,keyasint"` // for other boxes
-	Life    uint64         `cbor:"4,keyasint"` // drawn at the process's start
-	Silence time.Duration  `cbor:"5,keyasint"` // since it was last heard of, by whom tells
-	Leaving bool           `cbor:"6,keyasint,omitempty"`
-	Suspect bool           `cbor:"7,keyasint,omitempty"` // a box that greets it got no answer
-
-	LinkMbps uint32 `cbor:"8,keyasint,omitempty"` // of the box's link; 0 when unknown
+	Box      string         `cbor:"1,keyasint"`
+	Zone     string         `cbor:"2,keyasint,omitempty"`
+	Address  netip.AddrPort `cbor:"3,keyasint"` // for other boxes
+	Life     uint64         `cbor:"4,keyasint"` // drawn at the process's start
+	Silence  time.Duration  `cbor:"5,keyasint"` // since it was last heard of, by whom tells
+	Leaving  bool           `cbor:"6,keyasint,omitempty"`
+	Suspect  bool           `cbor:"7,keyasint,omitempty"` // a box that greets it got no answer
+	LinkMbps uint32         `cbor:"8,keyasint,omitempty"` // of the box's link; 0 when unknown
 }
 
 // RosterRules bound what a roster keeps and tells.
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -51,6 +51,14 @@
 	Announced time.Time
 }
 
+// Waited gives how long a process that had heard of a version was without it.
+func (c Change) Waited(now time.Time) time.Duration {
+	if c.Announced.IsZero() {
+		return 0
+	}
+	return now.Sub(c.Announced)
+}
+
 // Belief holds the newest view and makes the next ones.
 type Belief struct {
 	mu       sync.Mutex
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -35,11 +35,3 @@
 	}
 	p.log.Info("views came", zap.Stringer("box_address", from), zap.Uint64("version", v.Document.Version), zap.Int("bytes", bytes), zap.Duration("took", took))
 }
-
-// Waited gives how long a process that had heard of a version was without it.
-func (c Change) Waited(now time.Time) time.Duration {
-	if c.Announced.IsZero() {
-		return 0
-	}
-	return now.Sub(c.Announced)
-}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -164,7 +164,10 @@
 		ID:     e.ID,
 		Answer: true,
 	}, answer)
-	c.handlers.onAnswered(Answered{
+	if answer == nil {
+		return // a pushed kind that came as a question
+	}
+	c.handlers.answered(Answered{
 		Conn:  c,
 		Kind:  answer.Kind(),
 		Bytes: size,
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -66,6 +66,17 @@
 		Eventually(client.Traffic().LateAnswers.Load).Should(BeEquivalentTo(1))
 	})
 
+	It("answer a question of a kind that is only pushed, and stay", func() {
+		server := wire.NewHandlers()
+		wire.Take(server, func(context.Context, *wire.Conn, wire.Fetch) {})
+		pool := wire.NewPool(wire.NewHandlers())
+		address := listen(server)
+		for range 2 {
+			_, err := wire.Request[wire.Done](context.Background(), pool, address, wire.Fetch{})
+			Expect(err).To(HaveOccurred(), "an empty answer is none of the kind asked for")
+		}
+	})
+
 	It("tell the fault of a kind that the other process doesn't know", func() {
 		pool := wire.NewPool(wire.NewHandlers())
 		_, err := wire.Request[wire.Done](context.Background(), pool, listen(wire.NewHandlers()), wire.StatusAsk{})
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -17,10 +17,9 @@
 	onVers   func(c *Conn, v Versions)
 	versions func() Versions
 	traffic  *Traffic
-
-	onAnswered func(Answered)
-	network    Network
-	client     *http.Client // opens connections over the network
+	answered func(Answered)
+	network  Network
+	client   *http.Client // opens connections over the network
 }
 
 // Answered is an answer that was handed to its connection, or couldn't be.
@@ -47,7 +46,7 @@
 
 // WithOnAnswered is called after each answer.
 func WithOnAnswered(onAnswered func(Answered)) HandlersOption {
-	return func(h *Handlers) { h.onAnswered = onAnswered }
+	return func(h *Handlers) { h.answered = onAnswered }
 }
 
 // WithNetwork gives what connections run over; without it, the operating system's.
@@ -62,9 +61,8 @@
 		onVers:   func(*Conn, Versions) {},
 		versions: func() Versions { return Versions{} },
 		traffic:  &Traffic{},
-
-		onAnswered: func(Answered) {},
-		network:    Sockets{},
+		answered: func(Answered) {},
+		network:  Sockets{},
 	}
 	for _, o := range options {
 		o(h)
