fleet, emulator: a story's figure, and neutral names in a test

The 120 KB are those of 1,448 routes. Host and service of the test's routes have names of our own, as long as before. Comments and a test only.

--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -21,7 +21,7 @@
 // Callers of a fleet of 73 boxes, most with links of 10 Mbit/s, were answered by an
 // older configuration, 3 s and more after a newer one was confirmed. Four boxes had
 // it from the store 1.4 s before it was confirmed, and all others asked them for it at
-// once: 17 copies of 120 KB on one link take 1.6 s, and each was given up, whole,
+// once: 17 copies of 120 KB, of 1,448 routes, take 1.6 s of one link, and each was given up, whole,
 // after the 0.8 s that one question may take, while its bytes were still being sent; 59
 // boxes gave up within 25 ms. A box that had given up asked again only when
 // somebody told it of the version once more, at one box 3 s later. The evidence: bytes
@@ -119,7 +119,7 @@
 	for range routes {
 		d.Routes = append(d.Routes, routing.Route{
 			Name:         "r-" + word(7),
-			Host:         "huhu89.example",
+			Host:         "routes.example",
 			PathPrefix:   "/" + word(8) + "/",
 			Kind:         routing.Repeatable,
 			Timeout:      1500 * time.Millisecond,
@@ -127,7 +127,7 @@
 			Rank:         random.IntN(4),
 			MaxEndpoints: 2,
 			Split: []routing.Share{{
-				Service: "records-api",
+				Service: "lookups-api",
 				Weight:  1,
 			}},
 		})
