fleet, platform: tell a server's starts apart, and pass over odd entries

Cause, by reading the code against the platform's new lines: an endpoint was known by its published name alone. A server that starts again under its name inherited what was known of its former life (memory, records, connections, that it was leaving, for ten minutes), and a peer's older list could bring that life back. One entry that couldn't be decoded failed the whole reading of the store, and each watch after it: tried on with an entry that is a text, "decode the entry of server i-2: cannot unmarshal"; a box that starts then never has a list.

Ruled out: a start kept beside the name in each table (seven tables, each to be compared); refusing reports by age alone (a former life's is younger than the list).

Change: an endpoint's id is that of its incarnation, name and start; what is known is kept by it, so that nothing passes on. A report of another start than the list's replaces the endpoint at once. An entry with a field missing or of another type, an unknown state or unreadable bytes names no server: it is taken out everywhere until it can be read again, one line for each. Where servers don't tell their start, as on all deployments so far, ids are the names as before.

Changelog-added: Servers that start again under their name are told from their former life. Changelog-fixed: One unreadable entry of the store no longer hides all others.

--- a/box/box.go
+++ b/box/box.go
@@ -117,7 +117,7 @@
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
-	follower := fleet.NewFollower(platform.NewStore(s.Store, platform.WithOnAnswer(b.storeAnswered)), b.belief, min(s.ConfigBound, s.DrainBound),
+	follower := fleet.NewFollower(b.store(), b.belief, min(s.ConfigBound, s.DrainBound),
 		fleet.WithFollowerLog(log.Named("store")),
 		fleet.WithReader(b.peers.Reader),
 		fleet.WithOnNews(b.peers.Spread),
@@ -130,6 +130,11 @@
 	return b, nil
 }
 
+// store builds the client of the platform's store.
+func (b *Box) store() *platform.Store {
+	return platform.NewStore(b.settings.Store, platform.WithOnAnswer(b.storeAnswered), platform.WithOnUnreadable(b.entryUnreadable))
+}
+
 // changed logs a change of belief and tells the gateway.
 func (b *Box) changed(c fleet.Change) {
 	fields := []zap.Field{
--- a/box/operators.go
+++ b/box/operators.go
@@ -102,6 +102,11 @@
 	}
 }
 
+// entryUnreadable logs an entry of the store that names nothing to use.
+func (b *Box) entryUnreadable(key string, why error) {
+	b.log.Warn("an entry of the store is of no use, the others hold", zap.String("key", key), zap.Error(why))
+}
+
 // countStoreCalls counts the calls to the store by their result.
 func countStoreCalls(result string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_store_calls_total{result=%q}", result)).Inc()
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -33,6 +33,8 @@
 	EndpointLeaving      ChangeKind = "endpoint leaving"
 	EndpointGone         ChangeKind = "endpoint gone"
 	EndpointMissing      ChangeKind = "endpoint missing after an outage"
+	EndpointRestarted    ChangeKind = "endpoint restarted under its name" // its former incarnation is gone
+	EndpointUnusable     ChangeKind = "endpoint's entry names no server any more"
 	ListKnown            ChangeKind = "list known" // the first one
 )
 
@@ -64,9 +66,9 @@
 	mu       sync.Mutex
 	view     atomic.Pointer[View]
 	onChange func(Change)
-	untold   []Change // told once the view holds them
-	entries  map[string]*entry
-	touched  map[string]bool      // entries that changed since the last view
+	untold   []Change             // told once the view holds them
+	entries  map[string]*entry    // by the servers' published names
+	touched  map[string]string    // incarnations that changed since the last view, with the servers' names
 	left     map[string]time.Time // leaving incarnations, with when that was learned
 	table    *routing.Table
 	changed  uint64
@@ -106,7 +108,7 @@
 	b := &Belief{
 		onChange: func(Change) {},
 		entries:  make(map[string]*entry),
-		touched:  make(map[string]bool),
+		touched:  make(map[string]string),
 		left:     make(map[string]time.Time),
 	}
 	for _, o := range options {
@@ -148,9 +150,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
-	for id, e := range b.entries {
+	for _, e := range b.entries {
 		if e.missing && !b.away && now.Sub(b.backAt) >= returnGrace {
-			b.drop("outage", id, e, b.changed)
+			b.drop("outage", e, b.changed)
 			changed = true
 		}
 	}
@@ -168,8 +170,8 @@
 // tells of the changes.
 func (b *Belief) publish() {
 	v := b.view.Load().next(b.touched, func(id string) (routing.Endpoint, bool) {
-		e := b.entries[id]
-		if e == nil {
+		e := b.entries[b.touched[id]]
+		if e == nil || e.ID != id {
 			return routing.Endpoint{}, false
 		}
 		return e.Endpoint, true
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -50,13 +50,13 @@
 func (b *Belief) takeList(now time.Time, from string, revision uint64, all []routing.Endpoint) {
 	seen := make(map[string]bool, len(all))
 	for _, e := range all {
-		seen[e.ID] = true
+		seen[e.Name()] = true
 		b.update(now, from, e)
 		b.changed = max(b.changed, e.Revision)
 	}
-	for id, e := range b.entries {
-		if !seen[id] {
-			b.remove(now, from, id, e, revision)
+	for name, e := range b.entries {
+		if !seen[name] {
+			b.remove(now, from, e, revision)
 			b.changed = max(b.changed, revision)
 		}
 	}
@@ -118,8 +118,8 @@
 		b.update(now, from, e)
 	}
 	for _, r := range n.Removed {
-		if e := b.entries[r.ID]; e != nil && e.Revision < r.Revision {
-			b.remove(now, from, r.ID, e, r.Revision)
+		if e := b.entries[r.Name]; e != nil && e.Revision < r.Revision {
+			b.remove(now, from, e, r.Revision)
 		}
 	}
 }
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -31,9 +31,12 @@
 	return updated, removed, true
 }
 
+// update takes an entry, unless it is older than what is believed: by the store's
+// revision, or because the server has started again since.
 func (b *Belief) update(now time.Time, from string, e routing.Endpoint) {
-	old := b.entries[e.ID]
-	if old != nil && old.Revision > e.Revision {
+	name := e.Name()
+	old := b.entries[name]
+	if old != nil && (old.Revision > e.Revision || (e.Usable() && e.Started < old.Started)) {
 		return
 	}
 	if _, left := b.left[e.ID]; left {
@@ -42,30 +45,71 @@
 	if e.Leaving {
 		b.left[e.ID] = now
 	}
-	b.entries[e.ID] = &entry{Endpoint: e}
-	b.touched[e.ID] = true
+	b.entries[name] = &entry{Endpoint: e}
+	b.touched[e.ID] = name
+	if old != nil && old.ID != e.ID {
+		b.touched[old.ID] = name
+	}
+	b.tellUpdate(from, old, e)
+}
+
+func (b *Belief) tellUpdate(from string, old *entry, e routing.Endpoint) {
+	known := old != nil && old.Usable()
 	switch {
-	case old == nil && !b.listed:
+	case !known && !b.listed:
 		// One line for the first list, and not thousands.
-	case old == nil:
+	case !known && e.Usable():
+		b.tell(EndpointJoined, from, e)
+	case !known:
+		// The source logs an entry that can't be used.
+	case !e.Usable():
+		b.tell(EndpointUnusable, from, old.Endpoint)
+	case old.ID != e.ID:
+		b.tell(EndpointRestarted, from, old.Endpoint)
 		b.tell(EndpointJoined, from, e)
 	case e.Leaving && !old.Leaving:
 		b.tell(EndpointLeaving, from, e)
 	}
 }
 
+// Restarted takes a server's own word, by way of who told it, that it has started
+// again since its entry was written. The former incarnation and all that was known of
+// it are gone; the new one is at the same place until the store says otherwise.
+func (b *Belief) Restarted(from string, former routing.Endpoint, started int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	name := former.Name()
+	old := b.entries[name]
+	if old == nil || old.ID != former.ID || started <= old.Started {
+		return
+	}
+	e := old.Endpoint
+	e.ID = routing.Incarnation(name, started)
+	e.Started = started
+	e.Leaving = false
+	b.entries[name] = &entry{Endpoint: e}
+	b.touched[e.ID] = name
+	b.touched[old.ID] = name
+	b.tellUpdate(from, old, e)
+	b.publish()
+}
+
 // Leaves takes an endpoint's own word, by way of who told it, that it is on its
 // way out; true says that this was news.
 func (b *Belief) Leaves(now time.Time, from, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.entries[id]
-	if e == nil || e.Leaving {
+	known, ok := b.view.Load().Endpoint(id)
+	if !ok {
+		return false
+	}
+	e := b.entries[known.Name()]
+	if e == nil || e.ID != id || e.Leaving {
 		return false
 	}
 	e.Leaving = true
 	b.left[id] = now
-	b.touched[id] = true
+	b.touched[id] = known.Name()
 	b.tell(EndpointLeaving, from, e.Endpoint)
 	b.publish()
 	return true
@@ -73,7 +117,7 @@
 
 // remove takes an entry that went. One that went with the store away has its
 // time to come back; any other is leaving for good.
-func (b *Belief) remove(now time.Time, from, id string, e *entry, revision uint64) {
+func (b *Belief) remove(now time.Time, from string, e *entry, revision uint64) {
 	if e.missing {
 		return
 	}
@@ -83,15 +127,16 @@
 		b.tell(EndpointMissing, from, e.Endpoint)
 		return
 	}
-	b.left[id] = now
-	b.drop(from, id, e, revision)
+	b.left[e.ID] = now
+	b.drop(from, e, revision)
 }
 
-func (b *Belief) drop(from, id string, e *entry, revision uint64) {
-	delete(b.entries, id)
-	b.touched[id] = true
+func (b *Belief) drop(from string, e *entry, revision uint64) {
+	name := e.Name()
+	delete(b.entries, name)
+	b.touched[e.ID] = name
 	b.removed = append(b.removed, Removal{
-		ID:       id,
+		Name:     name,
 		Revision: revision,
 	})
 	if len(b.removed) > removedMemory {
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -94,7 +94,7 @@
 		b.ApplyChanges(noon, &fleet.Changes{
 			Revision: 12,
 			Removed: []fleet.Removal{{
-				ID:       "a",
+				Name:     "a",
 				Revision: 12,
 			}},
 		})
@@ -211,7 +211,7 @@
 			Revision: 15,
 			Updated:  []routing.Endpoint{endpoint("c", 13, false)},
 			Removed: []fleet.Removal{{
-				ID:       "a",
+				Name:     "a",
 				Revision: 15,
 			}},
 		})
@@ -222,7 +222,7 @@
 		Expect(ok).To(BeTrue())
 		Expect(updated).To(BeEmpty())
 		Expect(removed).To(Equal([]fleet.Removal{{
-			ID:       "a",
+			Name:     "a",
 			Revision: 15,
 		}}))
 	})
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/routing"
@@ -34,6 +36,17 @@
 	Report(ctx context.Context, e routing.Endpoint) (routing.Report, error)
 }
 
+// RestartedError reports that the server which answered is another incarnation than
+// the one that was asked.
+type RestartedError struct {
+	Started int64 // of the one that answered, Unix milliseconds
+}
+
+// Error names the start and the remedy.
+func (e *RestartedError) Error() string {
+	return fmt.Sprintf("the server has started again, at %d; what is known of it is of its former life", e.Started)
+}
+
 // Reports knows the load of engines. Each engine is asked by one box, which
 // follows from the roster, and that box's greetings tell the others.
 type Reports struct {
@@ -115,6 +128,11 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	report, err := r.reporter.Report(ctx, e)
+	var restarted *RestartedError
+	if errors.As(err, &restarted) {
+		r.belief.Restarted(fromEngine, e, restarted.Started)
+		return
+	}
 	if err != nil {
 		r.log.Debug("engine gave no report", zap.String("endpoint", e.ID), zap.Error(err))
 		return
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -36,7 +36,7 @@
 
 // Removal is an endpoint's entry that went.
 type Removal struct {
-	ID       string
+	Name     string `cbor:"ID"` // that the server was published under
 	Revision uint64
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -71,7 +71,7 @@
 
 // next gives a view with some entries as they are now; it shares the rest with
 // this one.
-func (v *View) next(touched map[string]bool, now func(id string) (routing.Endpoint, bool)) *View {
+func (v *View) next(touched map[string]string, now func(id string) (routing.Endpoint, bool)) *View {
 	n := &viewEdit{
 		View:     *v,
 		services: make(map[string]bool),
@@ -88,7 +88,10 @@
 		}
 	}
 	for service := range n.services {
-		n.byService[service] = slices.DeleteFunc(n.byService[service], func(e routing.Endpoint) bool { return touched[e.ID] })
+		n.byService[service] = slices.DeleteFunc(n.byService[service], func(e routing.Endpoint) bool {
+			_, changed := touched[e.ID]
+			return changed
+		})
 	}
 	for id := range touched {
 		if e, has := now(id); has {
@@ -133,7 +136,7 @@
 }
 
 func (n *viewEdit) add(e routing.Endpoint) {
-	if e.Leaving {
+	if e.Leaving || !e.Usable() {
 		return
 	}
 	n.own(e.Service)
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -46,7 +46,7 @@
 			for id := range gone {
 				delete(want, id)
 				c.Removed = append(c.Removed, fleet.Removal{
-					ID:       id,
+					Name:     id,
 					Revision: step + 2,
 				})
 			}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -158,7 +158,7 @@
 	h := passedOn(r.Header)
 	o := Outbound{
 		Left:       time.Until(p.limit),
-		Endpoint:   p.endpoint.ID,
+		Endpoint:   p.endpoint.Name(),
 		Rank:       p.rank(),
 		ContinueAt: copyName,
 		LastEvent:  p.last,
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -40,5 +40,7 @@
 	case fleet.EndpointGone:
 		go g.evacuate(c.Endpoint)
 		g.spread.Forget(c.Endpoint.ID)
+	case fleet.EndpointRestarted:
+		g.spread.Forget(c.Endpoint.ID)
 	}
 }
