fleet, core, box: a starting box asks no engines until it knows the others

Cause: who asks an engine for its load follows from the roster, and a box that has just started knows few of it: it takes itself for the owner of nearly all engines. The first start shows little of it, since the engines come later than the boxes then.

Change: core.Settling says when a box knows most of the others: growth under a tenth in half a second, between one and five seconds after its start. Until then it asks none. In virtual time, 120 boxes and 40 engines, the first eight seconds: 6,426 questions before, 1,227 now, 1,600 at the usual pace of that test.

The test found connections that stayed for good: one that came after who had asked for it gave up rests in the client's pool for ever. They are closed after two seconds.

Lines that grow with the square of the fleet: boxes that joined are a line for a quarter of a second (86,710 of 129,000 lines before), endpoints that joined together one change.

Changelog-fixed: Boxes that start together no longer all ask all engines for their load. Changelog-fixed: Connections between boxes that came too late are closed.

--- a/box/box.go
+++ b/box/box.go
@@ -36,6 +36,8 @@
 	graceMargin = 350 * time.Millisecond
 	// logFlush bounds the wait for a slow reader of the log at the end.
 	logFlush = 100 * time.Millisecond
+	// namesMost bounds the endpoints that one log line names.
+	namesMost = 64
 	// headerTime and restTime bound callers before a configuration is known.
 	headerTime = 5 * time.Second
 	callerRest = 60 * time.Second
@@ -147,7 +149,9 @@
 		configurationWait.Update(waited.Seconds())
 		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes), zap.Duration("waited", waited))
 	case fleet.ListKnown:
-		fields = append(fields, zap.Int("endpoints", c.Count))
+		fields = append(fields, zap.Int("count", c.Count))
+	case fleet.EndpointJoined:
+		fields = append(fields, zap.Int("count", len(c.Joined)), zap.Strings("endpoints", c.Joined[:min(len(c.Joined), namesMost)]))
 	default:
 		fields = append(fields, zap.String("endpoint", c.Endpoint.ID), zap.String("service", c.Endpoint.Service))
 	}
--- /dev/null
+++ b/core/settling_test.go
@@ -0,0 +1,47 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+var _ = Describe("a starting box's knowledge of the others", func() {
+	start := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	var s *core.Settling
+	BeforeEach(func() { s = core.NewSettling(start, core.DefaultSettlingRules()) })
+	// after gives when it settles, looked at four times a second, or 0.
+	after := func(known func(time.Duration) int) time.Duration {
+		for age := time.Duration(0); age < 10*time.Second; age += 250 * time.Millisecond {
+			if s.Observe(start.Add(age), known(age)) {
+				return age
+			}
+		}
+		return 0
+	}
+
+	It("settles after a second where there are no others", func() {
+		Expect(after(func(time.Duration) int { return 0 })).To(Equal(time.Second))
+	})
+
+	It("settles once few are new", func() {
+		// 300 boxes of which each knows twice as many every half second.
+		known := func(age time.Duration) int {
+			return min(300, 8<<min(8, age/(500*time.Millisecond)))
+		}
+		Expect(after(known)).To(Equal(3500 * time.Millisecond))
+	})
+
+	It("settles in the end though more and more come", func() {
+		known := func(age time.Duration) int { return 1 << (age / (500 * time.Millisecond)) }
+		Expect(after(known)).To(Equal(5 * time.Second))
+	})
+
+	It("stays settled when boxes join later", func() {
+		after(func(time.Duration) int { return 3 })
+		Expect(s.Observe(start.Add(20*time.Second), 400)).To(BeTrue())
+	})
+})
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -42,9 +42,10 @@
 type Change struct {
 	Kind     ChangeKind
 	Endpoint routing.Endpoint
-	Version  uint64 // of the configuration
-	Routes   int    // in it
-	Count    int    // of endpoints in the first list
+	Version  uint64   // of the configuration
+	Routes   int      // in it
+	Count    int      // of endpoints in the first list
+	Joined   []string // for EndpointJoined: the ids of all that joined with this view, by the same source
 	Revision uint64
 	From     string // the store or a peer
 
@@ -98,7 +99,9 @@
 type BeliefOption func(*Belief)
 
 // WithOnChange is called for each change, in order and under the belief's lock,
-// when the view holds it and those that came with it.
+// when the view holds it and those that came with it. Endpoints that joined together
+// are one change: on a fleet of 295 boxes and 141 endpoints, their start took 42,000
+// lines of the boxes' logs with a change each.
 func WithOnChange(onChange func(Change)) BeliefOption {
 	return func(b *Belief) { b.onChange = onChange }
 }
@@ -182,8 +185,29 @@
 	v.Changed = b.changed
 	v.Confirmed = b.confirm
 	b.view.Store(v)
-	for _, c := range b.untold {
+	for _, c := range joinedTogether(b.untold) {
 		b.onChange(c)
 	}
 	b.untold = b.untold[:0]
 }
+
+// joinedTogether makes one change of the endpoints that joined by the same source.
+func joinedTogether(all []Change) []Change {
+	var out []Change
+	first := make(map[string]int) // by source
+	for _, c := range all {
+		if c.Kind != EndpointJoined {
+			out = append(out, c)
+			continue
+		}
+		i, known := first[c.From]
+		if !known {
+			i = len(out)
+			first[c.From] = i
+			out = append(out, c)
+		}
+		out[i].Joined = append(out[i].Joined, c.Endpoint.ID)
+		out[i].Revision = max(out[i].Revision, c.Revision)
+	}
+	return out
+}
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -256,3 +256,21 @@
 		Expect(empty.View().Listed).To(BeFalse())
 	})
 })
+
+var _ = Describe("endpoints that join together", func() {
+	It("are one change for each source, with all their ids", func() {
+		var joined [][]string
+		b := fleet.NewBelief(fleet.WithOnChange(func(c fleet.Change) {
+			if c.Kind == fleet.EndpointJoined {
+				joined = append(joined, c.Joined)
+			}
+		}))
+		b.ApplySnapshot(noon, snapshot(10))
+		b.ApplyChanges(noon, &fleet.Changes{
+			Revision: 12,
+			Updated:  []routing.Endpoint{endpoint("a", 11, false), endpoint("b", 12, false)},
+		})
+		Expect(joined).To(Equal([][]string{{"a", "b"}}))
+		Expect(serving(b)).To(Equal([]string{"a", "b"}))
+	})
+})
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -37,6 +37,8 @@
 	woken        chan struct{} // tells who asks for them that somebody offered some
 	memo         shareMemo
 	roster       *core.Roster
+	settling     *core.Settling
+	settled      bool // whether most other boxes are known
 	belief       *Belief
 	seeds        []netip.AddrPort
 	log          *zap.Logger
@@ -91,6 +93,7 @@
 func NewPeers(self core.Peer, seeds []netip.AddrPort, belief *Belief, options ...PeersOption) (*Peers, error) {
 	p := &Peers{
 		roster:       core.NewRoster(self, core.DefaultRosterRules()),
+		settling:     core.NewSettling(time.Now(), core.DefaultSettlingRules()),
 		belief:       belief,
 		seeds:        others(seeds, self.Address),
 		log:          zap.NewNop(),
@@ -188,21 +191,54 @@
 	return p.roster.All(time.Now())
 }
 
-// notice logs which boxes came and went.
+// noticedMost bounds the boxes that one log line names.
+const noticedMost = 8
+
+// notice logs which boxes came and went, in a line each: a line a box took 87,000
+// lines of the logs at the start of a fleet of 295, two thirds of all.
 func (p *Peers) notice(now time.Time) {
 	alive := make(map[string]bool)
+	var joined, lost []string
 	for _, m := range p.roster.Alive(now) {
 		alive[m.Box] = true
 		if !p.alive[m.Box] {
-			p.log.Info("box joined", zap.String("box", m.Box), zap.Stringer("address", m.Address), zap.Duration("silence", m.Silence))
+			joined = append(joined, m.Box)
 		}
 	}
 	for box := range p.alive {
 		if !alive[box] {
-			p.log.Info("box suspected or leaving", zap.String("box", box))
+			lost = append(lost, box)
 		}
 	}
 	p.alive = alive
+	p.settle(now)
+	p.noticed("boxes joined", joined)
+	p.noticed("boxes suspected or leaving", lost)
+}
+
+// settle looks whether this box knows most of the others.
+func (p *Peers) settle(now time.Time) {
+	if p.settled || !p.settling.Observe(now, len(p.alive)) {
+		return
+	}
+	p.settled = true
+	p.log.Info("most boxes are known", zap.Int("known", len(p.alive)))
+}
+
+// Settled tells whether this box knows most of the others, and so its own part of what
+// is divided among all.
+func (p *Peers) Settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settled
+}
+
+func (p *Peers) noticed(event string, boxes []string) {
+	if len(boxes) == 0 {
+		return
+	}
+	slices.Sort(boxes)
+	p.log.Info(event, zap.Int("count", len(boxes)), zap.Strings("boxes", boxes[:min(len(boxes), noticedMost)]), zap.Int("known", len(p.alive)))
 }
 
 func (p *Peers) greet(ctx context.Context, address netip.AddrPort) {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -91,10 +91,11 @@
 }
 
 // mine gives the engines that this box asks: those of its group's share for
-// which its name hashes highest in the group.
+// which its name hashes highest in the group. A box that knows few of the others yet
+// asks none, as all would ask all.
 func (r *Reports) mine() []routing.Endpoint {
 	v := r.belief.View()
-	if v.Table == nil {
+	if v.Table == nil || !r.peers.Settled() {
 		return nil
 	}
 	self, group := r.peers.Self(), r.peers.Group()
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -47,8 +47,16 @@
 }
 
 // startFleet starts boxes on links of one speed, each with a configuration and an
-// empty list; the first one's address is all that they know.
+// empty list; the first one's address is all that they know. They have met when it
+// returns.
 func startFleet(t *testing.T, boxes int, bytesPerSecond float64) *smallFleet {
+	f := beginFleet(t, boxes, bytesPerSecond, func(*fleet.Belief) *fleet.Reports { return nil })
+	time.Sleep(settle)
+	return f
+}
+
+// beginFleet starts boxes as startFleet does, with what asks their engines.
+func beginFleet(t *testing.T, boxes int, bytesPerSecond float64, reports func(*fleet.Belief) *fleet.Reports) *smallFleet {
 	n := emulator.NewNetwork(hop)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
@@ -67,7 +75,7 @@
 			Address: netip.AddrPortFrom(hostOf(i), 8000),
 			Zone:    fmt.Sprintf("zone-%d", i%2),
 			Life:    uint64(i + 1),
-		}, []netip.AddrPort{seed}, b, fleet.WithNetwork(n.At(hostOf(i))))
+		}, []netip.AddrPort{seed}, b, append(reporting(reports(b)), fleet.WithNetwork(n.At(hostOf(i))))...)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -75,10 +83,16 @@
 		f.peers = append(f.peers, p)
 		f.beliefs = append(f.beliefs, b)
 	}
-	time.Sleep(settle)
 	return f
 }
 
+func reporting(r *fleet.Reports) []fleet.PeersOption {
+	if r == nil {
+		return nil
+	}
+	return []fleet.PeersOption{fleet.WithReports(r)}
+}
+
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
 
 // learn lets one box have a configuration from the store, and changes of endpoints
--- /dev/null
+++ b/fleet/start_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/fleet"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// countingReporter counts the questions to engines, which all are empty.
+type countingReporter struct{ asked atomic.Int64 }
+
+func (r *countingReporter) Report(_ context.Context, e routing.Endpoint) (routing.Report, error) {
+	r.asked.Add(1)
+	return routing.Report{
+		Endpoint: e.ID,
+		Total:    30000,
+	}, nil
+}
+
+// engineList gives a configuration with one service of engines and a list of them, in
+// the zones of startFleet's boxes.
+func engineList(engines int) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Revision: 2,
+		Document: &routing.Document{
+			Version: 2,
+			Services: []routing.Service{{
+				Name:   "s",
+				Engine: &routing.Engine{Slots: 8},
+			}},
+		},
+	}
+	for i := range engines {
+		e := endpoint(fmt.Sprintf("e-%02d", i), 2, false)
+		e.Zone = fmt.Sprintf("zone-%d", i%2)
+		s.Endpoints = append(s.Endpoints, e)
+	}
+	return s
+}
+
+// After all of 295 boxes had lost power and started again, they asked 130 engines for
+// their load some 70,000 times within seconds, each on a connection of its own: a box
+// that knows nobody yet takes itself for the one that asks all. With 120 boxes and 40
+// engines in virtual time: 6,426 questions in the first eight seconds without the wait
+// for the others, 1,227 with it; five a second and engine, as of a list that nobody
+// confirms, are 1,600.
+func TestBoxesThatStartTogetherAskEachEngineOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const engines = 40
+		reporter := &countingReporter{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		beginFleet(t, 120, 20*smallLink, func(b *fleet.Belief) *fleet.Reports {
+			b.ApplySnapshot(time.Now(), engineList(engines))
+			r := fleet.NewReports(reporter, b, zap.NewNop(), func(time.Time, routing.Report) {})
+			time.AfterFunc(time.Millisecond, func() { r.Run(ctx) })
+			return r
+		})
+		const looked = 8 * time.Second
+		usual := 5 * engines * looked.Seconds()
+		time.Sleep(looked)
+		g.Expect(reporter.asked.Load()).To(gomega.BeNumerically("<", usual))
+		before := reporter.asked.Load()
+		time.Sleep(looked)
+		g.Expect(reporter.asked.Load()-before).To(gomega.BeNumerically("~", usual, usual/10), "in calm times")
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/wire/network.go
+++ b/wire/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 )
 
 // Network opens and accepts connections.
@@ -29,6 +30,11 @@
 	return d.DialContext(ctx, "tcp", to.String())
 }
 
+// abandonedTime is how long a connection stays that came after who asked for it had
+// given up: nobody uses it, and the client would keep it for good. Greetings are given
+// up after less than a second.
+const abandonedTime = 2 * time.Second
+
 // clientOf gives a client whose connections run over a network.
 func clientOf(n Network) *http.Client {
 	return &http.Client{
@@ -40,6 +46,7 @@
 				}
 				return n.Dial(ctx, to)
 			},
+			IdleConnTimeout: abandonedTime,
 		},
 	}
 }
