core, fleet: let a few boxes read first when nothing comes from the readers

Change: the ten boxes that come after the readers go first; the others wait until 0.75 of the bound, by when word of it has come round. Small fleets are all standbys.

Test: fleet/follower_test.go, in virtual time.

--- a/core/readers.go
+++ b/core/readers.go
@@ -9,18 +9,18 @@
 // readerKey is what boxes' names are hashed with to rank them as readers.
 const readerKey = "readers"
 
-// Reads tells whether a box is among some that read the store for all: those with the
-// widest links, and among links of about the same speed those that rendezvous hashing
-// ranks first. A configuration of 0.77 MB takes 0.65 s of a link of 10 Mbit/s, in which
+// ReaderRank gives a box's place, from 0, in the order in which boxes read the store for
+// all: those with the widest links go first, and among links of about the same speed
+// those that rendezvous hashing ranks first. A configuration of 0.77 MB takes 0.65 s of a link of 10 Mbit/s, in which
 // the reader hears of no other change, and 0.04 s of one of 200 Mbit/s.
-func Reads(self Peer, others []Peer, count int) bool {
+func ReaderRank(self Peer, others []Peer) int {
 	before := 0
 	for _, other := range others {
 		if readsBefore(other, self) {
 			before++
 		}
 	}
-	return before < count
+	return before
 }
 
 func readsBefore(a, b Peer) bool {
--- a/core/readers_test.go
+++ b/core/readers_test.go
@@ -18,7 +18,7 @@
 		var out []string
 		for i, p := range all {
 			others := append(append([]core.Peer(nil), all[:i]...), all[i+1:]...)
-			if core.Reads(p, others, count) {
+			if core.ReaderRank(p, others) < count {
 				out = append(out, p.Box)
 			}
 		}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -28,6 +28,9 @@
 	// that is older than the second means that no reader reaches this box.
 	watchPart = 0.25
 	stalePart = 0.6
+	// latePart is the same for a box that is no standby: by then, word of what the
+	// standbys read has come round. What is left is enough to read the store.
+	latePart = 0.75
 	// awaitPart is the part of that time after which a box that has heard of a newer
 	// configuration, and has it from nobody, reads the store itself. 73 boxes have one
 	// of 2,850 routes from each other within a tenth of it; half of what is left after
@@ -42,6 +45,7 @@
 	belief *Belief
 	within time.Duration // a change must be in force
 	reader func() bool
+	next   func() bool // whether this box is a standby
 	onNews func(News)
 	log    *zap.Logger
 	calls  func(result string)
@@ -68,6 +72,12 @@
 	return func(f *Follower) { f.reader = reader }
 }
 
+// WithStandby tells whether this box is among the first to read when nothing comes from
+// the readers; without it, it is.
+func WithStandby(standby func() bool) FollowerOption {
+	return func(f *Follower) { f.next = standby }
+}
+
 // WithOnNews is called with each change that the store told.
 func WithOnNews(onNews func(News)) FollowerOption {
 	return func(f *Follower) { f.onNews = onNews }
@@ -81,6 +91,7 @@
 		belief: belief,
 		within: within,
 		reader: func() bool { return true },
+		next:   func() bool { return true },
 		onNews: func(News) {},
 		log:    zap.NewNop(),
 		calls:  func(string) {},
@@ -120,7 +131,7 @@
 		}
 		now := time.Now()
 		age, awaited := now.Sub(v.Confirmed), f.belief.Awaited(now)
-		if age > f.part(stalePart) || awaited > f.part(awaitPart) {
+		if age > f.patience() || awaited > f.part(awaitPart) {
 			f.log.Info("nothing from the readers, reading the store", zap.Duration("list_age", age), zap.Duration("configuration_awaited", awaited))
 			f.helper = now.Add(helperTime)
 			return
@@ -129,6 +140,14 @@
 	}
 }
 
+// patience is how old what this box believes may get before it reads itself.
+func (f *Follower) patience() time.Duration {
+	if f.next() {
+		return f.part(stalePart)
+	}
+	return f.part(latePart)
+}
+
 func (f *Follower) read(ctx context.Context) (uint64, bool) {
 	s, err := f.source.Read(ctx)
 	if err != nil {
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -217,3 +217,29 @@
 		g.Expect(b.View().Configuration()).To(gomega.BeEquivalentTo(9))
 	}, fleet.WithReader(func() bool { return false }))
 }
+
+// A store that dropped its history, and answered no watch for a second before, made the
+// list of all 295 boxes older than the readers' patience at once.
+func TestOnlyStandbysReadFirstWhenNothingComesFromTheReaders(t *testing.T) {
+	notReader := fleet.WithReader(func() bool { return false })
+	// readsAt gives when a box that hears nothing reads the store for the second time.
+	readsAt := func(standby bool) time.Duration {
+		var at time.Duration
+		follow(t, func(g *gomega.WithT, s *source, _ *fleet.Belief) {
+			// It read at its start, a second ago.
+			for at = time.Second; at < within; at += 10 * time.Millisecond {
+				if reads, _ := s.calls(); reads > 1 {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			g.Expect(at).To(gomega.BeNumerically("<", within), "it reads in the end")
+		}, notReader, fleet.WithStandby(func() bool { return standby }))
+		return at
+	}
+	first, others := readsAt(true), readsAt(false)
+	g := gomega.NewWithT(t)
+	g.Expect(first).To(gomega.BeNumerically("~", within*6/10, within/10))
+	g.Expect(others).To(gomega.BeNumerically("~", within*3/4, within/10))
+	g.Expect(others - first).To(gomega.BeNumerically(">=", within/10))
+}
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -18,15 +18,26 @@
 // store's calls don't grow with the fleet.
 const readerCount = 5
 
+// standbyCount is how many boxes come next when nothing comes from the readers. The
+// others wait for those to have read: all boxes of a fleet of 295 asked the store at
+// once for four seconds whenever it lost its history, some 1,700 calls each time.
+const standbyCount = 10
+
 // newsMemory is how many pieces of news a box remembers, to hand each on once;
 // they travel for some tens of milliseconds.
 const newsMemory = 128
 
 // Reader tells whether this box is among those that read the store for all.
-func (p *Peers) Reader() bool {
+func (p *Peers) Reader() bool { return p.readerRank() < readerCount }
+
+// Standby tells whether this box is among the first to read when nothing comes from
+// the readers.
+func (p *Peers) Standby() bool { return p.readerRank() < readerCount+standbyCount }
+
+func (p *Peers) readerRank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return core.Reads(p.roster.Self(), p.roster.Alive(time.Now()), readerCount)
+	return core.ReaderRank(p.roster.Self(), p.roster.Alive(time.Now()))
 }
 
 // Spread tells the partners at once of what this box has learned.
