gateway, admission: log what decided the choice of an engine

Nothing in the logs told why a prompt went where it did: how full the engine was thought to be, what was thought to wait there, how old its report and the others' news were.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,15 +34,29 @@
 	p.tried[e.ID] = true
 	p.placedAt = now
 	p.chooseBackup(now)
-	p.decided("placed",
+	p.decided("placed", append(p.believed(now, e),
 		zap.String("endpoint", e.ID),
 		zap.String("endpoint_zone", e.Zone),
 		zap.String("backup", p.backup.ID),
 		zap.Duration("list_age", now.Sub(p.view.Confirmed)),
-	)
+	)...)
 	return core.CallPlaced{}
 }
 
+// believed gives what decided the choice of an engine.
+func (p *passage) believed(now time.Time, e routing.Endpoint) []zap.Field {
+	if p.service.Engine == nil {
+		return nil
+	}
+	seen := p.gateway.spread.Estimate(now, e, p.want(nil))
+	return []zap.Field{
+		zap.Float64("full", math.Round(seen.Full*100)/100),
+		zap.Duration("ahead", seen.Ahead.Round(time.Millisecond)),
+		zap.Duration("report_age", seen.ReportAge.Round(time.Millisecond)),
+		zap.Duration("heard_age", seen.HeardAge.Round(time.Millisecond)),
+	}
+}
+
 func (p *passage) want(exclude map[string]bool) admission.Want {
 	w := admission.Want{Exclude: exclude}
 	if engine := p.service.Engine; engine != nil {
