admission: count what other groups' boxes place unseen on their engines

Boxes hear of placements by their own group, here a zone's 52 to 64 boxes, and know other zones' engines by reports that are a second old when they come round. An engine that has just joined looks empty to all 295; boxes of four other zones put prompts there that neither its own zone nor the other three hear of. Simulated with the real placements (three zones of 59 boxes and 26 engines), the same comes: 0.022 late; with engines of the own zone only, none.

Ruled out: reports that are too old or lost (0.7 s at the median, 1.1 s at nine in ten); news that get lost within a group (an engine that the group had used within 0.3 s drew 4% of the placements in the first seconds, by chance 28%); the learned reading rate; records of overdue answers that feed themselves (simulated: no change); more or fewer choices (3, 8, 26 instead of 5: a tenth of the effect or less); a flat higher cost of strangers (late ones 0.037 where one zone is hot, 0.026 with the change).

Change: a stranger's engine is taken to have got, since its report, as many prompts as one of the own group's engines gets in that time.

In virtual time late first events 0.022 -> 0.000, with one hot zone 0.053 -> 0.028.

--- /dev/null
+++ b/admission/flow.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// flowTime is the time over which a flow is averaged: some prompts of even a small
+	// group, and short against the minutes in which callers come and go.
+	flowTime = 2 * time.Second
+	// unseenMost bounds the age of what is known of an engine of another group. Its
+	// reports come round in about a second; without any it may have joined just now.
+	unseenMost = 1500 * time.Millisecond
+)
+
+// flow is how much came in the last moments, exponentially averaged.
+type flow struct {
+	sum float64
+	at  time.Time
+}
+
+func (f *flow) add(now time.Time, amount float64) {
+	f.sum = f.sum*f.left(now) + amount
+	f.at = now
+}
+
+// left gives the part of the sum that still counts.
+func (f *flow) left(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(f.at)) / float64(flowTime))
+}
+
+// perSecond gives the flow.
+func (f *flow) perSecond(now time.Time) float64 {
+	return f.sum * f.left(now) / flowTime.Seconds()
+}
+
+// unseen estimates the tokens of prompts that the boxes of another group have placed on
+// one of their engines since its last report, as if they had as many as this group has:
+// nobody tells this box of those. On a fleet of 295 boxes in five zones, boxes that saw
+// the engines of other zones as empty as their last reports crowded them, those that had
+// just joined above all: in virtual time, late first events 0.022 -> 0.000 of all, and
+// 0.053 -> 0.028 where one zone has 1.7 times the others' callers.
+func (s *Spread) unseen(now time.Time, l *endpointLoad) float64 {
+	age := min(now.Sub(l.memoryAt), unseenMost)
+	perEngine := s.flow.perSecond(now) / float64(max(len(s.share), 1))
+	return perEngine * age.Seconds()
+}
--- a/admission/spread.go
+++ b/admission/spread.go
@@ -89,6 +89,7 @@
 	rate   float64   // tokens of prompts that an engine reads in a second, learned
 	output float64   // mean tokens generated, learned
 	heard  time.Time // when another box last told of a placement
+	flow   flow      // prompts that the group places, in tokens
 }
 
 // reportLag is how old an engine's word is when it is given.
@@ -195,10 +196,12 @@
 		if w.Movable > 0 {
 			score += crowdCost * math.Max(0, full-float64(w.Movable)/float64(w.Memory))
 		}
-		if s.share != nil && !s.share[e.ID] {
+		ahead := l.waiting(now, s.rate)
+		if s.stranger(e.ID) {
 			score += strangerCost
+			ahead += s.unseen(now, l)
 		}
-		score += delayCost * l.waiting(now, s.rate) / s.rate
+		score += delayCost * ahead / s.rate
 	}
 	if e.Zone != w.zone(s) {
 		score += w.zoneCost()
@@ -213,6 +216,9 @@
 	return score + s.draw()/(4*slots)
 }
 
+// stranger tells whether an endpoint is outside the group's share.
+func (s *Spread) stranger(id string) bool { return s.share != nil && !s.share[id] }
+
 func (w Want) zoneCost() float64 {
 	if w.Memory > 0 {
 		return zoneCost
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -49,6 +49,7 @@
 	l := s.load(id)
 	l.queue = l.waiting(now, s.rate) + float64(prompt)
 	l.queueAt = now
+	s.flow.add(now, float64(prompt))
 	return l.queue
 }
 
