admission: an engine without a report isn't empty

Found by reading, beside the trace of late first events: until an engine's first report has come round, a second and more after it joined, its memory was reckoned by this box's own runs alone, whatever others told. The list of what others told was never shortened for engines that give no reports, either.

Test: admission/spread_test.go fails without it (0.1 full in place of 0.6).

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -238,7 +238,10 @@
 func (s *Spread) fullness(now time.Time, l *endpointLoad, w Want) float64 {
 	total := float64(max(w.Memory, 1))
 	if now.Sub(l.memoryAt) > memoryLife {
-		return float64(l.tokens+l.copies+w.Tokens) / total
+		// What other boxes told counts here too: an engine that has just joined looks
+		// empty to all boxes until its first report has come round.
+		used := max(l.tokens+l.copies, l.placedSince(now.Add(-memoryLife)))
+		return float64(used+w.Tokens) / total
 	}
 	if l.memory.Total > 0 {
 		total = float64(l.memory.Total)
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -102,6 +102,7 @@
 }
 
 func (l *endpointLoad) add(now time.Time, tokens int) {
+	l.forget(now.Add(-memoryLife))
 	if tokens > 0 {
 		l.recent = append(l.recent, begun{
 			at:     now,
@@ -110,6 +111,22 @@
 	}
 }
 
+// forget drops what was placed before a time.
+func (l *endpointLoad) forget(before time.Time) {
+	l.recent = slices.DeleteFunc(l.recent, func(b begun) bool { return b.at.Before(before) })
+}
+
+// placedSince gives the tokens that were placed after a time, by any box that told.
+func (l *endpointLoad) placedSince(after time.Time) int {
+	tokens := 0
+	for _, b := range l.recent {
+		if b.at.After(after) {
+			tokens += b.tokens
+		}
+	}
+	return tokens
+}
+
 // End takes a send back that began at a time, when it is over.
 func (s *Spread) End(now time.Time, id string, begun time.Time, tokens int) {
 	s.mu.Lock()
@@ -152,13 +169,7 @@
 	}
 	l.memory = r
 	l.memoryAt = at
-	kept := l.recent[:0]
-	for _, b := range l.recent {
-		if b.at.After(at.Add(-reportLag)) {
-			kept = append(kept, b)
-		}
-	}
-	l.recent = kept
+	l.forget(at.Add(-reportLag))
 }
 
 // Learn takes what a whole generation came to.
--- a/admission/spread_test.go
+++ b/admission/spread_test.go
@@ -165,3 +165,25 @@
 		Expect(pick(all, admission.Want{})).To(Equal("e1"))
 	})
 })
+
+var _ = Describe("an engine that has told nothing yet", func() {
+	It("counts what other boxes placed there", func() {
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		s := admission.NewSpread("z", func() float64 { return 0.5 })
+		e := routing.Endpoint{
+			ID:    "new",
+			Zone:  "z",
+			Slots: 8,
+		}
+		want := admission.Want{
+			Tokens: 1000,
+			Memory: 10_000,
+		}
+		Expect(s.Estimate(now, e, want).Full).To(BeNumerically("~", 0.1, 0.001))
+		for range 5 {
+			s.PlacedElsewhere(now, e.ID, 1000)
+		}
+		Expect(s.Estimate(now, e, want).Full).To(BeNumerically("~", 0.6, 0.001))
+		Expect(s.Estimate(now.Add(6*time.Second), e, want).Full).To(BeNumerically("~", 0.1, 0.001), "once those are over")
+	})
+})
