fleet: let readers rest in turns

Change: each reader rests twice as long as the one before it, a quarter of the bound at most. The first one tells all of the changes as soon as before; the others are there when it is not. Who reads is one rank now, from which reader, standby and rest follow.

In virtual time, five readers and a change each 20 ms: 102 watches before, 52 now, the changes known within 0.17 s in both.

--- a/box/box.go
+++ b/box/box.go
@@ -121,8 +121,7 @@
 	}
 	follower := fleet.NewFollower(b.store(), b.belief, min(s.ConfigBound, s.DrainBound),
 		fleet.WithFollowerLog(log.Named("store")),
-		fleet.WithReader(b.peers.Reader),
-		fleet.WithStandby(b.peers.Standby),
+		fleet.WithRank(b.peers.ReaderRank),
 		fleet.WithOnNews(b.peers.Spread),
 		fleet.WithCallCount(countStoreCalls),
 	)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -10,9 +10,21 @@
 )
 
 const (
+	// readerCount is how many boxes read the store for all: enough that some are
+	// left when a third of the boxes is cut off or turned away, few enough that the
+	// store's calls don't grow with the fleet.
+	readerCount = 5
+	// standbyCount is how many boxes come next when nothing comes from the readers. The
+	// others wait for those to have read: all boxes of a fleet of 295 asked the store at
+	// once for four seconds whenever it lost its history, some 1,700 calls each time.
+	standbyCount = 10
 	// restBetween spaces the watches: each call to the store has a price, and
 	// a change may be known this much later than it could.
 	restBetween = 150 * time.Millisecond
+	// restPart bounds the rest of the readers, each of which rests twice as long as the
+	// one before it: a change ends all their watches at once, and what follows in the
+	// next moments is told to all by the first of them.
+	restPart = 0.25
 	// retryFirst and retryMost bound a reader's pause after a call that failed;
 	// a box that reads only because it heard nothing pauses up to helperMost.
 	retryFirst = 150 * time.Millisecond
@@ -44,8 +56,7 @@
 	source Source
 	belief *Belief
 	within time.Duration // a change must be in force
-	reader func() bool
-	next   func() bool // whether this box is a standby
+	rank   func() int    // this box's place among the readers, from 0
 	onNews func(News)
 	log    *zap.Logger
 	calls  func(result string)
@@ -67,15 +78,10 @@
 	return func(f *Follower) { f.calls = count }
 }
 
-// WithReader tells whether this box reads for all; without it, it does.
-func WithReader(reader func() bool) FollowerOption {
-	return func(f *Follower) { f.reader = reader }
-}
-
-// WithStandby tells whether this box is among the first to read when nothing comes from
-// the readers; without it, it is.
-func WithStandby(standby func() bool) FollowerOption {
-	return func(f *Follower) { f.next = standby }
+// WithRank tells this box's place, from 0, among those that read the store for all;
+// without it, it is the first.
+func WithRank(rank func() int) FollowerOption {
+	return func(f *Follower) { f.rank = rank }
 }
 
 // WithOnNews is called with each change that the store told.
@@ -90,8 +96,7 @@
 		source: source,
 		belief: belief,
 		within: within,
-		reader: func() bool { return true },
-		next:   func() bool { return true },
+		rank:   func() int { return 0 },
 		onNews: func(News) {},
 		log:    zap.NewNop(),
 		calls:  func(string) {},
@@ -110,17 +115,30 @@
 		f.idle(ctx)
 		revision, ok := f.read(ctx)
 		for ok && ctx.Err() == nil && f.reads() {
-			Sleep(ctx, restBetween)
+			Sleep(ctx, f.rest())
 			revision, ok = f.watch(ctx, revision)
 		}
 	}
 }
 
+// reader tells whether this box reads the store for all.
+func (f *Follower) reader() bool { return f.rank() < readerCount }
+
 // reads tells whether this box is to read the store now.
 func (f *Follower) reads() bool {
 	return f.reader() || time.Now().Before(f.helper)
 }
 
+// rest gives the pause before the next watch. A box that reads though it is no reader
+// hears nothing from others, and rests as the first.
+func (f *Follower) rest() time.Duration {
+	rank := f.rank()
+	if rank >= readerCount {
+		return restBetween
+	}
+	return min(restBetween<<rank, f.part(restPart))
+}
+
 // idle waits while others read: until this box is a reader, or what it believes
 // gets old.
 func (f *Follower) idle(ctx context.Context) {
@@ -142,7 +160,7 @@
 
 // patience is how old what this box believes may get before it reads itself.
 func (f *Follower) patience() time.Duration {
-	if f.next() {
+	if f.rank() < readerCount+standbyCount {
 		return f.part(stalePart)
 	}
 	return f.part(latePart)
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -110,7 +111,13 @@
 	return c, nil
 }
 
-const within = 2 * time.Second
+const (
+	within = 2 * time.Second
+	// standbyRank is a box's that reads first when nothing comes from the readers, and
+	// otherRank one's that doesn't.
+	standbyRank = 7
+	otherRank   = 100
+)
 
 // follow plays a follower in virtual time.
 func follow(t *testing.T, play func(g *gomega.WithT, s *source, b *fleet.Belief), options ...fleet.FollowerOption) {
@@ -199,7 +206,7 @@
 		s.put("b")
 		time.Sleep(within)
 		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}), "the readers are gone, so that it reads itself")
-	}, fleet.WithReader(func() bool { return false }))
+	}, fleet.WithRank(func() int { return otherRank }))
 }
 
 // A box that had heard of a newer configuration and got it from nobody kept waiting, as
@@ -215,15 +222,14 @@
 			time.Sleep(within / 10)
 		}
 		g.Expect(b.View().Configuration()).To(gomega.BeEquivalentTo(9))
-	}, fleet.WithReader(func() bool { return false }))
+	}, fleet.WithRank(func() int { return otherRank }))
 }
 
 // A store that dropped its history, and answered no watch for a second before, made the
 // list of all 295 boxes older than the readers' patience at once.
 func TestOnlyStandbysReadFirstWhenNothingComesFromTheReaders(t *testing.T) {
-	notReader := fleet.WithReader(func() bool { return false })
 	// readsAt gives when a box that hears nothing reads the store for the second time.
-	readsAt := func(standby bool) time.Duration {
+	readsAt := func(rank int) time.Duration {
 		var at time.Duration
 		follow(t, func(g *gomega.WithT, s *source, _ *fleet.Belief) {
 			// It read at its start, a second ago.
@@ -234,12 +240,47 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			g.Expect(at).To(gomega.BeNumerically("<", within), "it reads in the end")
-		}, notReader, fleet.WithStandby(func() bool { return standby }))
+		}, fleet.WithRank(func() int { return rank }))
 		return at
 	}
-	first, others := readsAt(true), readsAt(false)
+	first, others := readsAt(standbyRank), readsAt(otherRank)
 	g := gomega.NewWithT(t)
 	g.Expect(first).To(gomega.BeNumerically("~", within*6/10, within/10))
 	g.Expect(others).To(gomega.BeNumerically("~", within*3/4, within/10))
 	g.Expect(others - first).To(gomega.BeNumerically(">=", within/10))
 }
+
+// While engines leave and join all the time, five readers each asked the store for the
+// next changes every 150 ms, together: a change ends all their watches at once. Five
+// readers and a change each 20 ms for three seconds: 102 watches when all rest alike, 52
+// when each rests longer than the one before, and the changes known as soon.
+func TestReadersRestInTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSource()
+		var beliefs []*fleet.Belief
+		var all sync.WaitGroup
+		for rank := range 5 {
+			b := fleet.NewBelief()
+			beliefs = append(beliefs, b)
+			f := fleet.NewFollower(s, b, within, fleet.WithRank(func() int { return rank }))
+			all.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		_, before := s.calls()
+		for i := range 150 {
+			s.put(fmt.Sprintf("e-%03d", i))
+			time.Sleep(20 * time.Millisecond)
+			newest := 0
+			for _, b := range beliefs {
+				newest = max(newest, len(serving(b)))
+			}
+			g.Expect(newest).To(gomega.BeNumerically(">=", i-8), "known within 0.17 s by the first")
+		}
+		_, after := s.calls()
+		g.Expect(after - before).To(gomega.BeNumerically("<", 60))
+		cancel()
+		all.Wait()
+	})
+}
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -13,33 +13,20 @@
 	"dillsaddle.example/dillsaddle/wire"
 )
 
-// readerCount is how many boxes read the store for all: enough that some are
-// left when a third of the boxes is cut off or turned away, few enough that the
-// store's calls don't grow with the fleet.
-const readerCount = 5
-
-// standbyCount is how many boxes come next when nothing comes from the readers. The
-// others wait for those to have read: all boxes of a fleet of 295 asked the store at
-// once for four seconds whenever it lost its history, some 1,700 calls each time.
-const standbyCount = 10
-
 // newsMemory is how many pieces of news a box remembers, to hand each on once;
 // they travel for some tens of milliseconds.
 const newsMemory = 128
 
-// Reader tells whether this box is among those that read the store for all.
-func (p *Peers) Reader() bool { return p.readerRank() < readerCount }
-
-// Standby tells whether this box is among the first to read when nothing comes from
-// the readers.
-func (p *Peers) Standby() bool { return p.readerRank() < readerCount+standbyCount }
-
-func (p *Peers) readerRank() int {
+// ReaderRank gives this box's place, from 0, among those that read the store for all.
+func (p *Peers) ReaderRank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return core.ReaderRank(p.roster.Self(), p.roster.Alive(time.Now()))
 }
 
+// Reader tells whether this box is among those that read the store for all.
+func (p *Peers) Reader() bool { return p.ReaderRank() < readerCount }
+
 // Spread tells the partners at once of what this box has learned.
 func (p *Peers) Spread(n News) {
 	if p.firstSeen(n) {
