admission: half of what other groups place unseen still waits

Cause: with all of it counted, the boxes of a zone with 1.7 times the callers went to other zones for 2% of their prompts only, and 0.026 of all first events were late; some of what came unseen since a report has been read meanwhile.

Both simulated, not built.

--- a/admission/flow.go
+++ b/admission/flow.go
@@ -12,6 +12,11 @@
 	// unseenMost bounds the age of what is known of an engine of another group. Its
 	// reports come round in about a second; without any it may have joined just now.
 	unseenMost = 1500 * time.Millisecond
+	// unseenPart is how much of what came unseen still waits: some of it has been read
+	// since. In virtual time, late first events with zones alike, and with one of 1.7
+	// times the callers: 0.017 and 0.051 with 0, 0.000 and 0.004 with 0.5, 0.000 and
+	// 0.026 with 1, at which the hot zone uses others' engines too seldom.
+	unseenPart = 0.5
 )
 
 // flow is how much came in the last moments, exponentially averaged.
@@ -40,9 +45,9 @@
 // nobody tells this box of those. On a fleet of 295 boxes in five zones, boxes that saw
 // the engines of other zones as empty as their last reports crowded them, those that had
 // just joined above all: in virtual time, late first events 0.022 -> 0.000 of all, and
-// 0.053 -> 0.028 where one zone has 1.7 times the others' callers.
+// 0.053 -> 0.004 where one zone has 1.7 times the others' callers.
 func (s *Spread) unseen(now time.Time, l *endpointLoad) float64 {
 	age := min(now.Sub(l.memoryAt), unseenMost)
 	perEngine := s.flow.perSecond(now) / float64(max(len(s.share), 1))
-	return perEngine * age.Seconds()
+	return unseenPart * perEngine * age.Seconds()
 }
--- a/admission/placement_test.go
+++ b/admission/placement_test.go
@@ -11,7 +11,7 @@
 //
 //	                                 before   with other groups' unseen prompts
 //	all zones alike                  0.022    0.000
-//	one zone with 1.7 times as many  0.053    0.028
+//	one zone with 1.7 times as many  0.053    0.004
 var _ = Describe("placements of many boxes in several zones", func() {
 	play := func(l fleetLoad) fleetResult {
 		var all fleetResult
@@ -35,6 +35,6 @@
 		l.Hot = 1.7
 		r := play(l)
 		Expect(r.Crossed).To(BeNumerically(">", r.Prompts/100))
-		Expect(r.late()).To(BeNumerically("<", 0.035))
+		Expect(r.late()).To(BeNumerically("<", 0.015))
 	})
 })
