fleet: starting boxes meet others before they watch, the last ones ask a lost store seldom

Change: a starting box waits 0.4 s before its first watch; with nothing published yet, it reads again a quarter of the bound later. Boxes that are neither readers nor standbys pause three seconds after a call that failed.

Tests in virtual time, both fail without it.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -21,6 +21,9 @@
 	// restBetween spaces the watches: each call to the store has a price, and
 	// a change may be known this much later than it could.
 	restBetween = 150 * time.Millisecond
+	// meetTime is how long a starting box waits before its first watch, in which it meets
+	// some tens of others: each of 295 boxes that started at once watched for a second.
+	meetTime = 400 * time.Millisecond
 	// restPart bounds the rest of the readers, each of which rests twice as long as the
 	// one before it: a change ends all their watches at once, and what follows in the
 	// next moments is told to all by the first of them.
@@ -61,6 +64,8 @@
 	log    *zap.Logger
 	calls  func(result string)
 	lost   bool
+	met    bool      // whether this box had time to meet others
+	readAt time.Time // when it last read everything
 	pause  time.Duration
 	helper time.Time // until when this box reads though it is no reader
 }
@@ -114,13 +119,23 @@
 	for ctx.Err() == nil {
 		f.idle(ctx)
 		revision, ok := f.read(ctx)
+		f.meet(ctx)
 		for ok && ctx.Err() == nil && f.reads() {
-			Sleep(ctx, f.rest())
 			revision, ok = f.watch(ctx, revision)
+			Sleep(ctx, f.rest())
 		}
 	}
 }
 
+// meet lets a starting box meet others before it watches: as long as it knows nobody it
+// takes itself for the first reader.
+func (f *Follower) meet(ctx context.Context) {
+	if !f.met {
+		f.met = true
+		Sleep(ctx, meetTime)
+	}
+}
+
 // reader tells whether this box reads the store for all.
 func (f *Follower) reader() bool { return f.rank() < readerCount }
 
@@ -144,10 +159,18 @@
 func (f *Follower) idle(ctx context.Context) {
 	for ctx.Err() == nil {
 		v := f.belief.View()
-		if f.reader() || !v.Listed || v.Table == nil {
+		now := time.Now()
+		if f.reader() {
 			return
 		}
-		now := time.Now()
+		if !v.Listed || v.Table == nil {
+			// Nothing was published yet when this box read, or the read failed.
+			if now.Sub(f.readAt) >= f.part(watchPart) {
+				return
+			}
+			Sleep(ctx, lookEvery)
+			continue
+		}
 		age, awaited := now.Sub(v.Confirmed), f.belief.Awaited(now)
 		if age > f.patience() || awaited > f.part(awaitPart) {
 			f.log.Info("nothing from the readers, reading the store", zap.Duration("list_age", age), zap.Duration("configuration_awaited", awaited))
@@ -173,7 +196,8 @@
 		return 0, false
 	}
 	f.reached()
-	f.belief.ApplySnapshot(time.Now(), s)
+	f.readAt = time.Now()
+	f.belief.ApplySnapshot(f.readAt, s)
 	return s.Revision, true
 }
 
@@ -214,14 +238,26 @@
 		f.lost = true
 		f.log.Warn("lost the store", zap.String("call", call), zap.Error(err))
 	}
-	most := retryMost
-	if !f.reader() {
-		most = helperMost
+	f.pause = min(max(2*f.pause, retryFirst), f.pauseMost())
+	if f.last() {
+		f.pause = helperMost
 	}
-	f.pause = min(max(2*f.pause, retryFirst), most)
 	Sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
 }
 
+func (f *Follower) pauseMost() time.Duration {
+	if f.reader() {
+		return retryMost
+	}
+	return helperMost
+}
+
+// last tells whether this box only tries the store after the readers and the standbys
+// did. When the store is away from all, 295 boxes would ask it some times a second.
+func (f *Follower) last() bool {
+	return f.belief.View().Listed && f.rank() >= readerCount+standbyCount
+}
+
 func (f *Follower) reached() {
 	f.calls("answered")
 	f.pause = 0
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -284,3 +284,47 @@
 		all.Wait()
 	})
 }
+
+// Each of 295 boxes that started at once took itself for a reader and watched the store
+// for a second, until it knew the others.
+func TestStartingBoxThatMeetsOthersDoesNotWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSource()
+		begun := time.Now()
+		f := fleet.NewFollower(s, fleet.NewBelief(), within, fleet.WithRank(func() int {
+			if time.Since(begun) < 300*time.Millisecond {
+				return 0
+			}
+			return otherRank
+		}))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		reads, watches := s.calls()
+		g.Expect(reads).To(gomega.Equal(1))
+		g.Expect(watches).To(gomega.BeZero())
+		cancel()
+		<-done
+	})
+}
+
+// While the store was silent for eight and six seconds, 295 boxes went on asking it some
+// seconds each.
+func TestOtherBoxesAskAStoreThatIsAwaySeldom(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, b *fleet.Belief) {
+		s.set(errors.New("away"), false)
+		before, _ := s.calls()
+		time.Sleep(12 * time.Second)
+		reads, _ := s.calls()
+		g.Expect(reads - before).To(gomega.BeNumerically("<=", 6))
+		s.set(nil, false)
+		s.put("b")
+		time.Sleep(4 * time.Second)
+		g.Expect(serving(b)).To(gomega.Equal([]string{"a", "b"}))
+	}, fleet.WithRank(func() int { return otherRank }))
+}
