fleet: tell other groups the reports of the own engines only

Each greeting to another group carries up to 64 reports of any engines, a random half of all that the box knows, there and back; whoever hears it knows its own zone's better.

Change: greetings to other groups carry the reports of this group's engines.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -244,7 +244,7 @@
 func (p *Peers) greet(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
-	answer, err := wire.Request[Greeting](ctx, p.pool, address, p.greeting())
+	answer, err := wire.Request[Greeting](ctx, p.pool, address, p.greeting(p.isFellow(address)))
 	if err != nil {
 		p.log.Debug("box didn't answer", zap.Stringer("address", address), zap.Error(err))
 		p.abandon(address)
@@ -258,7 +258,10 @@
 	p.compare(c, answer)
 }
 
-func (p *Peers) greeting() Greeting {
+// greeting gives what this box tells another. A box of another group gets the reports of
+// this group's engines only: it has the others from theirs, and bytes between zones have a
+// price. On 295 boxes in five zones greetings were most of them.
+func (p *Peers) greeting(fellow bool) Greeting {
 	v := p.belief.View()
 	now := time.Now()
 	g := Greeting{
@@ -267,7 +270,11 @@
 		Age:           now.Sub(v.Confirmed),
 	}
 	if p.reports != nil {
-		g.Reports = p.reports.Sample(now)
+		var share map[string]bool // all
+		if !fellow {
+			share = p.Share(v)
+		}
+		g.Reports = p.reports.Sample(now, share)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -279,7 +286,13 @@
 func (p *Peers) greeted(c *wire.Conn, g Greeting) Greeting {
 	p.take(g)
 	p.compare(c, g)
-	return p.greeting()
+	return p.greeting(slices.Contains(p.Group().Members, g.From.Box))
+}
+
+func (p *Peers) isFellow(address netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.fellows, address)
 }
 
 func (p *Peers) take(g Greeting) {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -171,8 +171,8 @@
 	r.onReport(at, report)
 }
 
-// Sample gives the reports to hand on, with their ages.
-func (r *Reports) Sample(now time.Time) []routing.Report {
+// Sample gives the reports to hand on, with their ages: of some engines by id, or of all.
+func (r *Reports) Sample(now time.Time, of map[string]bool) []routing.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []routing.Report
@@ -182,7 +182,7 @@
 			delete(r.known, id)
 			continue
 		}
-		if len(out) < reportSample {
+		if len(out) < reportSample && (of == nil || of[id]) {
 			known.Report.Age = age
 			out = append(out, known.Report)
 		}
