gateway: callers of a box without a configuration come back after some seconds

Ruled out: serving from what a peer has (every process is new); not answering until the configuration comes (held requests may outlast their callers).

Change: Retry-After is 2 s, spread by a quarter, while no configuration is known: a box has one within 0.05 s of its start unless the store is out of reach, which lasts seconds.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,21 @@
 // enough for another endpoint to have become free.
 const defaultRetryAfter = 300 * time.Millisecond
 
+// unknownRetryAfter is the same while this box knows no configuration. A box that starts
+// has one from the store within 0.05 s (295 boxes at once), so that who is refused meets
+// an outage of the store, which lasts seconds; a caller that came back after 0.3 s met it
+// again, and most callers try twice. Spread is the part by which the times differ, so that
+// those who were refused together don't come back together.
+const (
+	unknownRetryAfter = 2 * time.Second
+	retrySpread       = 0.25
+)
+
+// spread draws a time around another.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + retrySpread*(2*rand.Float64()-1))).Round(time.Millisecond)
+}
+
 // place chooses an endpoint for the next send.
 func (p *passage) place() core.Event {
 	if ev := p.over(); ev != nil {
@@ -95,7 +111,7 @@
 // refuse answers a request that was not sent anywhere.
 func (p *passage) refuse(status int, why string) {
 	p.decided("refused", zap.Int("status", status), zap.String("why", why))
-	p.problem(status, why)
+	p.problem(status, why, p.comeBack())
 	p.count("refused")
 }
 
@@ -120,14 +136,22 @@
 		zap.String("customer", p.customerName()),
 		zap.Int("rank", p.rank()),
 	)
-	p.problem(status, string(c.Reason))
+	p.problem(status, string(c.Reason), defaultRetryAfter)
 	p.count("given up")
 }
 
-func (p *passage) problem(status int, why string) {
+// comeBack gives when a caller that was refused may try again.
+func (p *passage) comeBack() time.Duration {
+	if p.view.Table == nil {
+		return spread(unknownRetryAfter)
+	}
+	return defaultRetryAfter
+}
+
+func (p *passage) problem(status int, why string, retryAfter time.Duration) {
 	h := p.writer.Header()
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	p.writer.WriteHeader(status)
