--- a/core/readers.go
+++ b/core/readers.go
@@ -11,8 +11,9 @@
 
 // ReaderRank gives a box's place, from 0, in the order in which boxes read the store for
 // all: those with the widest links go first, and among links of about the same speed
-// those that rendezvous hashing ranks first. A configuration of 0.77 MB takes 0.65 s of a link of 10 Mbit/s, in which
-// the reader hears of no other change, and 0.04 s of one of 200 Mbit/s.
+// those that rendezvous hashing ranks first. A configuration of 0.77 MB takes 0.65 s of a
+// link of 10 Mbit/s, in which the reader hears of no other change, and 0.04 s of one of
+// 200 Mbit/s.
 func ReaderRank(self Peer, others []Peer) int {
 	before := 0
 	for _, other := range others {
