gateway: tell repeats of a request by its content, and ends of endpoints

Cause: of eleven requests under which engines ended, no log line says whether they are the same request, nor whether an engine ended or only a connection did. Change: each placement has a digest of customer, method, host, path and body; after a break that nobody planned, the endpoint is asked for a connection, once for all requests that broke off there, and a line and a counter say that it ended.

Changelog-added: Log lines of placements carry a digest of the request's content; ends of endpoints under a request are told.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -53,6 +53,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.head.Body, heldAnswer))
 	if err != nil {
 		a.close()
+		p.lookAtEndpoint()
 		return p.failed("the answer broke off", err, core.CallBroken{})
 	}
 	a.body = body
--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -13,6 +13,7 @@
 	overBudget  *metrics.Counter
 	continued   *metrics.Counter
 	strays      *metrics.Counter
+	ends        *metrics.Counter // of endpoints, under a request; one that ended under several counts each time
 }
 
 func newCounts() *counts {
@@ -21,6 +22,7 @@
 		overBudget:  metrics.GetOrCreateCounter("dillsaddle_retry_budget_refusals_total"),
 		continued:   metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
 		strays:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
+		ends:        metrics.GetOrCreateCounter("dillsaddle_endpoints_ended_under_requests_total"),
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -103,6 +103,7 @@
 	}
 	if err := p.readHead(a); err != nil {
 		a.close()
+		p.lookAtEndpoint()
 		return p.failed("no answer came", err, core.CallBroken{})
 	}
 	if a.says.NotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	budgets      map[string]*core.SharedBudget
 	streams      map[string]map[*passage]bool // by the endpoint that runs them
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
+	endings      *endings
 	buffered     atomic.Int64
 	active       atomic.Int64
 	stopAt       atomic.Pointer[time.Time] // when the box will have ended, in a planned stop; nil for none
@@ -106,6 +107,7 @@
 		streams:      make(map[string]map[*passage]bool),
 
 		evacuations: make(map[string]*evacuation),
+		endings:     newEndings(),
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
 	for _, o := range options {
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -40,6 +40,7 @@
 	service  *routing.Service
 	customer *routing.Customer
 	body     []byte
+	content  core.Digest // of what the request asks for
 	reserved int64
 	call     *core.Call
 	endpoint routing.Endpoint // of the current send
@@ -83,6 +84,7 @@
 		return
 	}
 	defer p.gateway.buffered.Add(-p.reserved)
+	p.content = p.digest()
 	name := p.service.Name
 	p.gateway.budget(name, p.start, func(b *core.SharedBudget) { b.Request(p.start) })
 	p.call = core.NewCall(core.CallRules{
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -177,6 +177,7 @@
 		p.resume = h
 		return p.brokenBy(err, true)
 	}
+	p.lookAtEndpoint()
 	if p.begun && p.backup.ID != "" {
 		p.resume = &handover{
 			target: p.backup,
