core, fleet, gateway: keep requests under which endpoints end from endpoints

Cause: a box knew a request by the id of one attempt, and forgot it with its answer. So the repeats of a request that ends every engine that runs it were each sent on like the first, by any box; and a box sent one on itself, to the next engine, where it may be repeated or resumed. Ruled out: the retry budget (each repeat is a first send); engines that end for another reason (eleven breaks of one content, each 0.24 s after the send, others at any age). Change: boxes know requests by their content. An endpoint that takes no connection after a break that nobody planned has ended under the request; three such ends, without a run that an endpoint survived, and no endpoint gets it for ten minutes: it is refused at once as not run, told when that ends. What boxes know of a request is a set, so that order and repetition of messages don't matter: within a group it goes to all at once, from group to group and to starting boxes with greetings. Checked before each send, also of a stream that would go on elsewhere.

Changelog-fixed: A request that ends every endpoint that runs it is kept from them after three ends.

--- a/box/box.go
+++ b/box/box.go
@@ -83,13 +83,14 @@
 	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
 	engines := platform.NewEngines()
 	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
+	quarantine := fleet.NewQuarantine(log.Named("quarantine"))
 	peers, err := fleet.NewPeers(core.Peer{
 		Box:      s.Box,
 		Zone:     s.Zone,
 		Address:  s.Peer,
 		Life:     rand.Uint64(),
 		LinkMbps: s.LinkMbps,
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating), fleet.WithQuarantine(quarantine))
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +112,7 @@
 		gateway.WithOnPlaced(b.peers.Tell),
 		gateway.WithOnEvacuating(b.peers.Evacuate),
 		gateway.WithBorrow(b.peers.BorrowNow),
+		gateway.WithQuarantine(quarantine),
 	)
 	b.peers.SetBudgets(b.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/core/call.go
+++ b/core/call.go
@@ -97,6 +97,8 @@
 		return c.placed()
 	case CallUnplaced:
 		return c.end(c.giveUp(ReasonNoEndpoint))
+	case CallQuarantined:
+		return c.end(c.giveUp(ReasonQuarantined))
 	case CallUnsent:
 		return c.unsent()
 	case CallRefused:
@@ -150,6 +152,8 @@
 		}
 	case CallExpired:
 		reason = ReasonExpired
+	case CallQuarantined:
+		reason = ReasonQuarantined
 	}
 	return c.end(CutAnswer{Reason: reason})
 }
--- a/core/call_event.go
+++ b/core/call_event.go
@@ -11,6 +11,7 @@
 	ReasonBroken      Reason = "connection broke"
 	ReasonExpired     Reason = "time is over"
 	ReasonBudget      Reason = "retry budget spent"
+	ReasonQuarantined Reason = "endpoints end under the request"
 )
 
 // CallPlaced says that an endpoint was chosen and the send begins.
@@ -19,6 +20,10 @@
 // CallUnplaced says that no endpoint can take the call.
 type CallUnplaced struct{ EventBase }
 
+// CallQuarantined says that no endpoint may get the request, because several ended
+// under it.
+type CallQuarantined struct{ EventBase }
+
 // CallUnsent says that no byte of the request left the box.
 type CallUnsent struct{ EventBase }
 
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -56,6 +56,17 @@
 		Expect(play(once(true), core.CallUnplaced{})).To(Equal(refusal(core.NotRun, core.ReasonNoEndpoint)))
 	})
 
+	It("is told not run when endpoints end under it, or unknown once it was sent", func() {
+		Expect(play(once(true), core.CallQuarantined{})).To(Equal(refusal(core.NotRun, core.ReasonQuarantined)))
+		again := core.NewCall(core.CallRules{
+			Repeatable:   true,
+			MaxEndpoints: 2,
+			MaxSends:     3,
+		}, func() bool { return true })
+		Expect(play(again, core.CallPlaced{}, core.CallBroken{}, core.CallQuarantined{})).
+			To(Equal(refusal(core.Unknown, core.ReasonQuarantined)))
+	})
+
 	It("is told unknown when its connection broke, and isn't sent again", func() {
 		Expect(play(once(true), core.CallPlaced{}, core.CallBroken{})).To(Equal(refusal(core.Unknown, core.ReasonBroken)))
 	})
--- /dev/null
+++ b/core/quarantine_test.go
@@ -0,0 +1,166 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+var (
+	deadly = core.DigestOf([]byte("deadly"))
+	origin = time.Unix(1000, 0)
+)
+
+func after(d time.Duration) time.Time { return origin.Add(d) }
+
+func held(q *core.Quarantine, now time.Time) bool {
+	_, held := q.Held(now, deadly)
+	return held
+}
+
+var _ = Describe("a request's digest", func() {
+	It("differs where parts are divided in another way", func() {
+		Expect(core.DigestOf([]byte("ab"), []byte("c"))).NotTo(Equal(core.DigestOf([]byte("a"), []byte("bc"))))
+	})
+})
+
+var _ = Describe("a quarantine", func() {
+	var q *core.Quarantine
+	rules := core.DefaultQuarantineRules()
+	BeforeEach(func() { q = core.NewQuarantine(rules) })
+	end := func(at time.Duration, endpoint string) { q.Ended(after(at), deadly, endpoint) }
+
+	It("holds a request after three endpoints, and not after one that was told of three times", func() {
+		for range 3 {
+			end(0, "e-1")
+		}
+		end(time.Second, "e-2")
+		Expect(held(q, after(time.Second))).To(BeFalse())
+		end(2*time.Second, "e-3")
+		until, is := q.Held(after(3*time.Second), deadly)
+		Expect(is).To(BeTrue())
+		Expect(until).To(Equal(after(2*time.Second + rules.Hold)))
+		Expect(q.Count(after(3 * time.Second))).To(Equal(1))
+	})
+
+	It("lets a request through when its time is over, and holds it again after one more end", func() {
+		end(0, "e-1")
+		end(0, "e-2")
+		end(0, "e-3")
+		Expect(held(q, after(rules.Hold-time.Second))).To(BeTrue())
+		Expect(held(q, after(rules.Hold))).To(BeFalse())
+		end(rules.Hold, "e-4")
+		Expect(held(q, after(rules.Hold+time.Second))).To(BeTrue())
+	})
+
+	It("doesn't count ends before a run that an endpoint survived", func() {
+		end(0, "e-1")
+		end(time.Second, "e-2")
+		Expect(q.Survived(after(2*time.Second), deadly)).To(BeTrue())
+		end(rules.Proof+3*time.Second, "e-3")
+		Expect(held(q, after(rules.Proof+3*time.Second))).To(BeFalse())
+		Expect(q.Ends(deadly)).To(Equal([]string{"e-3"}))
+	})
+
+	// A request that many callers send alike runs at many endpoints at once; when a zone
+	// fails, several end under it in the same moment.
+	It("holds nothing against a request that ran well a moment ago, here or at another box", func() {
+		q.Survived(after(0), deadly)
+		for _, e := range []string{"e-1", "e-2", "e-3"} {
+			end(time.Second, e)
+		}
+		Expect(held(q, after(time.Second))).To(BeFalse())
+
+		other := core.NewQuarantine(rules)
+		for _, e := range []string{"e-1", "e-2", "e-3"} {
+			other.Ended(after(time.Second), deadly, e)
+		}
+		Expect(held(other, after(time.Second))).To(BeTrue())
+		_, objections := q.Hear(after(2*time.Second), other.Sample(after(2*time.Second)))
+		Expect(objections).To(HaveLen(1))
+		news, _ := other.Hear(after(2*time.Second), objections)
+		Expect(news).To(HaveLen(1))
+		Expect(held(other, after(2*time.Second))).To(BeFalse())
+	})
+
+	It("tells a box that starts of each held request, and others while they are new", func() {
+		for i := range 3 {
+			end(time.Duration(i)*time.Second, fmt.Sprintf("e-%d", i))
+		}
+		q.Ended(after(3*time.Second), core.DigestOf([]byte("one end")), "e-2")
+		Expect(q.Sample(after(3 * time.Second))).To(HaveLen(2))
+		for range 20 {
+			q.Sample(after(4 * time.Second))
+		}
+		late := core.NewQuarantine(rules)
+		late.Hear(after(5*time.Second), q.Sample(after(5*time.Second)))
+		Expect(held(late, after(5*time.Second))).To(BeTrue())
+		Expect(late.Sample(after(5 * time.Second))).To(HaveLen(1))
+	})
+
+	It("keeps a bounded number of records, those with most ends", func() {
+		end(0, "e-1")
+		end(0, "e-2")
+		for i := range 2 * rules.Records {
+			q.Ended(after(time.Second), core.DigestOf(fmt.Appendf(nil, "other %d", i)), "e-1")
+		}
+		end(2*time.Second, "e-3")
+		Expect(held(q, after(2*time.Second))).To(BeTrue())
+	})
+
+	It("forgets what is long over", func() {
+		end(0, "e-1")
+		Expect(q.Sample(after(rules.Memory + time.Second))).To(BeEmpty())
+	})
+})
+
+// Boxes tell each other in any order, some words several times; in the end all say the
+// same of a request, however many ends and survived runs there were.
+func TestQuarantinesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const boxes = 4
+		all := make([]*core.Quarantine, boxes)
+		for i := range all {
+			all[i] = core.NewQuarantine(core.DefaultQuarantineRules())
+		}
+		now := origin
+		step := func() { now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second) }
+		exchange := func(from, to int) {
+			_, _ = all[to].Hear(now, all[from].Sample(now)) // the next samples tell the news as well
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			step()
+			box := rapid.IntRange(0, boxes-1).Draw(t, "box")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0, 1:
+				all[box].Ended(now, deadly, fmt.Sprintf("e-%d", rapid.IntRange(0, 6).Draw(t, "endpoint")))
+			case 2:
+				all[box].Survived(now, deadly)
+			default:
+				// Often enough that what is told only while it is new is told no more.
+				other := rapid.IntRange(0, boxes-1).Draw(t, "other")
+				for range rapid.SampledFrom([]int{1, 15}).Draw(t, "times") {
+					exchange(box, other)
+				}
+			}
+		}
+		for range 2 * boxes {
+			for from := range boxes {
+				for to := range boxes {
+					exchange(from, to)
+				}
+			}
+		}
+		for i, q := range all {
+			if held(q, now) != held(all[0], now) {
+				t.Fatalf("box %d says %v of the request, box 0 %v: ends %v and %v", i, held(q, now), held(all[0], now), q.Ends(deadly), all[0].Ends(deadly))
+			}
+		}
+	})
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,6 +16,7 @@
 	Changed       uint64           `cbor:"4,keyasint"` // the list's last change; 0 for no list
 	Reports       []routing.Report `cbor:"5,keyasint,omitempty"`
 	Age           time.Duration    `cbor:"6,keyasint"` // since the list was confirmed
+	Ends          []core.EndRecord `cbor:"7,keyasint,omitempty"`
 }
 
 // Kind names the message.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -54,6 +54,7 @@
 	alive        map[string]bool
 	reports      *Reports
 	budgets      Budgets
+	quarantine   *Quarantine
 	onPlaced     func(time.Time, Placement)
 	onEvacuating func(time.Time, Evacuating)
 	untold       []Placement
@@ -105,6 +106,7 @@
 		ended:        make(chan struct{}),
 		woken:        make(chan struct{}, 1),
 		network:      wire.Sockets{},
+		quarantine:   NewQuarantine(zap.NewNop()),
 	}
 	for _, o := range options {
 		o(p)
@@ -118,6 +120,7 @@
 	wire.Take(p.handlers, p.heard)
 	wire.Take(p.handlers, p.evacuating)
 	wire.Take(p.handlers, p.newsCame)
+	wire.Take(p.handlers, p.endsTold)
 	p.pool = wire.NewPool(p.handlers)
 	server, err := wire.Listen(self.Address, p.handlers)
 	if err != nil {
@@ -193,7 +196,7 @@
 		p.abandon(address)
 		return
 	}
-	p.take(answer)
+	p.take(answer, p.isFellow(address))
 	c, err := p.pool.Get(ctx, address)
 	if err != nil {
 		return // it was dropped meanwhile; the next greeting opens another
@@ -211,6 +214,7 @@
 		Configuration: v.Configuration(),
 		Changed:       v.Changed,
 		Age:           now.Sub(v.Confirmed),
+		Ends:          p.quarantine.sample(now),
 	}
 	if p.reports != nil {
 		var share map[string]bool // all
@@ -227,9 +231,10 @@
 }
 
 func (p *Peers) greeted(c *wire.Conn, g Greeting) Greeting {
-	p.take(g)
+	fellow := slices.Contains(p.Group().Members, g.From.Box)
+	p.take(g, fellow)
 	p.compare(c, g)
-	return p.greeting(slices.Contains(p.Group().Members, g.From.Box))
+	return p.greeting(fellow)
 }
 
 func (p *Peers) isFellow(address netip.AddrPort) bool {
@@ -238,8 +243,9 @@
 	return slices.Contains(p.fellows, address)
 }
 
-func (p *Peers) take(g Greeting) {
+func (p *Peers) take(g Greeting, fellow bool) {
 	now := time.Now()
+	p.endsGreeted(g.Ends, fellow)
 	if p.reports != nil {
 		p.reports.Hear(now, g.Reports)
 	}
--- /dev/null
+++ b/fleet/quarantine.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/wire"
+)
+
+// EndRecords is what a box tells its group at once of requests under which endpoints
+// ended.
+type EndRecords struct {
+	All []core.EndRecord `cbor:"1,keyasint"`
+}
+
+// Kind names the message.
+func (EndRecords) Kind() string { return "end records" }
+
+// Quarantine is what a box knows, by itself and from others, of requests under which
+// endpoints ended. Within a group word goes to all at once; greetings carry it from group
+// to group, and to boxes that start or were cut off.
+type Quarantine struct {
+	mu   sync.Mutex
+	q    *core.Quarantine
+	log  *zap.Logger
+	tell func([]core.EndRecord)
+}
+
+// NewQuarantine builds one that knows of no end.
+func NewQuarantine(log *zap.Logger) *Quarantine {
+	return &Quarantine{
+		q:    core.NewQuarantine(core.DefaultQuarantineRules()),
+		log:  log,
+		tell: func([]core.EndRecord) {},
+	}
+}
+
+// Ended takes the end of an endpoint under a request of this box.
+func (q *Quarantine) Ended(now time.Time, request core.Digest, endpoint string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.q.Ended(now, request, endpoint) {
+		return
+	}
+	q.changed(now, request, "own")
+	if record, ok := q.q.Tell(now, request); ok {
+		q.tell([]core.EndRecord{record})
+	}
+}
+
+// Survived takes a run of a request that its endpoint survived.
+func (q *Quarantine) Survived(now time.Time, request core.Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.q.Survived(now, request) {
+		return
+	}
+	q.changed(now, request, "own")
+	if record, ok := q.q.Tell(now, request); ok {
+		q.tell([]core.EndRecord{record})
+	}
+}
+
+// Held tells whether no endpoint may get a request, and until when.
+func (q *Quarantine) Held(now time.Time, request core.Digest) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.q.Held(now, request)
+}
+
+// Count gives how many requests are kept from the endpoints.
+func (q *Quarantine) Count(now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.q.Count(now)
+}
+
+// sample gives what a greeting tells.
+func (q *Quarantine) sample(now time.Time) []core.EndRecord {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.q.Sample(now)
+}
+
+// hear takes what another box told, and gives what the group should hear of it.
+func (q *Quarantine) hear(now time.Time, told []core.EndRecord, from string) (news, objections []core.EndRecord) {
+	if len(told) == 0 {
+		return nil, nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	news, objections = q.q.Hear(now, told)
+	for _, t := range news {
+		q.changed(now, t.Request, from)
+	}
+	return news, objections
+}
+
+// changed logs what is believed of a request after news of it.
+func (q *Quarantine) changed(now time.Time, request core.Digest, from string) {
+	fields := []zap.Field{
+		zap.Stringer("content", request),
+		zap.Strings("ended", q.q.Ends(request)),
+		zap.String("from", from),
+	}
+	if until, held := q.q.Held(now, request); held {
+		q.log.Info("request is kept from endpoints: they end under it", append(fields, zap.Duration("for", until.Sub(now)))...)
+		return
+	}
+	q.log.Info("endpoints ended under a request", fields...)
+}
+
+// WithQuarantine shares with others the requests under which endpoints ended.
+func WithQuarantine(q *Quarantine) PeersOption {
+	return func(p *Peers) {
+		p.quarantine = q
+		q.tell = p.tellEnds
+	}
+}
+
+// tellEnds tells the boxes of the group at once: each repeat meanwhile may end another
+// endpoint.
+func (p *Peers) tellEnds(records []core.EndRecord) {
+	p.mu.Lock()
+	fellows := p.fellows
+	p.mu.Unlock()
+	for _, address := range fellows {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+			defer cancel()
+			// Who isn't reached hears it with a greeting.
+			if c, err := p.pool.Get(ctx, address); err == nil {
+				_ = c.Push(ctx, EndRecords{All: records})
+			}
+		}()
+	}
+}
+
+// endsTold takes a fellow's word.
+func (p *Peers) endsTold(_ context.Context, _ *wire.Conn, told EndRecords) {
+	_, objections := p.quarantine.hear(time.Now(), told.All, fromPeer)
+	if len(objections) > 0 {
+		p.tellEnds(objections)
+	}
+}
+
+// endsGreeted takes what a greeting told; what comes from another group is handed on in
+// this one.
+func (p *Peers) endsGreeted(told []core.EndRecord, fellow bool) {
+	news, objections := p.quarantine.hear(time.Now(), told, fromPeer)
+	if !fellow {
+		objections = append(objections, news...)
+	}
+	if len(objections) > 0 {
+		p.tellEnds(objections)
+	}
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -66,6 +66,7 @@
 	if failed {
 		p.gateway.spread.Failed(time.Now(), p.endpoint.ID, false)
 	} else {
+		p.survived()
 		p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID, time.Since(p.placedAt))
 		p.gateway.usual.learn(p.route.Name, time.Since(p.placedAt))
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,6 +18,10 @@
 	// crashKnown is how long an answer holds for all requests that broke off at one
 	// endpoint; they notice it within some milliseconds of each other.
 	crashKnown = time.Second
+	// soundAfter is how long after its first event a run isn't why its endpoint ends: what
+	// ends an engine does so as it is read or with its first tokens, and most of the
+	// streams that an engine's end cuts are older.
+	soundAfter = 5 * time.Second
 	// crashWait bounds how long a request that broke off waits for it, before it is
 	// answered or sent again.
 	crashWait = 50 * time.Millisecond
@@ -92,6 +96,7 @@
 	endpoint routing.Endpoint
 	sent     time.Time
 	events   int
+	began    time.Time // when its first event came; zero before
 }
 
 // lookAtEndpoint finds out whether the endpoint ended under the request: its connection
@@ -101,6 +106,7 @@
 		endpoint: p.endpoint,
 		sent:     p.placedAt,
 		events:   p.events,
+		began:    p.ranFrom,
 	}
 	if !p.couldEnd(r) {
 		return
@@ -124,6 +130,9 @@
 	if p.request.Context().Err() != nil {
 		return false // the caller left
 	}
+	if !r.began.IsZero() && time.Since(r.began) > soundAfter {
+		return false
+	}
 	e, listed := p.gateway.view().Endpoint(r.endpoint.ID)
 	return listed && !e.Leaving
 }
@@ -137,4 +146,26 @@
 		zap.Duration("after", time.Since(r.sent)),
 		zap.Int("events", r.events),
 	)
+	p.gateway.quarantine.Ended(time.Now(), p.content, r.endpoint.ID)
+}
+
+// quarantined tells whether no endpoint may get the request. Callers that repeat what
+// ends engines cost all others there their streams: a summary that was repeated about
+// once a second ended eleven of nine engines and their replacements in twelve seconds,
+// and cut nine streams of others; with this, three engines (as the fleet's test plays it).
+func (p *passage) quarantined() bool {
+	_, held := p.gateway.quarantine.Held(time.Now(), p.content)
+	return held
+}
+
+// survived says that an endpoint ran the request and is still there.
+func (p *passage) survived() {
+	p.gateway.quarantine.Survived(time.Now(), p.content)
+}
+
+// releasedIn gives when the request may be sent again.
+func (p *passage) releasedIn() time.Duration {
+	now := time.Now()
+	until, _ := p.gateway.quarantine.Held(now, p.content)
+	return max(until.Sub(now), time.Second).Round(time.Second)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,7 @@
 // for a stream, up to its first event.
 func (p *passage) send(copyName string) core.Event {
 	now := time.Now()
+	p.ranFrom = time.Time{}
 	rested := restTime
 	if !p.route.MayRepeat() {
 		rested = freshRest
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	streams      map[string]map[*passage]bool // by the endpoint that runs them
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
 	endings      *endings
+	quarantine   *fleet.Quarantine
 	buffered     atomic.Int64
 	active       atomic.Int64
 	stopAt       atomic.Pointer[time.Time] // when the box will have ended, in a planned stop; nil for none
@@ -89,6 +90,12 @@
 	return func(g *Gateway) { g.onEvacuating = onEvacuating }
 }
 
+// WithQuarantine gives what is known, here and at other boxes, of requests under which
+// endpoints ended.
+func WithQuarantine(q *fleet.Quarantine) Option {
+	return func(g *Gateway) { g.quarantine = q }
+}
+
 // New builds a gateway in an availability zone.
 func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
 	g := &Gateway{
@@ -108,6 +115,7 @@
 
 		evacuations: make(map[string]*evacuation),
 		endings:     newEndings(),
+		quarantine:  fleet.NewQuarantine(zap.NewNop()),
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
 	for _, o := range options {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -83,6 +83,9 @@
 
 // goOn continues the run at the endpoint that holds its copy.
 func (p *passage) goOn() core.Event {
+	if p.quarantined() {
+		return core.CallQuarantined{}
+	}
 	p.order.resumed()
 	from := p.endpoint
 	p.mu.Lock()
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -58,6 +58,7 @@
 	longestAt string        // the id of the event before it
 	lastAt    time.Time     // of the last event
 	begunAt   time.Time     // of the first event
+	ranFrom   time.Time     // of the first event of the current run; zero before
 	begun     bool          // whether the head of the answer went to the caller
 	placedAt  time.Time
 	resume    *handover // where the stream goes on
@@ -85,6 +86,10 @@
 	}
 	defer p.gateway.buffered.Add(-p.reserved)
 	p.content = p.digest()
+	if p.quarantined() {
+		p.refuseQuarantined()
+		return
+	}
 	name := p.service.Name
 	p.gateway.budget(name, p.start, func(b *core.SharedBudget) { b.Request(p.start) })
 	p.call = core.NewCall(core.CallRules{
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -38,6 +38,9 @@
 	if ev := p.over(); ev != nil {
 		return ev
 	}
+	if p.quarantined() {
+		return core.CallQuarantined{}
+	}
 	p.view = p.gateway.view()
 	now := time.Now()
 	e, ok := p.gateway.spread.Pick(now, p.view.Serving(p.service.Name), p.want(p.tried))
@@ -116,6 +119,15 @@
 	p.count("refused")
 }
 
+// refuseQuarantined answers a request that no endpoint may get. It is told when that
+// ends: most callers that repeat by themselves come back sooner, and are refused at once.
+func (p *passage) refuseQuarantined() {
+	why := string(core.ReasonQuarantined)
+	p.decided("refused", zap.Int("status", http.StatusServiceUnavailable), zap.String("why", why), zap.Stringer("content", p.content))
+	p.problem(http.StatusServiceUnavailable, why+": it isn't run before the time in Retry-After", p.releasedIn())
+	p.count("quarantined")
+}
+
 // giveUp answers a request whose sends all failed. What may have run is never
 // told with a status that promises the opposite.
 func (p *passage) giveUp(c core.RefuseCall) {
@@ -137,7 +149,11 @@
 		zap.String("customer", p.customerName()),
 		zap.Int("rank", p.rank()),
 	)
-	p.problem(status, string(c.Reason), defaultRetryAfter)
+	retryAfter := defaultRetryAfter
+	if c.Reason == core.ReasonQuarantined {
+		retryAfter = p.releasedIn()
+	}
+	p.problem(status, string(c.Reason), retryAfter)
 	p.count("given up")
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,6 +128,9 @@
 // paced notes when an event went to the caller: the first one's delay and the
 // longest pause are what the caller feels.
 func (p *passage) paced(now time.Time) {
+	if p.ranFrom.IsZero() {
+		p.ranFrom = now
+	}
 	if p.events == 0 {
 		p.gateway.usual.learn(p.route.Name, now.Sub(p.placedAt))
 		p.first = now.Sub(p.start)
@@ -159,6 +162,7 @@
 	a.release(p, true)
 	p.gateway.spread.Succeeded(time.Now(), p.endpoint.ID, p.first)
 	p.learn()
+	p.survived()
 	p.gateway.counts.streamed(p.route.Name, p.first, p.longest)
 	p.ended("streamed", a.head.StatusCode,
 		zap.Duration("first_event", p.first),
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -24,6 +24,8 @@
 	stutters  = `{"at":"2026-07-19T05:50:19Z","event":"streamed","request":"R","route":"long","customer":"one","rank":1,"status":200,"first_event":"400ms","longest_pause":"300ms","pause_after":"40","late":true}`
 	whole     = `{"at":"2026-07-19T05:50:19Z","event":"streamed","request":"R","route":"long","customer":"one","rank":1,"status":200,"first_event":"400ms","longest_pause":"30ms","pause_after":"40","late":false}`
 	badKey    = `{"at":"2026-07-19T05:50:13Z","event":"refused","request":"R","route":"long","why":"the key is not known","status":401}`
+	ended     = `{"at":"2026-07-19T05:50:13Z","event":"endpoint ended under a request","request":"R","endpoint":"e-1","after":"240ms","events":0}`
+	kept      = `{"at":"2026-07-19T05:50:13Z","event":"refused","request":"R","route":"long","why":"endpoints end under the request","status":503}`
 	unknown   = `{"at":"2026-07-19T05:50:13Z","event":"refused","request":"R","why":"no configuration is known yet","status":503}`
 )
 
@@ -46,6 +48,8 @@
 		Entry("an engine that left", losses.BetweenEvents, losses.EngineLeft, false, leaving, placed, cut),
 		Entry("while its run was moved", losses.WhileMoving, losses.EngineLeft, false, placed, leaving, moveFails, cut),
 		Entry("an engine that broke off", losses.BetweenEvents, losses.ConnectionBroke, false, placed, cut),
+		Entry("an engine that ended", losses.BetweenEvents, losses.EndpointEnded, false, placed, ended, cut),
+		Entry("a request that no engine gets any more", losses.BeforeSend, losses.EndpointsEnd, false, kept),
 		Entry("a silent endpoint", losses.AwaitingFirst, losses.EndpointSilent, false, placed, overdue, expired),
 		Entry("a time that was too short", losses.AwaitingFirst, losses.TimeOver, false, placed, expired),
 		Entry("the endpoint's failure", losses.AwaitingFirst, losses.EndpointFailed, false, placed, failed),
--- a/losses/request.go
+++ b/losses/request.go
@@ -32,6 +32,8 @@
 	EndpointFailed   Cause = "the endpoint's own failure"
 	EndpointSilent   Cause = "the endpoint owed its answer"
 	EngineLeft       Cause = "its engine left"
+	EndpointEnded    Cause = "its endpoint ended under it"
+	EndpointsEnd     Cause = "endpoints end under it" // it was kept from them
 	ConnectionBroke  Cause = "its connection broke"
 	CopyGone         Cause = "the engine with its copy was gone"
 	BudgetSpent      Cause = "the retry budget was spent"
@@ -59,6 +61,7 @@
 	moving   bool // its move had begun or failed
 	moved    bool // it went on elsewhere
 	overdue  bool
+	ended    bool            // the endpoint of its last send ended
 	seams    map[string]bool // the events after which it went on elsewhere
 	end      *Line
 }
@@ -88,6 +91,8 @@
 		r.seams[l.LastEvent] = true
 	case "answer overdue":
 		r.overdue = true
+	case "endpoint ended under a request":
+		r.ended = l.Endpoint == r.endpoint
 	case "answered", "streamed", "cut", "given up", "refused", "caller left":
 		r.end = &l
 	}
@@ -146,8 +151,11 @@
 }
 
 func (r *request) refusal() Cause {
-	if r.end.Why == unknownConfiguration {
+	switch r.end.Why {
+	case unknownConfiguration:
 		return NoConfiguration
+	case string(core.ReasonQuarantined):
+		return EndpointsEnd
 	}
 	return RefusedByGateway
 }
@@ -161,6 +169,8 @@
 		return EndpointsRefused
 	case core.ReasonBudget:
 		return BudgetSpent
+	case core.ReasonQuarantined:
+		return EndpointsEnd
 	case core.ReasonExpired:
 		if r.overdue {
 			return EndpointSilent
@@ -171,8 +181,11 @@
 			return CopyGone
 		}
 	}
-	if engineLeft(r.endpoint) {
+	switch {
+	case engineLeft(r.endpoint):
 		return EngineLeft
+	case r.ended:
+		return EndpointEnded
 	}
 	return ConnectionBroke
 }
--- a/model/call.go
+++ b/model/call.go
@@ -67,6 +67,7 @@
 	case core.PlaceCall:
 		s.step(add, "an endpoint is chosen", 0, core.CallPlaced{})
 		s.step(add, "no endpoint is there", 0, core.CallUnplaced{})
+		s.fault(add, "endpoints end under it", 0, core.CallQuarantined{})
 	case core.SendCall, core.ContinueCall, core.ResumeCall:
 		s.sent(add)
 	default:
@@ -80,6 +81,9 @@
 	if _, goesOn := s.pending.(core.ContinueCall); goesOn {
 		run = 0
 	}
+	if _, first := s.pending.(core.SendCall); !first {
+		s.fault(add, "endpoints end under it", 0, core.CallQuarantined{})
+	}
 	s.fault(add, "no byte left", 0, core.CallUnsent{})
 	s.fault(add, "the endpoint refuses it", 0, core.CallRefused{})
 	s.fault(add, "its connection breaks before it is read", 0, core.CallBroken{})
--- a/trace/event.go
+++ b/trace/event.go
@@ -55,6 +55,7 @@
 	CallBegun{},
 	core.CallPlaced{},
 	core.CallUnplaced{},
+	core.CallQuarantined{},
 	core.CallUnsent{},
 	core.CallRefused{},
 	core.CallAnswered{},
