--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -100,18 +100,28 @@
 	return news, objections
 }
 
-// changed logs what is believed of a request after news of it.
+// changed logs what is believed of a request after news of it. One end alone is logged by
+// the box that saw it: where many servers crash at once, there is one for each request
+// that ran there.
 func (q *Quarantine) changed(now time.Time, request core.Digest, from string) {
+	ended := q.q.Ends(request)
+	if len(ended) == 1 {
+		return
+	}
 	fields := []zap.Field{
 		zap.Stringer("content", request),
-		zap.Strings("ended", q.q.Ends(request)),
+		zap.Strings("ended", ended),
 		zap.String("from", from),
 	}
 	if until, held := q.q.Held(now, request); held {
 		q.log.Info("request is kept from endpoints: they end under it", append(fields, zap.Duration("for", until.Sub(now)))...)
 		return
 	}
-	q.log.Info("endpoints ended under a request", fields...)
+	if len(ended) == 0 {
+		q.log.Info("an endpoint survived a request, ends under it count no more", fields...)
+		return
+	}
+	q.log.Info("several endpoints ended under a request", fields...)
 }
 
 // WithQuarantine shares with others the requests under which endpoints ended.
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/fleet"
@@ -44,6 +45,8 @@
 	network *emulator.Network
 	peers   []*fleet.Peers
 	beliefs []*fleet.Belief
+	held    []*fleet.Quarantine
+	start   func(box int)
 }
 
 // startFleet starts boxes on links of one speed, each with a configuration and an
@@ -66,22 +69,27 @@
 	})
 	f := &smallFleet{network: n}
 	seed := netip.AddrPortFrom(hostOf(0), 8000)
-	for i := range boxes {
+	f.start = func(i int) {
 		n.Join(hostOf(i), bytesPerSecond)
 		b := fleet.NewBelief()
 		b.ApplySnapshot(time.Now(), snapshot(1))
+		q := fleet.NewQuarantine(zap.NewNop())
 		p, err := fleet.NewPeers(core.Peer{
 			Box:     fmt.Sprintf("box-%02d", i),
 			Address: netip.AddrPortFrom(hostOf(i), 8000),
 			Zone:    fmt.Sprintf("zone-%d", i%2),
 			Life:    uint64(i + 1),
-		}, []netip.AddrPort{seed}, b, append(reporting(reports(b)), fleet.WithNetwork(n.At(hostOf(i))))...)
+		}, []netip.AddrPort{seed}, b, append(reporting(reports(b)), fleet.WithNetwork(n.At(hostOf(i))), fleet.WithQuarantine(q))...)
 		if err != nil {
 			t.Fatal(err)
 		}
 		go p.Run(ctx)
 		f.peers = append(f.peers, p)
 		f.beliefs = append(f.beliefs, b)
+		f.held = append(f.held, q)
+	}
+	for i := range boxes {
+		f.start(i)
 	}
 	return f
 }
