soak, gateway: a request that no engine survives; ends behind a proxy

The soak's servers stand behind proxies, which take a connection and close it when the server is gone, so that no end was told from a reset. Change: a connection that is taken must stay open for 30 ms as well.

Changelog-added: The soak has a request that no engine survives.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -15,6 +15,9 @@
 	// crashCheck bounds the question whether an endpoint has ended: a process that
 	// ended leaves a closed port, which answers within a round trip.
 	crashCheck = 300 * time.Millisecond
+	// staysOpen is how long an endpoint that is there leaves a new connection open at least;
+	// what forwards to one that ended takes a connection and closes it at once.
+	staysOpen = 30 * time.Millisecond
 	// crashKnown is how long an answer holds for all requests that broke off at one
 	// endpoint; they notice it within some milliseconds of each other.
 	crashKnown = time.Second
@@ -24,7 +27,7 @@
 	soundAfter = 5 * time.Second
 	// crashWait bounds how long a request that broke off waits for it, before it is
 	// answered or sent again.
-	crashWait = 50 * time.Millisecond
+	crashWait = 60 * time.Millisecond
 )
 
 // digest gives the digest of what the request asks for: repeats of it have it too,
@@ -88,7 +91,10 @@
 		o.ended = true
 		return
 	}
-	_ = c.Close()
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(staysOpen))
+	_, err = c.Read(make([]byte, 1))
+	o.ended = err != nil && !isTimeout(err)
 }
 
 // run is one send of a request, as far as its endpoint's end is to be told from it.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -97,6 +97,7 @@
 		return nil, err
 	}
 	s.Events, s.EventGap, s.WorkTime = streamEvents, eventGap, workTime
+	s.Deadly = deadlyBody
 	proxy, err := NewProxy(s.Address())
 	if err != nil {
 		return nil, err
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,7 @@
 	Faults   []string
 	Requests int
 	Served   int
+	Deadly   int      // engines that a deadly request reached
 	Broken   []string // promises that were broken, with the request
 	Folder   string   // of the boxes' logs
 }
@@ -42,6 +43,9 @@
 		kind = "planned"
 	}
 	line := fmt.Sprintf("seed %d (%s): %d of %d served, %d broken; %s", r.Seed, kind, r.Served, r.Requests, len(r.Broken), strings.Join(r.Faults, ", "))
+	if r.Deadly > 0 {
+		line += fmt.Sprintf("; a request that no engine survives reached %d", r.Deadly)
+	}
 	for _, b := range r.Broken {
 		line += "\n  " + b
 	}
@@ -60,10 +64,12 @@
 	}
 	planned := seed%3 == 0
 	c := startCallers(f, seed)
+	d := startRepeater(f, seed, planned)
 	i := newInjector(f, seed, planned)
 	time.Sleep(faultPause)
 	for range faultCount {
 		i.revive()
+		i.replaceEnded()
 		i.inject()
 		time.Sleep(time.Duration(i.r.Int64N(int64(2 * faultPause))))
 		if i.r.IntN(2) == 0 {
@@ -80,11 +86,13 @@
 		Folder:  folder,
 	}
 	i.revive()
+	i.replaceEnded()
 	r.recovers(f)
 	r.Broken = append(r.Broken, i.ends...)
 	all := c.stop()
 	r.Faults = i.done
 	r.judge(f, i, all)
+	r.judgeDeadly(f, d.stop())
 	return r, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,5 +21,6 @@
 		Entry("kills, links and stores", 7),
 		Entry("servers' faults that would show a request sent twice", 16),
 		Entry("a reload met a starting box, which had no signal handlers yet and ended", 33),
+		Entry("a request that no engine survives, whose ends were not told from resets behind a proxy", 1001),
 	)
 })
