--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
 	endings      *endings
 	quarantine   *fleet.Quarantine
+	look         func()
 	buffered     atomic.Int64
 	active       atomic.Int64
 	stopAt       atomic.Pointer[time.Time] // when the box will have ended, in a planned stop; nil for none
@@ -96,6 +97,12 @@
 	return func(g *Gateway) { g.quarantine = q }
 }
 
+// WithLook gives what looks whether the machine was suspended and calls Suspended if it
+// was; it is called before each decision that goes by ages.
+func WithLook(look func()) Option {
+	return func(g *Gateway) { g.look = look }
+}
+
 // New builds a gateway in an availability zone.
 func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
 	g := &Gateway{
@@ -116,6 +123,7 @@
 		evacuations: make(map[string]*evacuation),
 		endings:     newEndings(),
 		quarantine:  fleet.NewQuarantine(zap.NewNop()),
+		look:        func() {},
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
 	for _, o := range options {
@@ -131,6 +139,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	g.look()
 	// A length beside chunks is dropped by the library; who reads by the length
 	// sees another request in what follows, so that nothing may follow.
 	if g.stopAt.Load() != nil || len(r.TransferEncoding) > 0 {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -83,6 +83,10 @@
 
 // goOn continues the run at the endpoint that holds its copy.
 func (p *passage) goOn() core.Event {
+	p.gateway.look()
+	if ev := p.over(); ev != nil {
+		return ev
+	}
 	if p.quarantined() {
 		return core.CallQuarantined{}
 	}
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -29,8 +29,12 @@
 	front      string
 	caller     *emulator.Caller
 	store      *platform.Store
+	look       func() // for a suspension, or nil
 }
 
+// callerWaits is the deadline of the bench's calls.
+const callerWaits = 1500 * time.Millisecond
+
 func newBench() *bench { return newBenchWith(true) }
 
 // newBenchWith builds one; a box that isn't fresh has no slack at first.
@@ -55,7 +59,11 @@
 		},
 		MemoryBytes: 64 << 20,
 		Fresh:       fresh,
-	}, append(options, gateway.WithMover(platform.NewEngines()))...)
+	}, append(options, gateway.WithMover(platform.NewEngines()), gateway.WithLook(func() {
+		if b.look != nil {
+			b.look()
+		}
+	}))...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: b.gateway}
@@ -89,7 +97,7 @@
 		Method:   method,
 		Path:     path,
 		Body:     body,
-		Deadline: 1500 * time.Millisecond,
+		Deadline: callerWaits,
 		Forged:   true,
 	})
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -35,6 +35,7 @@
 
 // place chooses an endpoint for the next send.
 func (p *passage) place() core.Event {
+	p.gateway.look()
 	if ev := p.over(); ev != nil {
 		return ev
 	}
