clock, fleet, gateway, box: correct all ages after a suspension

Cause: everything whose age is reckoned by the steady clock looked younger after a suspension of the machine. Change: a box looks before each send and each greeting whether the time of day moved against the steady clock, and only then asks the system whether that was a suspension.

Changelog-fixed: A box whose machine was suspended corrects all ages before it sends or tells anything.

--- a/box/box.go
+++ b/box/box.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/clock"
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/eventlog"
 	"dillsaddle.example/dillsaddle/fleet"
@@ -54,6 +55,7 @@
 	belief   *fleet.Belief
 	peers    *fleet.Peers
 	gateway  *gateway.Gateway
+	clock    *clock.Suspensions
 	front    *http.Server
 	cancel   context.CancelFunc
 	once     sync.Once
@@ -80,6 +82,7 @@
 		zap.Stringer("store", s.Store),
 		zap.Bool("first", s.FirstStart),
 	)
+	b.clock = clock.New(b.suspended, clock.WithOnFault(func(err error) { log.Warn("suspensions aren't noticed", zap.Error(err)) }))
 	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
 	engines := platform.NewEngines()
 	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
@@ -90,7 +93,7 @@
 		Address:  s.Peer,
 		Life:     rand.Uint64(),
 		LinkMbps: s.LinkMbps,
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating), fleet.WithQuarantine(quarantine))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating), fleet.WithQuarantine(quarantine), fleet.WithLook(b.clock.Look))
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +116,7 @@
 		gateway.WithOnEvacuating(b.peers.Evacuate),
 		gateway.WithBorrow(b.peers.BorrowNow),
 		gateway.WithQuarantine(quarantine),
+		gateway.WithLook(b.clock.Look),
 	)
 	b.peers.SetBudgets(b.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -163,6 +167,16 @@
 	}
 }
 
+// suspended takes that the machine was suspended, before anything is decided by ages that
+// don't count that time.
+func (b *Box) suspended(d time.Duration) {
+	b.log.Warn("the machine was suspended, all ages are corrected", zap.Duration("for", d))
+	if b.gateway != nil {
+		b.gateway.Suspended(d)
+		b.peers.Suspended(d)
+	}
+}
+
 // placed hands a partner's placement to the gateway.
 func (b *Box) placed(now time.Time, p fleet.Placement) {
 	if b.gateway != nil {
@@ -191,6 +205,7 @@
 	for {
 		select {
 		case now := <-t.C:
+			b.clock.Look()
 			b.belief.Tick(now)
 			b.gateway.Sweep(now)
 			b.shareOut()
--- a/core/budget.go
+++ b/core/budget.go
@@ -93,6 +93,10 @@
 	b.lentAt = now
 }
 
+// Suspended gives up what other boxes lent: the machine stood still, and they may have
+// counted it as spent longer ago than a window.
+func (b *SharedBudget) Suspended() { b.borrowed = 0 }
+
 // Has gives how many sends the box may make now, borrowed ones included.
 func (b *SharedBudget) Has(now time.Time, boxes int) int {
 	if now.Sub(b.lentAt) < borrowedLife {
--- a/core/roster.go
+++ b/core/roster.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// Suspended takes that the machine was suspended for a time, which the steady clock didn't
+// count: what was heard is so much older, and must not clear others' suspicions.
+func (r *Roster) Suspended(d time.Duration) {
+	for _, e := range r.members {
+		e.heard = e.heard.Add(-d)
+	}
+}
+
 // Unanswered suspects a box that didn't answer a greeting, unless it was heard
 // of lately, by this box or others.
 func (r *Roster) Unanswered(now time.Time, address netip.AddrPort) {
--- a/core/roster_test.go
+++ b/core/roster_test.go
@@ -49,6 +49,12 @@
 		Expect(r.Sharers(noon.Add(2 * time.Minute))).To(Equal(1))
 	})
 
+	It("tells others how old its word is, a suspension of its machine counted", func() {
+		r.Meet(noon, peer("a", 1, 0))
+		r.Suspended(4 * time.Second)
+		Expect(r.Sample(noon.Add(time.Second))[0].Silence).To(Equal(5 * time.Second))
+	})
+
 	It("holds a box for gone that nobody speaks of any more", func() {
 		r.Meet(noon, peer("a", 1, 0))
 		Expect(r.Alive(noon.Add(time.Minute))).To(BeEmpty())
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// Suspended takes that the machine was suspended for a time, which the steady clock didn't
+// count: what was confirmed before is so much older. Other boxes are told of its age, and
+// would take an old list for a fresh one.
+func (b *Belief) Suspended(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirm = b.confirm.Add(-d)
+	b.backAt = b.backAt.Add(-d)
+	for i := range b.heardOf {
+		b.heardOf[i].at = b.heardOf[i].at.Add(-d)
+	}
+	b.publish()
+}
+
 // Tick drops entries whose time to come back is over.
 func (b *Belief) Tick(now time.Time) {
 	b.mu.Lock()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -55,6 +55,7 @@
 	reports      *Reports
 	budgets      Budgets
 	quarantine   *Quarantine
+	look         func()
 	onPlaced     func(time.Time, Placement)
 	onEvacuating func(time.Time, Evacuating)
 	untold       []Placement
@@ -89,6 +90,12 @@
 	return func(p *Peers) { p.onPlaced = onPlaced }
 }
 
+// WithLook gives what looks whether the machine was suspended and calls Suspended if it
+// was; it is called before other boxes are told how old anything is.
+func WithLook(look func()) PeersOption {
+	return func(p *Peers) { p.look = look }
+}
+
 // NewPeers listens on the box's own address for others; seeds are addresses to
 // begin with, which may be stale.
 func NewPeers(self core.Peer, seeds []netip.AddrPort, belief *Belief, options ...PeersOption) (*Peers, error) {
@@ -107,6 +114,7 @@
 		woken:        make(chan struct{}, 1),
 		network:      wire.Sockets{},
 		quarantine:   NewQuarantine(zap.NewNop()),
+		look:         func() {},
 	}
 	for _, o := range options {
 		o(p)
@@ -158,6 +166,18 @@
 	p.server.Close()
 }
 
+// Suspended takes that the machine was suspended for a time, which its steady clock didn't
+// count.
+func (p *Peers) Suspended(d time.Duration) {
+	p.belief.Suspended(d)
+	if p.reports != nil {
+		p.reports.Forget()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Suspended(d)
+}
+
 // Leave tells the other boxes, with the greetings that follow, that this one
 // is leaving.
 func (p *Peers) Leave() {
@@ -208,6 +228,7 @@
 // this group's engines only: it has the others from theirs, and bytes between zones have a
 // price. On 295 boxes in five zones greetings were most of them.
 func (p *Peers) greeting(fellow bool) Greeting {
+	p.look()
 	v := p.belief.View()
 	now := time.Now()
 	g := Greeting{
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -145,6 +145,14 @@
 	r.take(now, report)
 }
 
+// Forget drops all reports: after a suspension of the machine, they are older than their
+// ages say.
+func (r *Reports) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.known)
+}
+
 // Hear takes reports that another box handed on.
 func (r *Reports) Hear(now time.Time, reports []routing.Report) {
 	for _, report := range reports {
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -256,6 +256,21 @@
 	})
 }
 
+// A box whose machine was suspended took its list for as fresh as before, and told others so,
+// who then believed that nothing had changed meanwhile.
+func TestASuspendedBoxTellsNobodyThatItsListIsFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := startFleet(t, 2, smallLink)
+		f.beliefs[0].Confirm(time.Now(), f.beliefs[0].View().Changed, 0)
+		f.peers[0].Suspended(time.Minute)
+		time.Sleep(2 * time.Second)
+		for i, b := range f.beliefs {
+			g.Expect(time.Since(b.View().Confirmed)).To(gomega.BeNumerically(">=", settle), "box %d", i)
+		}
+	})
+}
+
 // BenchmarkPackedConfiguration measures what a box saves that gives a configuration on as
 // it came, for 2,850 routes: 3.1 ms of a core for each version before, none now.
 func BenchmarkPackedConfiguration(b *testing.B) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,7 +41,7 @@
 	if !p.route.MayRepeat() {
 		rested = freshRest
 	}
-	ctx, cancel := context.WithDeadline(p.request.Context(), p.limit)
+	ctx, cancel := context.WithDeadline(p.request.Context(), p.until())
 	defer cancel()
 	l, err := p.gateway.pool.get(ctx, now, p.endpoint, rested, p.connectWithin(copyName))
 	if err != nil {
@@ -95,7 +95,7 @@
 func (p *passage) exchange(l *link, copyName string) core.Event {
 	a := &answer{link: l}
 	p.answer = a
-	_ = l.SetDeadline(p.limit)
+	_ = l.SetDeadline(p.until())
 	a.stop = context.AfterFunc(p.request.Context(), func() { _ = l.Close() })
 	wrote := p.write(a, copyName)
 	if wrote != nil && l.written == 0 {
@@ -159,7 +159,7 @@
 	out.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	h := passedOn(r.Header)
 	o := Outbound{
-		Left:       time.Until(p.limit),
+		Left:       time.Until(p.until()),
 		Endpoint:   p.endpoint.Name(),
 		Rank:       p.rank(),
 		ContinueAt: copyName,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	look         func()
 	buffered     atomic.Int64
 	active       atomic.Int64
+	suspended    atomic.Int64              // nanoseconds, since the process began
 	stopAt       atomic.Pointer[time.Time] // when the box will have ended, in a planned stop; nil for none
 	brokeAt      atomic.Pointer[time.Time] // when a stream last broke off unannounced; nil for never
 }
@@ -151,6 +152,8 @@
 		request: r,
 		start:   time.Now(),
 		tried:   make(map[string]bool),
+
+		suspended: g.suspendedFor(),
 	}
 	p.serve()
 }
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -74,7 +74,7 @@
 	}
 	usual := p.gateway.usual.of(p.route.Name)
 	after := max(time.Duration(overdueTimes*float64(usual)), time.Duration(overdueTarget*float64(p.route.Target)))
-	if usual > 0 && time.Until(p.limit) > after+usual {
+	if usual > 0 && time.Until(p.until()) > after+usual {
 		o.timer = time.AfterFunc(after, func() { o.passed(after) })
 	}
 	return o
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -33,7 +33,7 @@
 	writer   http.ResponseWriter
 	request  *http.Request
 	start    time.Time
-	limit    time.Time // nobody waits beyond it
+	limit    time.Time // nobody waits beyond it, less suspensions since the start; see until
 	in       Inbound
 	view     *fleet.View
 	route    *routing.Route
@@ -59,6 +59,7 @@
 	lastAt    time.Time     // of the last event
 	begunAt   time.Time     // of the first event
 	ranFrom   time.Time     // of the first event of the current run; zero before
+	suspended time.Duration // of the machine, before the start
 	begun     bool          // whether the head of the answer went to the caller
 	placedAt  time.Time
 	resume    *handover // where the stream goes on
@@ -267,7 +268,7 @@
 	if p.request.Context().Err() != nil {
 		return core.CallAbandoned{}
 	}
-	if !time.Now().Before(p.limit) {
+	if !time.Now().Before(p.until()) {
 		return core.CallExpired{}
 	}
 	return nil
