gateway, core: ends of endpoints that fall silent; fewer bytes for old word

Cause: an endpoint that falls silent under a request breaks nothing off, and its callers leave before the request's own time is over, so that no end was seen. And each greeting carried all requests with two ends or more, 25 KB a second with 24 of them. Change: an endpoint whose answer is overdue is asked for a connection too; what is no longer new goes round four at a time, 4 KB a second at most (worked out).

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -173,33 +173,35 @@
 
 // The records of one message to another box.
 const (
-	// sampleMost keeps a message under some two kilobytes.
-	sampleMost = 24
-	// sampleTellings is how often a change is told: often enough, as with changes of the
+	// newMost keeps a message under some three kilobytes, of 130 bytes each.
+	newMost = 24
+	// newTellings is how often a change is told: often enough, as with changes of the
 	// roster, to reach a thousand boxes.
-	sampleTellings = 12
+	newTellings = 12
+	// standingMost are the records with two ends or more, new or not, in turns: boxes that
+	// start or were cut off know none of them. With eight messages a second that is 4 KB a
+	// second of the 23 that a box has for control, and 24 records come round in a second.
+	standingMost = 4
 )
 
-// Sample gives the records that another box should know: always those with two ends or
-// more, since a box that starts or was cut off knows none of them, and others while they
-// are new. Of too many, those told the least go first.
+// Sample gives the records that another box should know: those that are new, and some of
+// those that speak against a request. Those told the least go first.
 func (q *Quarantine) Sample(now time.Time) []EndRecord {
-	var chosen []Digest
+	var news, standing []Digest
 	for request, r := range q.records {
-		if now.Sub(r.last) > q.rules.Memory {
+		switch {
+		case now.Sub(r.last) > q.rules.Memory:
 			delete(q.records, request)
-			continue
-		}
-		if len(r.ends) > 1 || r.told < sampleTellings {
-			chosen = append(chosen, request)
+		case r.told < newTellings:
+			news = append(news, request)
+		case len(r.ends) > 1:
+			standing = append(standing, request)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b Digest) int {
-		x, y := q.records[a], q.records[b]
-		return cmp.Or(cmp.Compare(x.told, y.told), y.changed.Compare(x.changed), slices.Compare(a[:], b[:]))
-	})
+	q.byTellings(news)
+	q.byTellings(standing)
 	var out []EndRecord
-	for _, request := range chosen[:min(len(chosen), sampleMost)] {
+	for _, request := range slices.Concat(news[:min(len(news), newMost)], standing[:min(len(standing), standingMost)]) {
 		r := q.records[request]
 		r.told++
 		out = append(out, r.tell(now, request))
@@ -207,6 +209,14 @@
 	return out
 }
 
+// byTellings orders requests by how often they were told of, the newest first among equals.
+func (q *Quarantine) byTellings(requests []Digest) {
+	slices.SortFunc(requests, func(a, b Digest) int {
+		x, y := q.records[a], q.records[b]
+		return cmp.Or(cmp.Compare(x.told, y.told), y.changed.Compare(x.changed), slices.Compare(a[:], b[:]))
+	})
+}
+
 func (r *endRecord) tell(now time.Time, request Digest) EndRecord {
 	t := EndRecord{Request: request}
 	for _, endpoint := range slices.Sorted(maps.Keys(r.ends)) {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -105,24 +105,27 @@
 	began    time.Time // when its first event came; zero before
 }
 
-// lookAtEndpoint finds out whether the endpoint ended under the request: its connection
-// broke off, and nobody planned that.
-func (p *passage) lookAtEndpoint() {
-	r := run{
+// currentRun gives the request's send that is under way.
+func (p *passage) currentRun() run {
+	return run{
 		endpoint: p.endpoint,
 		sent:     p.placedAt,
 		events:   p.events,
 		began:    p.ranFrom,
 	}
-	if !p.couldEnd(r) {
-		return
+}
+
+// lookAtEndpoint finds out whether the endpoint ended under the request: its connection
+// broke off, and nobody planned that.
+func (p *passage) lookAtEndpoint() {
+	if p.request.Context().Err() != nil {
+		return // the caller left
 	}
 	looked := make(chan struct{})
+	r := p.currentRun()
 	go func() {
 		defer close(looked)
-		if p.gateway.endings.of(time.Now(), r.endpoint) {
-			p.endpointEnded(r)
-		}
+		p.look(r)
 	}()
 	select {
 	case <-looked:
@@ -130,12 +133,16 @@
 	}
 }
 
+// look asks the endpoint of a run whether it is there.
+func (p *passage) look(r run) {
+	if p.couldEnd(r) && p.gateway.endings.of(time.Now(), r.endpoint) {
+		p.endpointEnded(r)
+	}
+}
+
 // couldEnd tells whether a run that broke off could be why its endpoint ended, if it
 // did. An endpoint that is known to leave ends as planned.
 func (p *passage) couldEnd(r run) bool {
-	if p.request.Context().Err() != nil {
-		return false // the caller left
-	}
 	if !r.began.IsZero() && time.Since(r.began) > soundAfter {
 		return false
 	}
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -56,21 +56,21 @@
 // endpoint gets less new work, here and in the group. On days with such endpoints it
 // gained 0.045 +- 0.005 of the worth (6 days in pairs).
 type overdue struct {
-	passage  *passage
-	endpoint string
-	link     *link
-	leaves   bool // the request may go elsewhere
-	timer    *time.Timer
+	passage *passage
+	run     run
+	link    *link
+	leaves  bool // the request may go elsewhere
+	timer   *time.Timer
 }
 
 // awaitAnswer starts the wait for a send; a route whose usual time isn't known yet
 // has none.
 func (p *passage) awaitAnswer(l *link) *overdue {
 	o := &overdue{
-		passage:  p,
-		endpoint: p.endpoint.ID,
-		link:     l,
-		leaves:   !p.begun && p.call.MayRunAgain(),
+		passage: p,
+		run:     p.currentRun(),
+		link:    l,
+		leaves:  !p.begun && p.call.MayRunAgain(),
 	}
 	usual := p.gateway.usual.of(p.route.Name)
 	after := max(time.Duration(overdueTimes*float64(usual)), time.Duration(overdueTarget*float64(p.route.Target)))
@@ -92,15 +92,18 @@
 	now := time.Now()
 	leaves := o.leaves && g.hasSend(p.service.Name)
 	p.note("answer overdue",
-		zap.String("endpoint", o.endpoint),
+		zap.String("endpoint", o.run.endpoint.ID),
 		zap.Duration("after", after),
 		zap.Bool("leaves", leaves),
 	)
-	g.spread.Failed(now, o.endpoint, false)
+	g.spread.Failed(now, o.run.endpoint.ID, false)
 	g.onPlaced(fleet.Placement{
-		Endpoint: o.endpoint,
+		Endpoint: o.run.endpoint.ID,
 		Overdue:  true,
 	})
+	// One that fell silent ends under the request without a break, and its callers leave
+	// before the request's own time is over.
+	go p.look(o.run)
 	if leaves {
 		_ = o.link.Close()
 	}
