entry: refuse generations under which endpoints end

Cause: as on the platform's path, nothing tied repeats of a generation together, and one was sent on to three engines by itself. Change: an attempt that is lost with its endpoint's port closed counts against the request's content; three ends, and neither the generation nor its repeats are placed again at this box. Other boxes of the own interface aren't told: they learn it by ends of their own.

--- a/entry/call.go
+++ b/entry/call.go
@@ -46,6 +46,7 @@
 	sink      chan engine.Message
 	endSink   context.CancelFunc
 	sinkFor   int
+	life      core.Incarnation // of the endpoint that took the attempt; 0 before it said so
 	reported  uint64
 	usage     engine.Usage
 	cancelled chan struct{}
@@ -119,6 +120,9 @@
 // place waits for a place, a refusal or the caller's leaving.
 func (k *call) place(avoid string) {
 	k.freePlace(false)
+	if k.quarantined() {
+		return
+	}
 	if avoid != "" && !k.mayTryAgain() {
 		k.giveUp(admission.RefuseOverload, time.Second)
 		return
--- a/entry/call_attempt.go
+++ b/entry/call_attempt.go
@@ -17,6 +17,7 @@
 	k.endSink = cancel
 	k.sink = make(chan engine.Message, sinkSize)
 	k.sinkFor = attempt
+	k.life = 0
 	return ctx, k.sink
 }
 
@@ -109,6 +110,10 @@
 	switch t := m.(type) {
 	case engine.Token:
 		k.tokens(t)
+	case engine.Opened:
+		if t.Incarnation != 0 { // one that says nothing stands for the end of a batch
+			k.life = t.Incarnation
+		}
 	case engine.Finished:
 		k.finished(t)
 	case engine.Refused:
@@ -116,6 +121,7 @@
 	case engine.Unsent:
 		k.step(core.Refused{Attempt: k.sinkFor})
 	case engine.Lost:
+		k.lookAtEndpoint()
 		k.endAttempt()
 		k.step(core.LinkLost{Attempt: k.sinkFor})
 	case engine.Gone:
--- a/entry/call_end.go
+++ b/entry/call_end.go
@@ -62,7 +62,11 @@
 func (k *call) end(c core.EndStream) {
 	k.endAttempt()
 	k.freePlace(c.Code == core.EndDone)
-	if c.Code == core.EndDone || k.runAgain() {
+	if c.Code == core.EndDone {
+		k.entry.quarantine.Survived(time.Now(), k.content())
+		return
+	}
+	if k.runAgain() {
 		return
 	}
 	problem := endProblem(c)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"dillsaddle.example/dillsaddle/config"
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/settings"
 	"dillsaddle.example/dillsaddle/shard"
 	"dillsaddle.example/dillsaddle/trace"
@@ -47,12 +48,15 @@
 	answers   *shard.Map[*answerTimes]
 	owners    watch.Owners
 	credit    credit
-	served    atomic.Bool // every model that is served had a lease once
-	drainLock sync.Mutex
-	drain     *core.Drain
-	work      int
-	left      chan struct{}
-	stop      context.CancelFunc
+
+	presences  *engine.Presences
+	quarantine *fleet.Quarantine
+	served     atomic.Bool // every model that is served had a lease once
+	drainLock  sync.Mutex
+	drain      *core.Drain
+	work       int
+	left       chan struct{}
+	stop       context.CancelFunc
 }
 
 // Start starts an entry.
@@ -81,6 +85,9 @@
 		drain:     core.NewDrain(),
 		left:      make(chan struct{}),
 		stop:      cancel,
+
+		presences:  engine.NewPresences(),
+		quarantine: fleet.NewQuarantine(log),
 	}
 	e.handlers = wire.NewHandlers(wire.WithVersions(e.state.Versions))
 	e.pool = wire.NewPool(e.handlers)
