engine, box: one question whether an endpoint ended; requests held in status

Both data paths ask in the same way, and wait as long for the word. Status shows the requests that no endpoint may get, with the endpoints that ended under them and for how much longer.

Changelog-added: `dillsaddle status` shows the requests that are kept from endpoints.

--- a/box/box.go
+++ b/box/box.go
@@ -56,13 +56,15 @@
 	peers    *fleet.Peers
 	gateway  *gateway.Gateway
 	clock    *clock.Suspensions
-	front    *http.Server
-	cancel   context.CancelFunc
-	once     sync.Once
-	stopping atomic.Bool
-	left     chan struct{}
-	hup      chan struct{}
-	digest   uint64 // of the settings file's text at the last reading
+
+	quarantine *fleet.Quarantine
+	front      *http.Server
+	cancel     context.CancelFunc
+	once       sync.Once
+	stopping   atomic.Bool
+	left       chan struct{}
+	hup        chan struct{}
+	digest     uint64 // of the settings file's text at the last reading
 }
 
 // Start starts a box with its settings.
@@ -86,14 +88,14 @@
 	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
 	engines := platform.NewEngines()
 	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
-	quarantine := fleet.NewQuarantine(log.Named("quarantine"))
+	b.quarantine = fleet.NewQuarantine(log.Named("quarantine"))
 	peers, err := fleet.NewPeers(core.Peer{
 		Box:      s.Box,
 		Zone:     s.Zone,
 		Address:  s.Peer,
 		Life:     rand.Uint64(),
 		LinkMbps: s.LinkMbps,
-	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating), fleet.WithQuarantine(quarantine), fleet.WithLook(b.clock.Look))
+	}, s.Seeds, b.belief, fleet.WithPeersLog(log.Named("peers")), fleet.WithReports(reports), fleet.WithPlacements(b.placed), fleet.WithEvacuations(b.evacuating), fleet.WithQuarantine(b.quarantine), fleet.WithLook(b.clock.Look))
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +117,7 @@
 		gateway.WithOnPlaced(b.peers.Tell),
 		gateway.WithOnEvacuating(b.peers.Evacuate),
 		gateway.WithBorrow(b.peers.BorrowNow),
-		gateway.WithQuarantine(quarantine),
+		gateway.WithQuarantine(b.quarantine),
 		gateway.WithLook(b.clock.Look),
 	)
 	b.peers.SetBudgets(b.gateway)
--- a/box/crash_test.go
+++ b/box/crash_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dillsaddle.example/dillsaddle/commands"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
@@ -100,6 +102,9 @@
 				))
 				Expect(d.Runs()).NotTo(HaveKey(id))
 				Expect(send(b, emulator.StreamPath, fmt.Sprintf("well-%d", i), "another prompt")).To(HaveField("Whole", true))
+				var shown bytes.Buffer
+				Expect(commands.Run([]string{"status", b.operators}, &shown)).To(BeZero())
+				Expect(shown.String()).To(MatchRegexp(`REQUEST KEPT FROM ENDPOINTS.*\n[0-9a-f]{32} .*e-`))
 			}
 		},
 		Entry("when it may run once", emulator.StreamPath),
--- a/box/operators.go
+++ b/box/operators.go
@@ -28,6 +28,17 @@
 	Reader        bool   `json:"reader"`  // whether it reads the store for all
 	Sharers       int    `json:"sharers"` // boxes that share the retry budget
 	Boxes         []Peer `json:"boxes"`
+	Held          []Held `json:"held,omitempty"` // requests that no endpoint may get
+}
+
+// heldMost bounds the requests of a status.
+const heldMost = 32
+
+// Held is a request under which endpoints ended.
+type Held struct {
+	Content string   `json:"content"` // its digest, as in the log lines of placements
+	Ended   []string `json:"ended"`   // the endpoints
+	For     string   `json:"for"`     // how much longer
 }
 
 // Peer is another box, as this one knows it.
@@ -81,6 +92,16 @@
 			Leaving: m.Leaving,
 		})
 	}
+	for _, h := range b.quarantine.All(time.Now()) {
+		if len(s.Held) == heldMost {
+			break
+		}
+		s.Held = append(s.Held, Held{
+			Content: h.Content.String(),
+			Ended:   h.Ended,
+			For:     h.Left.Round(time.Second).String(),
+		})
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		b.log.Warn("status was not taken", zap.Error(err))
--- a/commands/status.go
+++ b/commands/status.go
@@ -110,6 +110,12 @@
 	fmt.Fprintf(w, "state\tready %t, %d requests, reader %t, store away %t\n", s.Ready, s.Active, s.Reader, s.StoreAway)
 	fmt.Fprintf(w, "retry budget\tshared by %d boxes\n", s.Sharers)
 	fmt.Fprintf(w, "log\t%d lines left out\n", s.LeftOut)
+	if len(s.Held) > 0 {
+		fmt.Fprintln(w, "\nREQUEST KEPT FROM ENDPOINTS\tFOR\tENDED UNDER IT")
+	}
+	for _, h := range s.Held {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", h.Content, h.For, orNone(h.Ended))
+	}
 	fmt.Fprintln(w, "\nBOX\tZONE\tSILENCE\tLEAVING")
 	for _, b := range s.Boxes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", b.Box, b.Zone, b.Silence, b.Leaving)
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -142,15 +142,18 @@
 	return until, now.Before(until)
 }
 
-// Count gives how many requests are quarantined.
-func (q *Quarantine) Count(now time.Time) int {
-	n := 0
+// All gives the requests that are quarantined, those that ended endpoints last first.
+func (q *Quarantine) All(now time.Time) []Digest {
+	var all []Digest
 	for request := range q.records {
 		if _, held := q.Held(now, request); held {
-			n++
+			all = append(all, request)
 		}
 	}
-	return n
+	slices.SortFunc(all, func(a, b Digest) int {
+		return cmp.Or(q.records[b].last.Compare(q.records[a].last), slices.Compare(a[:], b[:]))
+	})
+	return all
 }
 
 // Ends gives the endpoints that ended under a request, sorted.
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -46,7 +46,7 @@
 		until, is := q.Held(after(3*time.Second), deadly)
 		Expect(is).To(BeTrue())
 		Expect(until).To(Equal(after(2*time.Second + rules.Hold)))
-		Expect(q.Count(after(3 * time.Second))).To(Equal(1))
+		Expect(q.All(after(3 * time.Second))).To(Equal([]core.Digest{deadly}))
 	})
 
 	It("lets a request through when its time is over, and holds it again after one more end", func() {
--- a/engine/presence.go
+++ b/engine/presence.go
@@ -20,6 +20,13 @@
 	// askTogether is how long one question stands for all requests that broke off at an
 	// endpoint; they notice it within some milliseconds of each other.
 	askTogether = 20 * time.Millisecond
+	// crowdedTime is after how long an endpoint whose port isn't closed is asked again: one
+	// that is crowded gives other answers meanwhile. Without it, up to 19 requests a day
+	// counted ends that were none with twelve times the callers (8 days; none of 12 with it).
+	crowdedTime = 400 * time.Millisecond
+	// EndPatience bounds how long a request that broke off waits for the word that its
+	// endpoint ended, before it is answered or sent again; a closed port gives it at once.
+	EndPatience = 60 * time.Millisecond
 )
 
 // Presence is what an endpoint's port says of whether it is there.
@@ -51,9 +58,24 @@
 // NewPresences builds one that has asked nobody.
 func NewPresences() *Presences { return &Presences{asked: make(map[string]*question)} }
 
-// Of asks an endpoint, by its incarnation and address, for a connection. One that broke off says little: resets, faulty answers and
-// links do it too.
-func (p *Presences) Of(now time.Time, endpoint string, address netip.AddrPort) Presence {
+// Ended tells whether an endpoint, by its incarnation and address, has ended, and by what
+// sign. A connection that broke off says little: resets, faulty answers and links do it
+// too. HeardSince tells whether anything came from the endpoint after a time.
+func (p *Presences) Ended(endpoint string, address netip.AddrPort, heardSince func(time.Time) bool) (Presence, bool) {
+	asked := time.Now()
+	answer := p.ask(asked, endpoint, address)
+	if answer != Refuses && answer != Present {
+		time.Sleep(crowdedTime)
+		if heardSince(asked) {
+			return Present, false
+		}
+		answer = p.ask(time.Now(), endpoint, address)
+	}
+	return answer, answer != Present
+}
+
+// ask asks for a connection.
+func (p *Presences) ask(now time.Time, endpoint string, address netip.AddrPort) Presence {
 	q := p.question(now, endpoint, address)
 	<-q.done
 	return q.answer
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -12,10 +12,6 @@
 	"dillsaddle.example/dillsaddle/engine"
 )
 
-// crowdedTime is after how long an endpoint that neither takes a connection nor has a closed
-// port is asked again, since it may only be crowded.
-const crowdedTime = 400 * time.Millisecond
-
 // content gives the digest of what the request asks for, the same for each repeat of it.
 func (k *call) content() core.Digest {
 	kind := "text"
@@ -41,8 +37,14 @@
 		life:     fmt.Sprintf("%s/%d", name, k.life),
 		address:  at.Address,
 	}
-	if answer := l.look(); answer != engine.Refuses && answer != engine.Present {
-		go l.lookAgain()
+	looked := make(chan struct{})
+	go func() {
+		defer close(looked)
+		l.look()
+	}()
+	select {
+	case <-looked:
+	case <-time.After(engine.EndPatience):
 	}
 }
 
@@ -56,28 +58,17 @@
 	address  netip.AddrPort
 }
 
-// look asks whether the endpoint is there, and takes a closed port for its end.
-func (l *loss) look() engine.Presence {
-	answer := l.entry.presences.Of(time.Now(), l.life, l.address)
-	if answer == engine.Refuses {
-		l.ended(answer)
-	}
-	return answer
-}
-
-// lookAgain looks again at one that may only be crowded.
-func (l *loss) lookAgain() {
-	time.Sleep(crowdedTime)
-	if answer := l.look(); answer != engine.Present && answer != engine.Refuses {
-		l.ended(answer)
+// look finds out whether the endpoint has ended. What came from it meanwhile isn't known
+// here, beside its own word.
+func (l *loss) look() {
+	sign, ended := l.entry.presences.Ended(l.life, l.address, func(time.Time) bool { return false })
+	if !ended {
+		return
 	}
-}
-
-func (l *loss) ended(answer engine.Presence) {
 	l.entry.log.Info("endpoint ended under a request",
 		zap.String("request", l.request),
 		zap.String("endpoint", l.life),
-		zap.String("port", string(answer)),
+		zap.String("port", string(sign)),
 		zap.Stringer("content", l.content),
 		zap.String("customer", l.customer),
 	)
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -72,11 +72,27 @@
 	return q.q.Held(now, request)
 }
 
-// Count gives how many requests are kept from the endpoints.
-func (q *Quarantine) Count(now time.Time) int {
+// HeldRequest is a request that no endpoint may get.
+type HeldRequest struct {
+	Content core.Digest
+	Ended   []string // the endpoints that ended under it
+	Left    time.Duration
+}
+
+// All gives the requests that no endpoint may get, the last ones first.
+func (q *Quarantine) All(now time.Time) []HeldRequest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.q.Count(now)
+	var all []HeldRequest
+	for _, request := range q.q.All(now) {
+		until, _ := q.q.Held(now, request)
+		all = append(all, HeldRequest{
+			Content: request,
+			Ended:   q.q.Ends(request),
+			Left:    until.Sub(now),
+		})
+	}
+	return all
 }
 
 // sample gives what a greeting tells.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -10,19 +10,10 @@
 	"dillsaddle.example/dillsaddle/routing"
 )
 
-const (
-	// lookAgain is after how long an endpoint whose port isn't closed is asked again: one
-	// that is crowded gives other answers meanwhile. Without it, up to 19 requests a day
-	// counted ends that were none with twelve times the callers (8 days; none of 12 with it).
-	lookAgain = 400 * time.Millisecond
-	// soundAfter is how long after its first event a run isn't why its endpoint ends: what
-	// ends an engine does so as it is read or with its first tokens, and most of the
-	// streams that an engine's end cuts are older.
-	soundAfter = 5 * time.Second
-	// crashWait bounds how long a request that broke off waits for it, before it is
-	// answered or sent again.
-	crashWait = 60 * time.Millisecond
-)
+// soundAfter is how long after its first event a run isn't why its endpoint ends: what
+// ends an engine does so as it is read or with its first tokens, and most of the streams
+// that an engine's end cuts are older.
+const soundAfter = 5 * time.Second
 
 // digest gives the digest of what the request asks for: repeats of it have it too,
 // at any box, although each has an id of its own.
@@ -68,7 +59,7 @@
 	}()
 	select {
 	case <-looked:
-	case <-time.After(crashWait):
+	case <-time.After(engine.EndPatience):
 	}
 }
 
@@ -77,17 +68,9 @@
 	if !p.couldEnd(r) {
 		return
 	}
-	asked := time.Now()
-	answer := p.gateway.presences.Of(asked, r.endpoint.ID, r.endpoint.Address)
-	if answer != engine.Refuses && answer != engine.Present {
-		time.Sleep(lookAgain)
-		if p.gateway.spread.HeardSince(asked, r.endpoint.ID) {
-			return
-		}
-		answer = p.gateway.presences.Of(time.Now(), r.endpoint.ID, r.endpoint.Address)
-	}
-	if answer != engine.Present {
-		p.endpointEnded(r, answer)
+	heardSince := func(at time.Time) bool { return p.gateway.spread.HeardSince(at, r.endpoint.ID) }
+	if sign, ended := p.gateway.presences.Ended(r.endpoint.ID, r.endpoint.Address, heardSince); ended {
+		p.endpointEnded(r, sign)
 	}
 }
 
@@ -101,11 +84,11 @@
 	return listed && !e.Leaving
 }
 
-func (p *passage) endpointEnded(r run, answer engine.Presence) {
+func (p *passage) endpointEnded(r run, sign engine.Presence) {
 	p.gateway.counts.ends.Inc()
 	p.note("endpoint ended under a request",
 		zap.String("endpoint", r.endpoint.ID),
-		zap.String("port", string(answer)),
+		zap.String("port", string(sign)),
 		zap.Stringer("content", p.content),
 		zap.String("customer", p.customerName()),
 		zap.Duration("after", time.Since(r.sent)),
