--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -6,10 +6,11 @@
 // (follower.go; who reads: news.go), the belief takes it and makes the next view
 // (belief_apply.go, belief.go, view.go), the news of it go to all partners (news.go, whom:
 // partners.go), a box that hears of it asks for it (pull.go) and is given it in parts
-// (give.go); greetings show who is behind (peers.go). The list of endpoints travels the
+// (give.go); greetings show who is behind (greeting.go). The list of endpoints travels the
 // same way, but its changes go along with the news (belief_list.go).
 //
 // Beside that: the other boxes (members.go), what is told within a group of what each box
 // places (placements.go), of engines that leave (evacuation.go), of their load
-// (reports.go, share.go), and sends of the retry budget that are lent (lend.go).
+// (reports.go, share.go), and sends of the retry budget that are lent (lend.go). Requests
+// under which endpoints end are told to all boxes (quarantine.go).
 package fleet
