core: bounded word of ends that are chance, and boxes that agree on survived runs

Cause: in a fleet of 150 boxes with 1,200 bystanders (8 a box, one end each) 10 boxes still sent the request on 1.5 s after its third end: the records were full, and boxes took back in turns what they had forgotten. Change: when full, the oldest single ends go, and older ones aren't taken; news of one end are told three times and eight in a message; who tells of ends older than a survived run is corrected whatever else it says.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -28,7 +28,7 @@
 		Ends:    3,
 		Hold:    10 * time.Minute,
 		Memory:  20 * time.Minute,
-		Records: 1024,
+		Records: 2048,
 		Sound:   4096,
 		Proof:   30 * time.Second,
 	}
@@ -114,7 +114,7 @@
 		if changed {
 			news = append(news, t)
 		}
-		q.correct(t)
+		q.correct(now, t)
 		if r := q.records[t.Request]; r != nil && len(r.ends) > 1 && q.proved(now, t.Request) {
 			q.acquit(now, r, now)
 			objections = append(objections, r.tell(now, t.Request))
@@ -125,9 +125,13 @@
 
 // correct lets a box that tells of ends from before a survived run hear of that run with
 // the next messages.
-func (q *Quarantine) correct(t EndRecord) {
+func (q *Quarantine) correct(now time.Time, t EndRecord) {
 	r := q.records[t.Request]
-	if r != nil && !t.Sound && !r.soundAt.IsZero() && len(t.Ends) > len(r.ends) {
+	if r == nil {
+		return
+	}
+	old := func(e End) bool { return !now.Add(-max(e.Age, 0)).After(r.soundAt) }
+	if slices.ContainsFunc(t.Ends, old) {
 		r.told = 0
 	}
 }
@@ -174,37 +178,46 @@
 	return r.tell(now, request), true
 }
 
-// The records of one message to another box.
+// The records of one message to another box; one of three ends takes some 130 bytes, one
+// of a single end 75.
 const (
-	// newMost keeps a message under some three kilobytes, of 130 bytes each.
-	newMost = 24
-	// newTellings is how often a change is told: often enough, as with changes of the
-	// roster, to reach a thousand boxes.
-	newTellings = 12
-	// standingMost are the records with two ends or more, new or not, in turns: boxes that
-	// start or were cut off know none of them. With eight messages a second that is 4 KB a
-	// second of the 23 that a box has for control, and 24 records come round in a second.
+	// severalMost and severalTellings are for news of requests with two ends or more, or with a
+	// survived run: told
+	// often enough, as with changes of the roster, to reach a thousand boxes.
+	severalMost     = 24
+	severalTellings = 12
+	// singleMost and singleTellings are for news of one end. There is one for each request
+	// that ran at a server that crashed, most of them chance; each box of a group has it from
+	// the box that saw it, and all of these tell other groups.
+	singleMost     = 8
+	singleTellings = 3
+	// standingMost are the records with two ends or more that are no longer news, in turns:
+	// boxes that start or were cut off know none of them. With eight messages a second that
+	// is 4 KB a second of the 23 that a box has for control, and 24 records come round in a
+	// second.
 	standingMost = 4
 )
 
 // Sample gives the records that another box should know: those that are new, and some of
 // those that speak against a request. Those told the least go first.
 func (q *Quarantine) Sample(now time.Time) []EndRecord {
-	var news, standing []Digest
+	var several, single, standing []Digest
 	for request, r := range q.records {
 		switch {
 		case now.Sub(r.last) > q.rules.Memory:
 			delete(q.records, request)
-		case r.told < newTellings:
-			news = append(news, request)
+		case r.doubtful() && r.told < singleTellings:
+			single = append(single, request)
+		case r.doubtful():
+		case r.told < severalTellings:
+			several = append(several, request)
 		case len(r.ends) > 1:
 			standing = append(standing, request)
 		}
 	}
-	q.byTellings(news)
-	q.byTellings(standing)
-	var out []EndRecord
-	for _, request := range slices.Concat(news[:min(len(news), newMost)], standing[:min(len(standing), standingMost)]) {
+	chosen := slices.Concat(q.least(several, severalMost), q.least(single, singleMost), q.least(standing, standingMost))
+	out := make([]EndRecord, 0, len(chosen))
+	for _, request := range chosen {
 		r := q.records[request]
 		r.told++
 		out = append(out, r.tell(now, request))
@@ -212,12 +225,16 @@
 	return out
 }
 
-// byTellings orders requests by how often they were told of, the newest first among equals.
-func (q *Quarantine) byTellings(requests []Digest) {
+// doubtful tells whether a single end speaks against a request, and nothing for it.
+func (r *endRecord) doubtful() bool { return len(r.ends) == 1 && r.soundAt.IsZero() }
+
+// least gives some of the requests, those told of the least first, and the newest of them.
+func (q *Quarantine) least(requests []Digest, most int) []Digest {
 	slices.SortFunc(requests, func(a, b Digest) int {
 		x, y := q.records[a], q.records[b]
 		return cmp.Or(cmp.Compare(x.told, y.told), y.changed.Compare(x.changed), slices.Compare(a[:], b[:]))
 	})
+	return requests[:min(len(requests), most)]
 }
 
 func (r *endRecord) tell(now time.Time, request Digest) EndRecord {
@@ -242,7 +259,9 @@
 	}
 	r := q.records[request]
 	if r == nil {
-		q.makeRoom()
+		if !q.makeRoom(at) {
+			return false
+		}
 		r = &endRecord{ends: make(map[string]time.Time)}
 		q.records[request] = r
 	}
@@ -325,17 +344,23 @@
 	q.sound[request] = now
 }
 
-// makeRoom forgets the record with the fewest and oldest ends when there are too many.
-func (q *Quarantine) makeRoom() {
+// makeRoom forgets a record when there are too many: the one with the fewest ends, and the
+// oldest of these, unless the new one's end is older still. So all boxes keep the same ones,
+// and don't take from each other in turns what they forgot.
+func (q *Quarantine) makeRoom(at time.Time) bool {
 	if len(q.records) < q.rules.Records {
-		return
+		return true
 	}
 	var least Digest
 	var found *endRecord
 	for request, r := range q.records {
-		if found == nil || len(r.ends) < len(found.ends) || (len(r.ends) == len(found.ends) && r.changed.Before(found.changed)) {
+		if found == nil || cmp.Or(cmp.Compare(len(r.ends), len(found.ends)), r.last.Compare(found.last)) < 0 {
 			least, found = request, r
 		}
 	}
+	if len(found.ends) > 1 || found.last.After(at) {
+		return false
+	}
 	delete(q.records, least)
+	return true
 }
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -104,7 +104,7 @@
 		Expect(late.Sample(after(5 * time.Second))).To(HaveLen(1))
 	})
 
-	It("keeps a bounded number of records, those with most ends", func() {
+	It("keeps a bounded number of records, those with most ends, and takes none back in turns", func() {
 		end(0, "e-1")
 		end(0, "e-2")
 		for i := range 2 * rules.Records {
@@ -112,6 +112,25 @@
 		}
 		end(2*time.Second, "e-3")
 		Expect(held(q, after(2*time.Second))).To(BeTrue())
+		news, _ := q.Hear(after(3*time.Second), []core.EndRecord{{
+			Request: core.DigestOf([]byte("forgotten")),
+			Ends: []core.End{{
+				Endpoint: "e-1",
+				Age:      3 * time.Second,
+			}},
+		}})
+		Expect(news).To(BeEmpty())
+	})
+
+	It("tells of many requests with one end only some, and first of those with several", func() {
+		for i := range 100 {
+			q.Ended(after(0), core.DigestOf(fmt.Appendf(nil, "other %d", i)), "e-1")
+		}
+		end(0, "e-1")
+		end(0, "e-2")
+		told := q.Sample(after(time.Second))
+		Expect(told[0].Request).To(Equal(deadly))
+		Expect(len(told)).To(BeNumerically("<", 12))
 	})
 
 	It("forgets what is long over", func() {
