--- a/clock/suspension.go
+++ b/clock/suspension.go
@@ -38,8 +38,8 @@
 	onFault     func(error)
 
 	mu      sync.Mutex
-	drifted time.Duration // as last seen
-	gap     time.Duration // between the system's clocks, as last read
+	drifted time.Duration  // as last seen
+	gap     *time.Duration // between the system's clocks, as last read; nil before
 }
 
 // Option changes how suspensions are found.
@@ -71,7 +71,7 @@
 		o(s)
 	}
 	s.drifted = s.drift()
-	s.gap = s.readGap()
+	s.readGap()
 	return s
 }
 
@@ -84,10 +84,7 @@
 		return
 	}
 	s.drifted = drifted
-	gap := s.readGap()
-	suspended := gap - s.gap
-	s.gap = gap
-	if suspended >= suspendedLeast {
+	if suspended := s.readGap(); suspended >= suspendedLeast {
 		s.onSuspended(suspended)
 	}
 }
@@ -100,15 +97,21 @@
 	}
 }
 
-// readGap gives how long the machine was suspended since its start. Clocks that can't be
-// read tell of no suspension.
+// readGap gives how long the machine was suspended since the clocks were last read. Clocks
+// that can't be read, or never were before, tell of no suspension.
 func (s *Suspensions) readGap() time.Duration {
 	r, err := s.read()
 	if err != nil {
 		s.onFault(err)
-		return s.gap
+		return 0
 	}
-	return r.Boot - r.Steady
+	gap := r.Boot - r.Steady
+	before := s.gap
+	s.gap = &gap
+	if before == nil {
+		return 0
+	}
+	return gap - *before
 }
 
 // read reads the system's clocks. The steady one is read twice, since the process may wait
--- a/clock/suspension_test.go
+++ b/clock/suspension_test.go
@@ -70,6 +70,9 @@
 	m.suspend(time.Second)
 	s.Look()
 	g.Expect(faults).To(gomega.Equal(2))
+	m.fault = nil
+	m.suspend(time.Second)
+	s.Look() // what came before the first reading isn't known
 }
 
 func TestTheSystemsClocksAreRead(t *testing.T) {
