--- a/clock/suspension_test.go
+++ b/clock/suspension_test.go
@@ -1,10 +1,10 @@
 package clock_test
 
 import (
-	"testing"
 	"time"
 
-	"github.com/onsi/gomega"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
 	"dillsaddle.example/dillsaddle/clock"
@@ -33,50 +33,58 @@
 
 func (m *machine) suspend(d time.Duration) { m.readings.Boot += d }
 
-func TestSuspensionsAreToldFromStepsOfTheTimeOfDay(t *testing.T) {
-	g := gomega.NewWithT(t)
-	m := &machine{}
+var _ = Describe("suspensions", func() {
+	var m *machine
 	var told []time.Duration
-	s := clock.New(func(d time.Duration) { told = append(told, d) }, clock.WithClocks(m.drift, m.read))
+	faults := 0
+	var s *clock.Suspensions
+	begin := func() {
+		told, faults = nil, 0
+		s = clock.New(func(d time.Duration) { told = append(told, d) },
+			clock.WithClocks(m.drift, m.read),
+			clock.WithOnFault(func(error) { faults++ }))
+	}
+	BeforeEach(func() { m = &machine{} })
 
-	m.run(time.Hour)
-	s.Look()
-	g.Expect(m.asked).To(gomega.Equal(1), "a look is free while nothing moves")
+	It("are told from steps of the time of day, and looked for without a system call", func() {
+		begin()
+		m.run(time.Hour)
+		s.Look()
+		Expect(m.asked).To(Equal(1))
 
-	m.suspend(3 * time.Second)
-	s.Look()
-	s.Look()
-	g.Expect(told).To(gomega.Equal([]time.Duration{3 * time.Second}))
+		m.suspend(3 * time.Second)
+		s.Look()
+		s.Look()
+		Expect(told).To(Equal([]time.Duration{3 * time.Second}))
 
-	m.step = -2 * time.Second
-	s.Look()
-	m.step = 0
-	s.Look()
-	g.Expect(told).To(gomega.HaveLen(1))
+		m.step = -2 * time.Second
+		s.Look()
+		m.step = 0
+		s.Look()
+		Expect(told).To(HaveLen(1))
 
-	m.run(time.Second)
-	m.suspend(700 * time.Millisecond)
-	m.step = 5 * time.Second
-	s.Look()
-	g.Expect(told).To(gomega.Equal([]time.Duration{3 * time.Second, 700 * time.Millisecond}))
-}
+		m.run(time.Second)
+		m.suspend(700 * time.Millisecond)
+		m.step = 5 * time.Second
+		s.Look()
+		Expect(told).To(Equal([]time.Duration{3 * time.Second, 700 * time.Millisecond}))
+	})
 
-func TestClocksThatCannotBeReadTellOfNoSuspension(t *testing.T) {
-	g := gomega.NewWithT(t)
-	m := &machine{fault: errors.New("no such clock")}
-	faults := 0
-	s := clock.New(func(time.Duration) { t.Error("a suspension was told") },
-		clock.WithClocks(m.drift, m.read), clock.WithOnFault(func(error) { faults++ }))
-	m.suspend(time.Second)
-	s.Look()
-	g.Expect(faults).To(gomega.Equal(2))
-	m.fault = nil
-	m.suspend(time.Second)
-	s.Look() // what came before the first reading isn't known
-}
+	It("aren't told while the clocks can't be read, nor what came before their first reading", func() {
+		m.fault = errors.New("no such clock")
+		begin()
+		m.suspend(time.Second)
+		s.Look()
+		Expect(faults).To(Equal(2))
+		m.fault = nil
+		m.suspend(time.Second)
+		s.Look()
+		Expect(told).To(BeEmpty())
+	})
 
-func TestTheSystemsClocksAreRead(t *testing.T) {
-	s := clock.New(func(d time.Duration) { t.Errorf("suspended for %s", d) },
-		clock.WithOnFault(func(err error) { t.Error(err) }))
-	s.Look()
-}
+	It("are looked for by the system's own clocks", func() {
+		s := clock.New(func(d time.Duration) { Fail("suspended for " + d.String()) },
+			clock.WithOnFault(func(err error) { Fail(err.Error()) }))
+		s.Look()
+	})
+})
