soak, lab: fleets of any size

-boxes N plays a seed with N boxes, in three zones where they are more than three, so that those above 24 work in several groups. Three boxes, and the seeds that were played with them, stay as they were.

--- a/lab/soak.go
+++ b/lab/soak.go
@@ -20,7 +20,8 @@
 	program := fs.String("program", "bin/dillsaddle-node", "`program` of a box")
 	first := fs.Uint64("first", 1, "first `seed`")
 	seeds := fs.Int("seeds", 50, "`number` of seeds")
-	jobs := fs.Int("jobs", 3, "`number` of seeds at once; each runs three boxes")
+	jobs := fs.Int("jobs", 3, "`number` of seeds at once")
+	boxes := fs.Int("boxes", 3, "`number` of boxes of a seed, each a process; above 24 they work in several groups")
 	folder := fs.String("logs", "run/soak", "`folder` for the boxes' logs")
 	commands = append(commands, &ffcli.Command{
 		Name:       "soak",
@@ -28,13 +29,13 @@
 		ShortHelp:  "run boxes before an emulated platform under random faults, and check the promises",
 		FlagSet:    fs,
 		Exec: func(context.Context, []string) error {
-			return soakSeeds(os.Stdout, *program, *folder, *first, *seeds, *jobs)
+			return soakSeeds(os.Stdout, *program, *folder, *first, *seeds, *jobs, soak.WithBoxes(*boxes))
 		},
 	})
 }
 
 // soakSeeds plays seeds side by side and reports each as it ends.
-func soakSeeds(out io.Writer, program, folder string, first uint64, seeds, jobs int) error {
+func soakSeeds(out io.Writer, program, folder string, first uint64, seeds, jobs int, opts ...soak.Option) error {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, max(jobs, 1))
@@ -44,7 +45,7 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			report, err := soakSeed(program, folder, seed)
+			report, err := soakSeed(program, folder, seed, opts...)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -66,10 +67,10 @@
 	return nil
 }
 
-func soakSeed(program, folder string, seed uint64) (*soak.Report, error) {
+func soakSeed(program, folder string, seed uint64, opts ...soak.Option) (*soak.Report, error) {
 	own := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(own, 0o755); err != nil {
 		return nil, err
 	}
-	return soak.Run(program, own, seed)
+	return soak.Run(program, own, seed, opts...)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -17,7 +17,10 @@
 )
 
 const (
-	boxCount    = 3
+	// fewBoxes are the usual size; where there are more, they stand in several zones, and
+	// work in groups of these when there are many.
+	fewBoxes    = 3
+	zoneCount   = 3
 	plainCount  = 3
 	engineCount = 4
 	// graceSeconds is how long a stopping box has; streams last less here.
@@ -67,7 +70,7 @@
 	next       int
 }
 
-func startFleet(program, folder string) (*fleet, error) {
+func startFleet(program, folder string, boxes int) (*fleet, error) {
 	d, err := emulator.NewDeployment()
 	if err != nil {
 		return nil, err
@@ -87,7 +90,7 @@
 			return f, err
 		}
 	}
-	return f, f.startBoxes()
+	return f, f.startBoxes(boxes)
 }
 
 func (f *fleet) addServer(service string) (*listed, error) {
@@ -113,12 +116,12 @@
 	return l, nil
 }
 
-func (f *fleet) startBoxes() error {
-	addresses, err := emulator.FreeAddresses(4 * boxCount)
+func (f *fleet) startBoxes(count int) error {
+	addresses, err := emulator.FreeAddresses(4 * count)
 	if err != nil {
 		return err
 	}
-	for i := range boxCount {
+	for i := range count {
 		own := addresses[4*i : 4*i+4]
 		proxy, err := NewProxy(f.deployment.StoreAddr)
 		if err != nil {
@@ -127,6 +130,7 @@
 		b := &member{
 			settings: emulator.BoxSettings{
 				Name:  fmt.Sprintf("box-%d", i),
+				Zone:  zoneOf(i, count),
 				Front: own[0],
 				Ready: own[1],
 				Peer:  own[2],
@@ -156,6 +160,14 @@
 	return nil
 }
 
+// zoneOf gives the zone of a box; a few boxes stand in one.
+func zoneOf(box, count int) string {
+	if count <= fewBoxes {
+		return ""
+	}
+	return fmt.Sprintf("zone-%c", 'a'+box%zoneCount)
+}
+
 // start starts the box's process.
 func (b *member) start(program string) error {
 	_, port, err := net.SplitHostPort(b.metrics)
--- a/soak/run.go
+++ b/soak/run.go
@@ -52,10 +52,26 @@
 	return line
 }
 
+// Option changes how a seed is played.
+type Option func(*options)
+
+type options struct {
+	boxes int
+}
+
+// WithBoxes gives how many boxes run; without it, three.
+func WithBoxes(boxes int) Option {
+	return func(o *options) { o.boxes = boxes }
+}
+
 // Run plays one seed with the program of a box; logs go to the folder. Every
 // third seed has planned work only.
-func Run(program, folder string, seed uint64) (*Report, error) {
-	f, err := startFleet(program, folder)
+func Run(program, folder string, seed uint64, opts ...Option) (*Report, error) {
+	o := options{boxes: fewBoxes}
+	for _, option := range opts {
+		option(&o)
+	}
+	f, err := startFleet(program, folder, o.boxes)
 	if f != nil {
 		defer f.close()
 	}
