fleet, platform, gateway: zones that the operator drains get nothing new

Ruled out: placements by old lists; no box had heard of the zone at all. Change: the state of a zone is a record with the store's revision of its last change. It travels with the list of endpoints, from the store and from peers (news, views, a reading of everything), and shares the list's version and age, so that starting boxes, boxes that the store turns away and dropped histories are covered by what covers the list. Views leave a drained zone's endpoints out of what may be placed, moved or copied to; a copy there is not gone on from. Streams under way there are served to their end. The configuration and the zones are read in one call.

Changelog-added: Zones that the operator drains get no new requests until they are taken back.

--- a/box/box.go
+++ b/box/box.go
@@ -127,7 +127,7 @@
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
-	follower := fleet.NewFollower(b.store(), b.belief, min(s.ConfigBound, s.DrainBound),
+	follower := fleet.NewFollower(b.store(), b.belief, s.ChangeBound(),
 		fleet.WithFollowerLog(log.Named("store")),
 		fleet.WithRank(b.peers.ReaderRank),
 		fleet.WithOnNews(b.peers.Spread),
@@ -156,6 +156,8 @@
 		waited := c.Waited(time.Now())
 		configurationWait.Update(waited.Seconds())
 		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes), zap.Duration("waited", waited))
+	case fleet.ZoneDrained, fleet.ZoneTakenBack:
+		fields = append(fields, zap.String("drained_zone", c.Zone))
 	case fleet.ListKnown:
 		fields = append(fields, zap.Int("count", c.Count))
 	case fleet.EndpointJoined:
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,19 +35,25 @@
 	operators string
 }
 
+// startBoxes starts boxes of which the first one is known to all.
 func startBoxes(d *emulator.Deployment, n int) []*started {
+	return startBoxesBeside(d, "", n)
+}
+
+// startBoxesBeside starts boxes that know one which is there already.
+func startBoxesBeside(d *emulator.Deployment, seed string, n int) []*started {
 	addresses, err := emulator.FreeAddresses(4 * n)
 	Expect(err).NotTo(HaveOccurred())
 	var all []*started
 	for i := range n {
 		own := addresses[4*i : 4*i+4]
 		settings := emulator.BoxSettings{
-			Name:  fmt.Sprintf("box-%d", i),
+			Name:  "box-" + strings.ReplaceAll(seed, ":", "-") + strconv.Itoa(i),
 			Front: own[0],
 			Ready: own[1],
 			Peer:  own[2],
 			Store: d.StoreAddr,
-			Seeds: []string{addresses[2]},
+			Seeds: []string{cmp.Or(seed, addresses[2])},
 			Grace: 5,
 		}
 		path, err := settings.Write(GinkgoT().TempDir())
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -36,12 +36,15 @@
 	EndpointRestarted    ChangeKind = "endpoint restarted under its name" // its former incarnation is gone
 	EndpointUnusable     ChangeKind = "endpoint's entry names no server any more"
 	ListKnown            ChangeKind = "list known" // the first one
+	ZoneDrained          ChangeKind = "zone drained"
+	ZoneTakenBack        ChangeKind = "zone taken back"
 )
 
 // Change is one change of belief, for logs and for whoever acts on it.
 type Change struct {
 	Kind     ChangeKind
 	Endpoint routing.Endpoint
+	Zone     string   // that was drained or taken back
 	Version  uint64   // of the configuration
 	Routes   int      // in it
 	Count    int      // of endpoints in the first list
@@ -71,6 +74,7 @@
 	entries  map[string]*entry    // by the servers' published names
 	touched  map[string]string    // incarnations that changed since the last view, with the servers' names
 	left     map[string]time.Time // leaving incarnations, with when that was learned
+	zones    map[string]routing.ZoneDrain
 	table    *routing.Table
 	changed  uint64
 	listed   bool
@@ -113,6 +117,7 @@
 		entries:  make(map[string]*entry),
 		touched:  make(map[string]string),
 		left:     make(map[string]time.Time),
+		zones:    make(map[string]routing.ZoneDrain),
 	}
 	for _, o := range options {
 		o(b)
@@ -186,7 +191,7 @@
 // publish makes the next view from the last one and the entries that changed, and
 // tells of the changes.
 func (b *Belief) publish() {
-	v := b.view.Load().next(b.touched, func(id string) (routing.Endpoint, bool) {
+	v := b.view.Load().next(b.zoneStates(), b.touched, func(id string) (routing.Endpoint, bool) {
 		e := b.entries[b.touched[id]]
 		if e == nil || e.ID != id {
 			return routing.Endpoint{}, false
--- /dev/null
+++ b/fleet/belief_zones.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// takeZones takes the states of zones, each unless a newer one is believed. Word of
+// them may come in any order, twice, or late from a box that was cut off: the store's
+// revision of a zone's last change decides.
+func (b *Belief) takeZones(from string, all []routing.ZoneDrain) {
+	for _, z := range all {
+		old, known := b.zones[z.Zone]
+		if known && z.Revision <= old.Revision {
+			continue
+		}
+		b.zones[z.Zone] = z
+		if z.Drained != old.Drained {
+			b.touchZone(z.Zone)
+			b.tellZone(from, z)
+		}
+	}
+}
+
+// takeDrained takes all zones that the store told to be drained at a revision: any
+// other that was drained before is taken back.
+func (b *Belief) takeDrained(revision uint64, drained []routing.ZoneDrain) {
+	b.takeZones(fromStore, drained)
+	for _, z := range drained {
+		b.changed = max(b.changed, z.Revision)
+	}
+	listed := func(zone string) bool {
+		return slices.ContainsFunc(drained, func(z routing.ZoneDrain) bool { return z.Zone == zone })
+	}
+	for _, z := range b.zoneStates() {
+		if z.Drained && z.Revision < revision && !listed(z.Zone) {
+			b.takeZones(fromStore, []routing.ZoneDrain{{
+				Zone:     z.Zone,
+				Revision: revision,
+			}})
+			b.changed = max(b.changed, revision)
+		}
+	}
+}
+
+// touchZone notes that the endpoints of a zone are to be sorted anew into the view.
+func (b *Belief) touchZone(zone string) {
+	for name, e := range b.entries {
+		if e.Zone == zone {
+			b.touched[e.ID] = name
+		}
+	}
+}
+
+func (b *Belief) tellZone(from string, z routing.ZoneDrain) {
+	kind := ZoneTakenBack
+	if z.Drained {
+		kind = ZoneDrained
+	}
+	b.untold = append(b.untold, Change{
+		Kind:     kind,
+		Zone:     z.Zone,
+		Revision: z.Revision,
+		From:     from,
+	})
+}
+
+// zoneStates gives what is believed of zones, by name.
+func (b *Belief) zoneStates() []routing.ZoneDrain {
+	var all []routing.ZoneDrain
+	for _, zone := range slices.Sorted(maps.Keys(b.zones)) {
+		all = append(all, b.zones[zone])
+	}
+	return all
+}
--- a/fleet/give.go
+++ b/fleet/give.go
@@ -199,6 +199,7 @@
 		return out
 	}
 	out.Changed = v.Changed
+	out.Zones = v.Zones
 	if updated, removed, ok := g.belief.Since(w.Changed); ok {
 		out.Partial = true
 		out.Endpoints = updated
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -35,12 +35,13 @@
 // Views is a peer's newer configuration and list, or nothing of either. The
 // list is given whole, or as what changed since the revision asked for.
 type Views struct {
-	Document  *routing.Document  `cbor:"1,keyasint,omitempty"`
-	Endpoints []routing.Endpoint `cbor:"2,keyasint,omitempty"`
-	Changed   uint64             `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
-	Age       time.Duration      `cbor:"-"`                    // since the list was confirmed; it goes with the first part
-	Partial   bool               `cbor:"5,keyasint,omitempty"` // only what changed
-	Removed   []Removal          `cbor:"6,keyasint,omitempty"` // with a partial list
+	Document  *routing.Document   `cbor:"1,keyasint,omitempty"`
+	Endpoints []routing.Endpoint  `cbor:"2,keyasint,omitempty"`
+	Changed   uint64              `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
+	Age       time.Duration       `cbor:"-"`                    // since the list was confirmed; it goes with the first part
+	Partial   bool                `cbor:"5,keyasint,omitempty"` // only what changed
+	Removed   []Removal           `cbor:"6,keyasint,omitempty"` // with a partial list
+	Zones     []routing.ZoneDrain `cbor:"7,keyasint,omitempty"` // all that is known of zones; they are few
 }
 
 // Kind names the views.
@@ -52,13 +53,14 @@
 
 // News is a change that a box learned from the store, as boxes hand it on.
 type News struct {
-	After   uint64             `cbor:"1,keyasint"` // the list's last change before it
-	Changed uint64             `cbor:"2,keyasint"`
-	Version uint64             `cbor:"3,keyasint,omitempty"` // of a newer configuration; it is asked for once
-	Updated []routing.Endpoint `cbor:"4,keyasint,omitempty"`
-	Removed []Removal          `cbor:"5,keyasint,omitempty"`
-	Age     time.Duration      `cbor:"6,keyasint"`           // since the store told it
-	Large   bool               `cbor:"7,keyasint,omitempty"` // the changes are left out; they are asked for once
+	After   uint64              `cbor:"1,keyasint"` // the list's last change before it
+	Changed uint64              `cbor:"2,keyasint"`
+	Version uint64              `cbor:"3,keyasint,omitempty"` // of a newer configuration; it is asked for once
+	Updated []routing.Endpoint  `cbor:"4,keyasint,omitempty"`
+	Removed []Removal           `cbor:"5,keyasint,omitempty"`
+	Age     time.Duration       `cbor:"6,keyasint"`           // since the store told it
+	Large   bool                `cbor:"7,keyasint,omitempty"` // the changes are left out; they are asked for once
+	Zones   []routing.ZoneDrain `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind names the message.
@@ -73,20 +75,24 @@
 	for _, r := range n.Removed {
 		at = max(at, r.Revision)
 	}
+	for _, z := range n.Zones {
+		at = max(at, z.Revision)
+	}
 	return at
 }
 
 // announcement gives the news as they are handed on: many changes are left out,
 // since every partner hears them from many others.
 func (n News) announcement() News {
-	if len(n.Updated)+len(n.Removed) > newsMost {
+	if len(n.Updated)+len(n.Removed)+len(n.Zones) > newsMost {
 		n.Updated = nil
 		n.Removed = nil
+		n.Zones = nil
 		n.Large = true
 	}
 	return n
 }
 
 func (n News) empty() bool {
-	return n.Version == 0 && len(n.Updated) == 0 && len(n.Removed) == 0
+	return n.Version == 0 && len(n.Updated) == 0 && len(n.Removed) == 0 && len(n.Zones) == 0
 }
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -24,6 +24,7 @@
 	Revision  uint64
 	Document  *routing.Document // nil before the operator published one
 	Endpoints []routing.Endpoint
+	Drained   []routing.ZoneDrain // all zones that the operator wants to be drained
 }
 
 // Changes is what the store published since a revision.
@@ -32,6 +33,7 @@
 	Document *routing.Document // the newest, or nil
 	Updated  []routing.Endpoint
 	Removed  []Removal
+	Zones    []routing.ZoneDrain // that were drained or taken back
 }
 
 // Removal is an endpoint's entry that went.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -17,6 +17,7 @@
 	Listed    bool                          // whether the endpoints were ever read
 	Changed   uint64                        // the store's revision at the last change of the list
 	Confirmed time.Time                     // when the store last said that this is all
+	Zones     []routing.ZoneDrain           // what is known of zones, by name
 	byService map[string][]routing.Endpoint // sorted by id
 	byID      [viewParts]map[string]routing.Endpoint
 }
@@ -29,6 +30,11 @@
 
 func partOf(id string) uint64 { return xxhash.Sum64String(id) % viewParts }
 
+// Drained tells whether the operator wants a zone's endpoints to get no new requests.
+func (v *View) Drained(zone string) bool {
+	return slices.ContainsFunc(v.Zones, func(z routing.ZoneDrain) bool { return z.Zone == zone && z.Drained })
+}
+
 // Serving gives the endpoints of a service that may get new requests, by id.
 func (v *View) Serving(service string) []routing.Endpoint { return v.byService[service] }
 
@@ -38,6 +44,12 @@
 	return e, ok
 }
 
+// Takes tells whether an endpoint may get a new request.
+func (v *View) Takes(id string) bool {
+	e, ok := v.Endpoint(id)
+	return ok && !e.Leaving && !v.Drained(e.Zone)
+}
+
 // Engines counts the model engines that may get new requests.
 func (v *View) Engines() int {
 	if v.Table == nil {
@@ -71,12 +83,13 @@
 
 // next gives a view with some entries as they are now; it shares the rest with
 // this one.
-func (v *View) next(touched map[string]string, now func(id string) (routing.Endpoint, bool)) *View {
+func (v *View) next(zones []routing.ZoneDrain, touched map[string]string, now func(id string) (routing.Endpoint, bool)) *View {
 	n := &viewEdit{
 		View:     *v,
 		services: make(map[string]bool),
 		parts:    make(map[uint64]bool),
 	}
+	n.Zones = zones
 	n.byService = maps.Clone(v.byService)
 	if n.byService == nil {
 		n.byService = make(map[string][]routing.Endpoint)
@@ -136,7 +149,7 @@
 }
 
 func (n *viewEdit) add(e routing.Endpoint) {
-	if e.Leaving || !e.Usable() {
+	if e.Leaving || !e.Usable() || n.Drained(e.Zone) {
 		return
 	}
 	n.own(e.Service)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -65,8 +65,7 @@
 	if id == "" {
 		return false
 	}
-	e, ok := p.gateway.view().Endpoint(id)
-	return ok && !e.Leaving
+	return p.gateway.view().Takes(id)
 }
 
 // resumeAnew goes on with a stream in a new run at another endpoint.
@@ -92,6 +91,10 @@
 	}
 	p.order.resumed()
 	from := p.endpoint
+	if target := p.resume.target; p.gateway.view().Drained(target.Zone) {
+		p.note("its copy is in a drained zone", zap.String("broken", from.ID), zap.String("endpoint", target.ID))
+		return core.CallUnsent{}
+	}
 	p.mu.Lock()
 	target, name := p.resume.target, p.resume.copy
 	p.endpoint = target
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -185,8 +185,7 @@
 	moved, err := p.stopAndCopy(ctx, m, along)
 	h.copy = moved.Copy
 	if err != nil && moved.Copy != "" {
-		// The run stopped and its memory stayed: it goes on where it was.
-		h.target = source
+		h.target, h.copy = p.stayed(source, target, moved, along)
 	}
 	p.note("moved",
 		zap.String("endpoint", source.ID),
@@ -199,6 +198,15 @@
 	return nil
 }
 
+// stayed gives where a run goes on that stopped and whose memory stayed: where it was,
+// or from the copy before if its zone is drained, since that would be a new request there.
+func (p *passage) stayed(source, target routing.Endpoint, moved, along Moved) (routing.Endpoint, string) {
+	if p.gateway.view().Drained(source.Zone) {
+		return target, along.Copy
+	}
+	return source, moved.Copy
+}
+
 // stopAndCopy stops the run and copies what it made since the copy before. Where
 // that waits for another copy, the stream goes on from the copy before, and the
 // target reads the last events anew.
