gateway, core: bound the sends to cold endpoints, and keep requests in homes

Cause (cold endpoints): nothing counted what all boxes together send to an endpoint that is cold; each box took it for the one with the least to do. Weighed for sharing out what an endpoint bears: equal parts of the count of boxes (too much as soon as counts differ, nothing left where a part is under one send); one box that counts for all (a hop, and who is it when boxes are cut off). One check before each send, whatever led to it; cold endpoints without a place are no candidates; where all are cold, what they don't bear is refused at once. Endpoints of a zone that was taken back count as cold for 2.5 s, since their entries tell late. Homes: candidates of a request are those of regions that its route and its customer allow, from the zones' regions in the settings.

Changelog-added: Cold endpoints get no more requests in a second than they bear from all boxes. Changelog-added: Homes of routes and customers bind where their requests run.

--- /dev/null
+++ b/box/cold_test.go
@@ -0,0 +1,130 @@
+package box_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// A server that had just come back got ten requests in a second where nine and a half
+// were allowed, and would have fallen over under more: each of the boxes knew that it was
+// cold, took it for the one with the least to do, and none knew what the others sent. The
+// evidence: ten arrivals from eight boxes within 0.9 s, each the first of its box.
+var _ = Describe("a cold server", func() {
+	const (
+		perSecond = 3.0
+		most      = perSecond*1.5 + 5 // in any second, as the boxes' settings say
+		count     = 4
+		joined    = 6 * time.Second // by then boxes have their parts of what is divided
+	)
+	var d *emulator.Deployment
+	var boxes []*started
+	BeforeEach(func() {
+		var err error
+		d, err = emulator.NewDeployment()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		document := emulator.NewDocument(2)
+		for _, s := range document.Services {
+			s["coldPerS"] = perSecond
+		}
+		d.Publish(document)
+	})
+	start := func() {
+		boxes = startBoxes(d, count)
+		for _, b := range boxes {
+			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+			DeferCleanup(b.Stop)
+		}
+		time.Sleep(joined)
+	}
+	coldServer := func(id string) *emulator.Server {
+		s, err := d.Add(id, emulator.Plain)
+		Expect(err).NotTo(HaveOccurred())
+		s.Cold = time.Minute
+		d.List(s, emulator.Plain, "ready")
+		return s
+	}
+	// load lets callers of all boxes send for a time, and counts answers by status.
+	load := func(lasts time.Duration) map[int]int {
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		got := make(map[int]int)
+		until := time.Now().Add(lasts)
+		for i, b := range boxes {
+			for j := range 10 {
+				wait.Go(func() {
+					for n := 0; time.Now().Before(until); n++ {
+						o := b.call(fmt.Sprintf("c%d-%d-%d", i, j, n))
+						mu.Lock()
+						got[o.Status]++
+						mu.Unlock()
+						time.Sleep(20 * time.Millisecond)
+					}
+				})
+			}
+		}
+		wait.Wait()
+		return got
+	}
+	// inAnySecond gives the most runs that a server began within a second.
+	inAnySecond := func(s *emulator.Server) int {
+		runs := s.Runs()
+		slices.SortFunc(runs, func(a, b emulator.Run) int { return a.At.Compare(b.At) })
+		worst, first := 0, 0
+		for i, r := range runs {
+			for r.At.Sub(runs[first].At) >= time.Second {
+				first++
+			}
+			worst = max(worst, i-first+1)
+		}
+		return worst
+	}
+
+	It("gets no more in any second than it bears from all boxes together", func() {
+		s := coldServer("i-cold")
+		warm, err := d.Add("i-warm", emulator.Plain)
+		Expect(err).NotTo(HaveOccurred())
+		warm.WorkTime = 300 * time.Millisecond
+		start()
+		got := load(3 * time.Second)
+		Expect(got).To(HaveLen(1))
+		Expect(got).To(HaveKey(http.StatusOK))
+		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
+		Expect(s.Runs()).NotTo(BeEmpty())
+		Expect(len(warm.Runs())).To(BeNumerically(">", len(s.Runs())))
+	})
+
+	It("serves what it bears where all are cold, and the rest is refused at once as not run", func() {
+		s := coldServer("i-cold")
+		start()
+		got := load(3 * time.Second)
+		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
+		Expect(got[http.StatusOK]).To(BeNumerically(">=", 12))
+		Expect(got[http.StatusServiceUnavailable]).To(BeNumerically(">", got[http.StatusOK]))
+		Expect(got).To(HaveLen(2))
+		Expect(s.Runs()).To(HaveLen(got[http.StatusOK]))
+	})
+
+	It("is taken for cold when its zone was taken back, whatever its entry says yet", func() {
+		far, err := d.AddIn("zone-b", "i-far", emulator.Plain)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = d.Add("i-near", emulator.Plain)
+		Expect(err).NotTo(HaveOccurred())
+		d.Drain("zone-b")
+		start()
+		load(500 * time.Millisecond)
+		Expect(far.Runs()).To(BeEmpty())
+		d.TakeBack("zone-b")
+		load(2 * time.Second)
+		Expect(far.Runs()).NotTo(BeEmpty())
+		Expect(inAnySecond(far)).To(BeNumerically("<=", most))
+	})
+})
--- a/core/member.go
+++ b/core/member.go
@@ -122,10 +122,12 @@
 // Score is the rendezvous weight of a box for a key.
 func Score(key, box string) uint64 { return mix(xxhash.Sum64String(key), box) }
 
-// mix spreads a key's hash with a box's by the finalizer of splitmix64, so that a
-// key is hashed once for all boxes.
-func mix(key uint64, box string) uint64 {
-	x := key ^ xxhash.Sum64String(box)
+// mix spreads a key's hash with a box's, so that a key is hashed once for all boxes.
+func mix(key uint64, box string) uint64 { return finalize(key ^ xxhash.Sum64String(box)) }
+
+// finalize is the finalizer of splitmix64: each bit given changes half of those that
+// come out.
+func finalize(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -17,7 +17,7 @@
 	// of while it answered is heard of again.
 	b.heardOf = nil
 	if !b.listed || s.Revision >= b.changed {
-		b.takeDrained(s.Revision, s.Drained)
+		b.takeDrained(now, s.Revision, s.Drained)
 		b.takeList(now, fromStore, s.Revision, s.Endpoints)
 		b.confirm = now
 	}
@@ -30,7 +30,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.takeDocument(from, v.Document)
-	b.takeZones(from, v.Zones)
+	b.takeZones(now, from, v.Zones)
 	switch {
 	case v.Changed == 0 || (b.listed && v.Changed <= b.changed):
 	case v.Partial && b.listed:
@@ -117,7 +117,7 @@
 }
 
 func (b *Belief) takeChanges(now time.Time, from string, n News) {
-	b.takeZones(from, n.Zones)
+	b.takeZones(now, from, n.Zones)
 	for _, e := range n.Updated {
 		b.update(now, from, e)
 	}
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -45,6 +45,7 @@
 	if e.Leaving {
 		b.left[e.ID] = now
 	}
+	e.ColdUntil = coldUntil(now, old, e)
 	b.entries[name] = &entry{Endpoint: e}
 	b.touched[e.ID] = name
 	if old != nil && old.ID != e.ID {
@@ -53,6 +54,23 @@
 	b.tellUpdate(from, old, e)
 }
 
+// coldUntil gives until when an endpoint is cold. An entry that is read again tells nothing
+// new: what is left was told when it was written.
+func coldUntil(now time.Time, old *entry, e routing.Endpoint) time.Time {
+	known := old != nil && old.ID == e.ID
+	if known && old.Revision == e.Revision {
+		return old.ColdUntil
+	}
+	var until time.Time
+	if e.Cold > 0 {
+		until = now.Add(e.Cold)
+	}
+	if known && old.ColdUntil.After(until) {
+		return old.ColdUntil
+	}
+	return until
+}
+
 func (b *Belief) tellUpdate(from string, old *entry, e routing.Endpoint) {
 	known := old != nil && old.Usable()
 	switch {
--- a/fleet/belief_zones.go
+++ b/fleet/belief_zones.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"dillsaddle.example/dillsaddle/routing"
 )
@@ -10,7 +11,7 @@
 // takeZones takes the states of zones, each unless a newer one is believed. Word of
 // them may come in any order, twice, or late from a box that was cut off: the store's
 // revision of a zone's last change decides.
-func (b *Belief) takeZones(from string, all []routing.ZoneDrain) {
+func (b *Belief) takeZones(now time.Time, from string, all []routing.ZoneDrain) {
 	for _, z := range all {
 		old, known := b.zones[z.Zone]
 		if known && z.Revision <= old.Revision {
@@ -18,7 +19,7 @@
 		}
 		b.zones[z.Zone] = z
 		if z.Drained != old.Drained {
-			b.touchZone(z.Zone)
+			b.resort(now, z)
 			b.tellZone(from, z)
 		}
 	}
@@ -26,8 +27,8 @@
 
 // takeDrained takes all zones that the store told to be drained at a revision: any
 // other that was drained before is taken back.
-func (b *Belief) takeDrained(revision uint64, drained []routing.ZoneDrain) {
-	b.takeZones(fromStore, drained)
+func (b *Belief) takeDrained(now time.Time, revision uint64, drained []routing.ZoneDrain) {
+	b.takeZones(now, fromStore, drained)
 	for _, z := range drained {
 		b.changed = max(b.changed, z.Revision)
 	}
@@ -36,7 +37,7 @@
 	}
 	for _, z := range b.zoneStates() {
 		if z.Drained && z.Revision < revision && !listed(z.Zone) {
-			b.takeZones(fromStore, []routing.ZoneDrain{{
+			b.takeZones(now, fromStore, []routing.ZoneDrain{{
 				Zone:     z.Zone,
 				Revision: revision,
 			}})
@@ -45,11 +46,20 @@
 	}
 }
 
-// touchZone notes that the endpoints of a zone are to be sorted anew into the view.
-func (b *Belief) touchZone(zone string) {
+// takenBackCold is how long the endpoints of a zone that was taken back are held to be
+// cold whatever their entries say: they may have turned cold meanwhile, and an entry tells
+// so two seconds late, a heartbeat of 1.2 s and the list's lag of 0.8 s.
+const takenBackCold = 2500 * time.Millisecond
+
+// resort notes that the endpoints of a zone are to be sorted anew into the view.
+func (b *Belief) resort(now time.Time, z routing.ZoneDrain) {
 	for name, e := range b.entries {
-		if e.Zone == zone {
-			b.touched[e.ID] = name
+		if e.Zone != z.Zone {
+			continue
+		}
+		b.touched[e.ID] = name
+		if !z.Drained && e.ColdUntil.Before(now.Add(takenBackCold)) {
+			e.ColdUntil = now.Add(takenBackCold)
 		}
 	}
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -37,6 +37,7 @@
 	}
 	p.alive = alive
 	p.settle(now)
+	p.division.Observe(now, p.roster.All(now))
 	p.noticed("boxes joined", joined)
 	p.noticed("boxes suspected or leaving", lost)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -33,6 +33,7 @@
 	memo         shareMemo
 	roster       *core.Roster
 	settling     *core.Settling
+	division     *core.Division
 	settled      bool // whether most other boxes are known
 	belief       *Belief
 	seeds        []netip.AddrPort
@@ -97,6 +98,7 @@
 	p := &Peers{
 		roster:       core.NewRoster(self, core.DefaultRosterRules()),
 		settling:     core.NewSettling(time.Now(), core.DefaultSettlingRules()),
+		division:     core.NewDivision(time.Now(), self.Box, core.DefaultDivisionRules()),
 		belief:       belief,
 		seeds:        others(seeds, self.Address),
 		log:          zap.NewNop(),
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
+)
+
+// shareMemory is how long this box's share of what a cold endpoint bears is kept before
+// it is worked out anew: boxes hear of each other within seconds.
+const shareMemory = 500 * time.Millisecond
+
+// coldSends keeps this box's sends to cold endpoints within its share of what these bear
+// from all boxes together. With 62 boxes that each took a cold endpoint for an idle one,
+// it got more than all of them may send.
+type coldSends struct {
+	mu        sync.Mutex
+	allowance routing.ColdAllowance
+	share     func(endpoint string, sends int) int
+	all       map[string]*coldEndpoint // by the endpoint's id
+}
+
+type coldEndpoint struct {
+	ration   *core.Ration
+	share    int
+	sharedAt time.Time
+}
+
+func newColdSends(allowance routing.ColdAllowance) *coldSends {
+	return &coldSends{
+		allowance: allowance,
+		share:     func(_ string, sends int) int { return sends },
+		all:       make(map[string]*coldEndpoint),
+	}
+}
+
+// bound gives the ration of an endpoint that is cold, or nil for one that bears anything.
+func (c *coldSends) bound(now time.Time, s *routing.Service, e routing.Endpoint) *coldEndpoint {
+	if !e.ColdAt(now) {
+		return nil
+	}
+	sends, bound := c.allowance.Sends(s)
+	if !bound {
+		return nil
+	}
+	known := c.all[e.ID]
+	if known == nil {
+		known = &coldEndpoint{ration: core.NewRation(core.DefaultRationRules())}
+		c.all[e.ID] = known
+	}
+	if known.sharedAt.IsZero() || now.Sub(known.sharedAt) > shareMemory {
+		known.share = c.share(e.ID, sends)
+		known.sharedAt = now
+	}
+	return known
+}
+
+// free tells whether an endpoint may get one more request from this box now.
+func (c *coldSends) free(now time.Time, s *routing.Service, e routing.Endpoint) bool {
+	if !e.ColdAt(now) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bound(now, s, e)
+	return known == nil || known.ration.Free(now, known.share)
+}
+
+// hold keeps a place for a request that is planned; false says that there is none.
+func (c *coldSends) hold(now time.Time, s *routing.Service, e routing.Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bound(now, s, e)
+	return known == nil || known.ration.Hold(now, known.share)
+}
+
+// drop gives a place back whose request isn't sent.
+func (c *coldSends) drop(e routing.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.all[e.ID]; known != nil {
+		known.ration.Drop()
+	}
+}
+
+// send counts a request that goes out now; false says that it may not.
+func (c *coldSends) send(now time.Time, s *routing.Service, e routing.Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bound(now, s, e)
+	return known == nil || known.ration.Send(now, known.share, true)
+}
+
+// sweep forgets endpoints that nothing was sent to lately.
+func (c *coldSends) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, known := range c.all {
+		if known.ration.Idle(now) {
+			delete(c.all, id)
+		}
+	}
+}
+
+// candidates gives the endpoints that may get the request now: those of its homes that
+// aren't cold, or of whose sends this box has some left.
+func (p *passage) candidates(now time.Time) []routing.Endpoint {
+	all := p.gateway.view().Serving(p.service.Name)
+	kept := func(e routing.Endpoint) bool {
+		return p.homes.Allow(e.Zone) && p.gateway.cold.free(now, p.service, e)
+	}
+	if !slices.ContainsFunc(all, func(e routing.Endpoint) bool { return !kept(e) }) {
+		return all
+	}
+	return filter(all, kept)
+}
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -39,7 +39,7 @@
 		return
 	}
 	var near []routing.Endpoint
-	for _, e := range p.view.Serving(p.service.Name) {
+	for _, e := range p.candidates(now) {
 		if e.Zone == p.endpoint.Zone && e.ID != p.endpoint.ID {
 			near = append(near, e)
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,7 @@
 	defer cancel()
 	l, err := p.gateway.pool.get(ctx, now, p.endpoint, rested, p.connectWithin(copyName))
 	if err != nil {
+		p.gateway.cold.drop(p.endpoint)
 		p.gateway.spread.Failed(time.Now(), p.endpoint.ID, true)
 		p.gateway.onPlaced(fleet.Placement{
 			Endpoint: p.endpoint.ID,
@@ -55,6 +56,11 @@
 		}
 		return core.CallUnsent{}
 	}
+	if !p.gateway.cold.send(time.Now(), p.service, p.endpoint) {
+		_ = l.Close()
+		p.decided("cold endpoint has no place", zap.String("endpoint", p.endpoint.ID))
+		return core.CallUnsent{}
+	}
 	p.gateway.spread.Begin(now, p.endpoint.ID, p.want(nil).Tokens)
 	if p.service.Engine != nil && copyName == "" {
 		p.queued = p.gateway.spread.Placed(now, p.endpoint.ID, p.in.PromptTokens)
@@ -80,7 +86,7 @@
 	if copyName != "" {
 		return connectTime
 	}
-	for _, e := range p.view.Serving(p.service.Name) {
+	for _, e := range p.candidates(time.Now()) {
 		if !p.tried[e.ID] {
 			return connectElsewhere
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,8 @@
 	Retry       core.BudgetRules
 	MemoryBytes int64 // of the box
 	Fresh       bool  // no process ran on the box before, which may have spent its budget
+	Cold        routing.ColdAllowance
+	Regions     routing.Regions
 }
 
 // Gateway carries requests between callers and endpoints.
@@ -38,6 +40,7 @@
 	view         func() *fleet.View
 	boxes        func() int
 	spread       *admission.Spread
+	cold         *coldSends
 	pool         *Pool
 	log          *zap.Logger
 	counts       *counts
@@ -70,6 +73,12 @@
 	return func(g *Gateway) { g.boxes = boxes }
 }
 
+// WithColdShare gives this box's share of the sends that a cold endpoint bears in a second
+// from all boxes together.
+func WithColdShare(share func(endpoint string, sends int) int) Option {
+	return func(g *Gateway) { g.cold.share = share }
+}
+
 // WithMover copies runs between engines; without it no run is copied.
 func WithMover(m Mover) Option {
 	return func(g *Gateway) { g.mover = m }
@@ -115,6 +124,7 @@
 		onPlaced:     func(fleet.Placement) {},
 		onEvacuating: func(fleet.Evacuating) {},
 		spread:       admission.NewSpread(zone, rand.Float64),
+		cold:         newColdSends(rules.Cold),
 		log:          zap.NewNop(),
 		counts:       newCounts(),
 		usual:        newUsualTimes(),
@@ -168,6 +178,7 @@
 		return ok && !e.Leaving
 	})
 	g.dropPlans(now)
+	g.cold.sweep(now)
 }
 
 // SetShare tells which engines the box's group uses first.
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 const (
@@ -37,6 +39,7 @@
 			return false
 		}
 	}
+	p.homes = routing.HomesOf(p.gateway.rules.Regions, p.route, p.customer)
 	p.service = t.Service(p.route.Pick(p.in.ID))
 	if p.service == nil {
 		p.refuse(http.StatusServiceUnavailable, "the route's service is not known")
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -52,7 +52,14 @@
 			p.note("no target to move to", zap.String("endpoint", source), zap.Int("without_room", len(full)))
 			return len(full) > 0
 		}
+		if !p.gateway.cold.hold(time.Now(), p.service, target) {
+			full[target.ID] = true
+			continue
+		}
 		err := p.moveTo(ctx, from, target)
+		if err != nil {
+			p.gateway.cold.drop(target)
+		}
 		var refusal *EngineError
 		switch {
 		case err == nil:
@@ -109,7 +116,7 @@
 func (p *passage) moveTarget(source routing.Endpoint, full map[string]bool) (routing.Endpoint, bool) {
 	g := p.gateway
 	busy := g.receiving(p.in.ID)
-	all := slices.DeleteFunc(slices.Clone(g.view().Serving(p.service.Name)), func(e routing.Endpoint) bool {
+	all := slices.DeleteFunc(slices.Clone(p.candidates(time.Now())), func(e routing.Endpoint) bool {
 		return e.ID == source.ID || full[e.ID]
 	})
 	w := p.want(nil)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -44,7 +44,7 @@
 	}
 	p.view = p.gateway.view()
 	now := time.Now()
-	e, ok := p.gateway.spread.Pick(now, p.view.Serving(p.service.Name), p.want(p.tried))
+	e, ok := p.pick(now)
 	if !ok {
 		return core.CallUnplaced{}
 	}
@@ -64,6 +64,17 @@
 	return core.CallPlaced{}
 }
 
+// pick chooses an endpoint and keeps a place there if it is cold.
+func (p *passage) pick(now time.Time) (routing.Endpoint, bool) {
+	for {
+		e, ok := p.gateway.spread.Pick(now, p.candidates(now), p.want(p.tried))
+		if !ok || p.gateway.cold.hold(now, p.service, e) {
+			return e, ok
+		}
+		// Another request took the last place meanwhile.
+	}
+}
+
 // believed gives what decided the choice of an engine.
 func (p *passage) believed(now time.Time, e routing.Endpoint) []zap.Field {
 	if p.service.Engine == nil {
--- a/routing/document.go
+++ b/routing/document.go
@@ -38,6 +38,7 @@
 	Anonymous    bool          `cbor:"11,keyasint,omitempty"`
 	Sticky       bool          `cbor:"12,keyasint,omitempty"` // prompts of this route share parts that endpoints keep
 	Resumable    bool          `cbor:"13,keyasint,omitempty"` // its streams may run more than once, each from the last event before
+	Homes        []string      `cbor:"14,keyasint,omitempty"` // the regions whose endpoints may get its requests; none for all
 }
 
 // MayRepeat tells whether requests of the route may run more than once.
@@ -57,6 +58,7 @@
 	HealthPath     string  `cbor:"2,keyasint,omitempty"`
 	MaxConnections int     `cbor:"3,keyasint,omitempty"` // an endpoint accepts these from all boxes together
 	Engine         *Engine `cbor:"4,keyasint,omitempty"`
+	ColdPerSecond  float64 `cbor:"5,keyasint,omitempty"` // requests that a cold endpoint bears, from all boxes together; 0 where any
 }
 
 // Engine tells of a service whose endpoints are model engines.
@@ -73,9 +75,10 @@
 
 // Customer is an owner of keys.
 type Customer struct {
-	Name string   `cbor:"1,keyasint,omitempty"`
-	Rank *int     `cbor:"2,keyasint,omitempty"` // goes before the route's
-	Keys []string `cbor:"3,keyasint,omitempty"`
+	Name  string   `cbor:"1,keyasint,omitempty"`
+	Rank  *int     `cbor:"2,keyasint,omitempty"` // goes before the route's
+	Keys  []string `cbor:"3,keyasint,omitempty"`
+	Homes []string `cbor:"4,keyasint,omitempty"` // as a route's; where both have some, both bind
 }
 
 // Limits bound what a caller may send.
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -9,15 +9,16 @@
 
 // Endpoint is one incarnation of a server, as it is published.
 type Endpoint struct {
-	ID       string         `cbor:"1,keyasint,omitempty"` // of this incarnation, by Incarnation
-	Service  string         `cbor:"2,keyasint,omitempty"` // empty for an entry that names no server to use
-	Address  netip.AddrPort `cbor:"3,keyasint,omitempty"`
-	Zone     string         `cbor:"4,keyasint,omitempty"`
-	Slots    int            `cbor:"5,keyasint,omitempty"`
-	Leaving  bool           `cbor:"6,keyasint,omitempty"` // it announced its end and gets no new requests
-	Cold     time.Duration  `cbor:"7,keyasint,omitempty"` // it is slow for this much longer from when it was published
-	Revision uint64         `cbor:"8,keyasint,omitempty"` // of the store, at the last change
-	Started  int64          `cbor:"9,keyasint,omitempty"` // by the server's own clock, Unix milliseconds; 0 where it doesn't tell
+	ID        string         `cbor:"1,keyasint,omitempty"` // of this incarnation, by Incarnation
+	Service   string         `cbor:"2,keyasint,omitempty"` // empty for an entry that names no server to use
+	Address   netip.AddrPort `cbor:"3,keyasint,omitempty"`
+	Zone      string         `cbor:"4,keyasint,omitempty"`
+	Slots     int            `cbor:"5,keyasint,omitempty"`
+	Leaving   bool           `cbor:"6,keyasint,omitempty"` // it announced its end and gets no new requests
+	Cold      time.Duration  `cbor:"7,keyasint,omitempty"` // it is slow for this much longer from when it was published
+	Revision  uint64         `cbor:"8,keyasint,omitempty"` // of the store, at the last change
+	ColdUntil time.Time      `cbor:"-"`                    // by this box's clock; zero for one that isn't cold
+	Started   int64          `cbor:"9,keyasint,omitempty"` // by the server's own clock, Unix milliseconds; 0 where it doesn't tell
 }
 
 // List is what the store held about endpoints at one revision.
@@ -47,6 +48,9 @@
 	return strings.TrimSuffix(e.ID, startMark+strconv.FormatInt(e.Started, 10))
 }
 
+// ColdAt tells whether the endpoint is cold at a time: it bears less than it will.
+func (e Endpoint) ColdAt(now time.Time) bool { return now.Before(e.ColdUntil) }
+
 // Usable tells whether the entry names a server that can get requests.
 func (e Endpoint) Usable() bool { return e.Service != "" }
 
--- /dev/null
+++ b/routing/homes.go
@@ -0,0 +1,45 @@
+package routing
+
+import "slices"
+
+// Regions gives the region of each availability zone, as the settings tell them.
+type Regions struct {
+	ofZone map[string]string
+}
+
+// NewRegions takes the zones' regions.
+func NewRegions(ofZone map[string]string) Regions { return Regions{ofZone: ofZone} }
+
+// Homes are the regions whose endpoints may get a request, by its route and its customer.
+type Homes struct {
+	regions  Regions
+	route    []string
+	customer []string
+}
+
+// HomesOf gives the homes of a route's requests from a customer, or from nobody known.
+func HomesOf(regions Regions, r *Route, c *Customer) Homes {
+	h := Homes{
+		regions: regions,
+		route:   r.Homes,
+	}
+	if c != nil {
+		h.customer = c.Homes
+	}
+	return h
+}
+
+// Bind tells whether there are endpoints that may not get the request.
+func (h Homes) Bind() bool { return len(h.route) > 0 || len(h.customer) > 0 }
+
+// Allow tells whether a zone's endpoints may get the request. A zone whose region nobody
+// told is no home.
+func (h Homes) Allow(zone string) bool {
+	region := h.regions.ofZone[zone]
+	for _, homes := range [][]string{h.route, h.customer} {
+		if len(homes) > 0 && !slices.Contains(homes, region) {
+			return false
+		}
+	}
+	return true
+}
