--- a/core/group.go
+++ b/core/group.go
@@ -22,8 +22,14 @@
 	// group with the same engines.
 	groupEngines = 16
 	// wholeFleet is the size up to which all boxes are one group, whatever their
-	// zones.
+	// zones and engines.
 	wholeFleet = 24
+	// wholeEngines is how many engines one group of all boxes may have: a box hears of
+	// each prompt that the group places, 1 to 1.5 a second at an engine and some 100
+	// bytes, which is a half of the 23 KB/s that a box may take for control.
+	wholeEngines = 72
+	// wholeMost bounds the connections of such a group.
+	wholeMost = 96
 )
 
 // Group is a part of a fleet that serves mostly by endpoints of its own. It
@@ -52,12 +58,18 @@
 	return size
 }
 
+// oneGroup tells whether all boxes are one group: each knows then what any other places,
+// and no engine is a stranger's.
+func oneGroup(boxes, engines int) bool {
+	return boxes <= wholeFleet || (boxes <= wholeMost && engines > 0 && engines <= wholeEngines)
+}
+
 // GroupOf gives the group of a box among those that are there; engines are those
 // of all zones.
 func GroupOf(self Peer, others []Peer, engines int) Group {
 	all := append([]Peer{self}, others...)
 	g := Group{count: 1}
-	if len(all) > wholeFleet {
+	if !oneGroup(len(all), engines) {
 		size := GroupSize(len(all), engines)
 		g.zone = self.Zone
 		all = slices.DeleteFunc(all, func(p Peer) bool { return p.Zone != self.Zone })
