--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -325,7 +325,7 @@
 		f.result.Crossed++
 	}
 	sent := f.clock()
-	b.spread.Begin(sent, e.id, prompt+output)
+	b.spread.Begin(sent, e.id, prompt+output, prompt)
 	queued := b.spread.Placed(sent, e.id, prompt)
 	f.after(simTold, func() {
 		for _, other := range f.boxes {
--- a/admission/spread.go
+++ b/admission/spread.go
@@ -254,10 +254,10 @@
 	used := float64(l.memory.Used)
 	used += float64(l.memory.Running) * s.output / 2
 	used += float64(l.memory.Waiting) * (s.prompt + s.output)
-	for _, b := range l.recent {
-		used += float64(b.tokens)
+	for _, c := range l.recent {
+		used += float64(c.tokens)
 	}
-	return (used + float64(w.Tokens)) / total
+	return (math.Max(used, 0) + float64(w.Tokens)) / total
 }
 
 // suspect tells whether an endpoint is silent beyond its usual time while it
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -16,9 +16,9 @@
 	since    int // started by this box since that answer
 	memory   routing.Report
 	memoryAt time.Time
-	recent   []begun // by this box, not yet in the report
-	tokens   int     // of this box's runs, at their expected end
-	copies   int     // tokens of copies that this box sends there
+	recent   []change // of the memory, not yet in the report
+	tokens   int      // of this box's runs, at their expected end
+	copies   int      // tokens of copies that this box sends there
 	failures float64
 	failedAt time.Time
 	silentTo time.Time
@@ -30,10 +30,11 @@
 	queueAt  time.Time
 }
 
-// begun is memory that a run of this box takes, and since when.
-type begun struct {
+// change is memory that a run or a copy takes, or gives back when it is over.
+type change struct {
 	at     time.Time
-	tokens int
+	tokens int // below 0 when it is over
+	told   int // the size by which the boxes know the run, 0 for none
 }
 
 // waiting estimates the tokens of prompts that wait at an engine.
@@ -59,7 +60,7 @@
 	s.Placed(now, id, prompt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(id).add(now, prompt+int(s.output))
+	s.load(id).begin(now, prompt+int(s.output), prompt)
 	s.heard = now
 }
 
@@ -67,7 +68,7 @@
 func (s *Spread) CopiedElsewhere(now time.Time, id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(id).add(now, tokens)
+	s.load(id).begin(now, tokens, tokens)
 }
 
 // Started takes how long an engine took to read what waited, with a prompt of
@@ -81,8 +82,9 @@
 	s.rate += learnWeight * (queue/took.Seconds() - s.rate)
 }
 
-// Begin counts a send to an endpoint.
-func (s *Spread) Begin(now time.Time, id string, tokens int) {
+// Begin counts a send to an endpoint: the memory that it takes at its end, and the size
+// by which the boxes know it, 0 for calls.
+func (s *Spread) Begin(now time.Time, id string, tokens, told int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.load(id)
@@ -91,7 +93,29 @@
 	l.tokens += tokens
 	l.used = now
 	l.pending = append(l.pending, now)
-	l.add(now, tokens)
+	l.begin(now, tokens, told)
+}
+
+// Over takes a run's memory back, here or at another box, by the size by which the boxes
+// know it; held is what it held at its end. Reports are a second old when they come round,
+// and a run that ended meanwhile left its engine looking full: before, a box knew of the
+// others' prompts only when they began.
+func (s *Spread) Over(now time.Time, id string, told, held int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(id)
+	l.forget(now.Add(-memoryLife))
+	begun := slices.IndexFunc(l.recent, func(c change) bool { return c.told == told && c.tokens > 0 })
+	if begun >= 0 {
+		l.recent = slices.Delete(l.recent, begun, begun+1)
+		return
+	}
+	// The report has it, with the growth that is expected of a run.
+	l.recent = append(l.recent, change{
+		at:     now,
+		tokens: -held - int(s.output/2),
+		told:   told,
+	})
 }
 
 // Heard notes that something came from an endpoint.
@@ -110,30 +134,31 @@
 	return l.heard.After(at) || l.answerAt.After(at) || l.memoryAt.After(at)
 }
 
-func (l *endpointLoad) add(now time.Time, tokens int) {
+func (l *endpointLoad) begin(now time.Time, tokens, told int) {
 	l.forget(now.Add(-memoryLife))
 	if tokens > 0 {
-		l.recent = append(l.recent, begun{
+		l.recent = append(l.recent, change{
 			at:     now,
 			tokens: tokens,
+			told:   told,
 		})
 	}
 }
 
 // forget drops what was placed before a time.
 func (l *endpointLoad) forget(before time.Time) {
-	l.recent = slices.DeleteFunc(l.recent, func(b begun) bool { return b.at.Before(before) })
+	l.recent = slices.DeleteFunc(l.recent, func(c change) bool { return c.at.Before(before) })
 }
 
 // placedSince gives the tokens that were placed after a time, by any box that told.
 func (l *endpointLoad) placedSince(after time.Time) int {
 	tokens := 0
-	for _, b := range l.recent {
-		if b.at.After(after) {
-			tokens += b.tokens
+	for _, c := range l.recent {
+		if c.at.After(after) {
+			tokens += c.tokens
 		}
 	}
-	return tokens
+	return max(tokens, 0)
 }
 
 // End takes a send back that began at a time, when it is over.
@@ -155,7 +180,7 @@
 	defer s.mu.Unlock()
 	l := s.load(id)
 	l.copies += tokens
-	l.add(now, tokens)
+	l.begin(now, tokens, 0)
 }
 
 // Answered takes the load that an endpoint told with an answer.
--- a/admission/spread_test.go
+++ b/admission/spread_test.go
@@ -43,7 +43,7 @@
 		counts := make(map[string]int)
 		for range 40 {
 			id := pick(engines(4), want)
-			s.Begin(now, id, 1000)
+			s.Begin(now, id, 1000, 0)
 			s.Placed(now, id, 500)
 			counts[id]++
 		}
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -17,14 +17,16 @@
 )
 
 // Placement is a prompt that a box has just sent to an engine, a copy of a run that
-// is sent there as the run grows, or word that an endpoint owes an answer or broke a
-// stream off.
+// is sent there as the run grows, the end of either, or word that an endpoint owes an
+// answer or broke a stream off.
 type Placement struct {
 	Endpoint string `cbor:"1,keyasint"`
-	Tokens   int    `cbor:"2,keyasint"` // of the prompt, or of the copy at its end
+	Tokens   int    `cbor:"2,keyasint"` // of the prompt, or of the copy at its end; with the end of a run, as told at its begin
 	Copy     bool   `cbor:"3,keyasint,omitempty"`
 	Overdue  bool   `cbor:"4,keyasint,omitempty"` // an answer of the endpoint is overdue
 	Broke    bool   `cbor:"5,keyasint,omitempty"` // a stream of the endpoint broke off unannounced
+	Over     bool   `cbor:"6,keyasint,omitempty"` // the run has ended
+	Held     int    `cbor:"7,keyasint,omitempty"` // tokens that a run held at its end
 }
 
 // Placements is what a box placed in the last moments.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -247,8 +247,7 @@
 	if engine.LinkMbps <= 0 {
 		return 0
 	}
-	held := float64(p.in.PromptTokens + int(p.made.Load())*max(engine.EventTokens, 1))
-	seconds := held * engine.BytesPerToken * bitsPerByte / (engine.LinkMbps * bitsPerMegabit)
+	seconds := float64(p.held()) * engine.BytesPerToken * bitsPerByte / (engine.LinkMbps * bitsPerMegabit)
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,14 +61,8 @@
 		p.decided("cold endpoint has no place", zap.String("endpoint", p.endpoint.ID))
 		return core.CallUnsent{}
 	}
-	p.gateway.spread.Begin(now, p.endpoint.ID, p.want(nil).Tokens)
-	if p.service.Engine != nil && copyName == "" {
-		p.queued = p.gateway.spread.Placed(now, p.endpoint.ID, p.in.PromptTokens)
-		p.gateway.onPlaced(fleet.Placement{
-			Endpoint: p.endpoint.ID,
-			Tokens:   p.in.PromptTokens,
-		})
-	}
+	p.tellBegin(now, copyName != "")
+	p.gateway.spread.Begin(now, p.endpoint.ID, p.want(nil).Tokens, p.told)
 	p.overdue = p.awaitAnswer(l)
 	defer p.overdue.stop()
 	ev := p.exchange(l, copyName)
@@ -77,6 +71,7 @@
 	}
 	p.overdue.stop()
 	p.gateway.spread.End(time.Now(), p.endpoint.ID, now, p.want(nil).Tokens)
+	p.tellOver(p.endpoint.ID)
 	return ev
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,6 +194,8 @@
 		g.brokeOff(now)
 	case p.Overdue:
 		g.spread.Failed(now, p.Endpoint, false)
+	case p.Over:
+		g.spread.Over(now, p.Endpoint, p.Tokens, p.Held)
 	case p.Copy:
 		g.spread.CopiedElsewhere(now, p.Endpoint, p.Tokens)
 	default:
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -44,6 +44,7 @@
 	made     atomic.Int64 // events passed on, for the plans of moves
 
 	queued    float64       // tokens of prompts to be read before the first event
+	told      int           // the size by which the boxes know the current run; 0 for calls
 	first     time.Duration // until the first event
 	longest   time.Duration // between two events
 	longestAt string        // the id of the event before it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,7 +73,10 @@
 			Copy:     true,
 		})
 	}
-	defer func() { p.gateway.spread.End(time.Now(), run, sent, tokens) }()
+	defer func() {
+		p.gateway.spread.End(time.Now(), run, sent, tokens)
+		p.tellOver(run)
+	}()
 	p.gateway.enrol(p)
 	defer p.gateway.leave(run, p)
 	dog := p.watch(a.link)
