--- a/admission/spread.go
+++ b/admission/spread.go
@@ -95,6 +95,7 @@
 	output float64   // mean tokens generated, learned
 	heard  time.Time // when another box last told of a placement
 	flow   flow      // prompts that the group places, in tokens
+	over   flow      // what the group's ended runs held, in tokens
 }
 
 // reportLag is how old an engine's word is when it is given.
@@ -121,6 +122,7 @@
 // Want is what a request needs of an endpoint.
 type Want struct {
 	Tokens  int             // of an engine's memory at the run's expected end; 0 elsewhere
+	Prompt  int             // tokens that an engine reads before the first event; 0 elsewhere
 	Memory  int             // tokens that an engine holds; 0 elsewhere
 	Exclude map[string]bool // endpoints that had the request already
 	Zone    string          // the zone to prefer; empty for the box's own
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -103,6 +103,7 @@
 func (s *Spread) Over(now time.Time, id string, told, held int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.over.add(now, float64(held))
 	l := s.load(id)
 	l.forget(now.Add(-memoryLife))
 	begun := slices.IndexFunc(l.recent, func(c change) bool { return c.told == told && c.tokens > 0 })
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -48,6 +48,10 @@
 	if !ok {
 		return core.CallUnplaced{}
 	}
+	if p.tooLate(now, e) {
+		p.gateway.cold.drop(e)
+		return core.CallCrowded{}
+	}
 	p.mu.Lock()
 	p.endpoint = e
 	p.mu.Unlock()
@@ -86,6 +90,7 @@
 		zap.Duration("ahead", seen.Ahead.Round(time.Millisecond)),
 		zap.Duration("report_age", seen.ReportAge.Round(time.Millisecond)),
 		zap.Duration("heard_age", seen.HeardAge.Round(time.Millisecond)),
+		zap.Duration("until_first", seen.First.Round(time.Millisecond)),
 	}
 }
 
@@ -93,6 +98,7 @@
 	w := admission.Want{Exclude: exclude}
 	if engine := p.service.Engine; engine != nil {
 		w.Tokens = p.tokens()
+		w.Prompt = p.in.PromptTokens
 		w.Memory = engine.MemoryTokens
 		w.Shared = p.gateway.boxes() > 1
 		w.Movable = movable(engine)
@@ -162,8 +168,11 @@
 		zap.Int("rank", p.rank()),
 	)
 	retryAfter := defaultRetryAfter
-	if c.Reason == core.ReasonQuarantined {
+	switch c.Reason {
+	case core.ReasonQuarantined:
 		retryAfter = p.releasedIn()
+	case core.ReasonCrowded:
+		retryAfter = p.roomIn()
 	}
 	p.problem(status, string(c.Reason), retryAfter)
 	p.count("given up")
