--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"dillsaddle.example/dillsaddle/wire"
@@ -15,6 +16,7 @@
 	Over     []string    `cbor:"3,keyasint,omitempty"`
 	Moving   string      `cbor:"4,keyasint,omitempty"` // the run whose memory goes to the target
 	Target   string      `cbor:"5,keyasint,omitempty"`
+	Relay    bool        `cbor:"6,keyasint,omitempty"` // hand it on to the boxes of the own zone
 }
 
 // Kind names the message.
@@ -39,7 +41,13 @@
 func (p *Peers) Evacuate(e Evacuating) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, address := range p.fellows {
+	p.pushEvacuating(p.paths.near, e)
+	e.Relay = true
+	p.pushEvacuating(p.paths.relays(), e)
+}
+
+func (p *Peers) pushEvacuating(to []netip.AddrPort, e Evacuating) {
+	for _, address := range to {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), greetTime)
 			defer cancel()
@@ -54,6 +62,12 @@
 // evacuating takes a fellow's word on an engine that leaves, which may be the first
 // that this box hears of it.
 func (p *Peers) evacuating(_ context.Context, _ *wire.Conn, e Evacuating) {
+	if e.Relay {
+		e.Relay = false
+		p.mu.Lock()
+		p.pushEvacuating(p.paths.near, e)
+		p.mu.Unlock()
+	}
 	now := time.Now()
 	p.belief.Leaves(now, fromPeer, e.Endpoint)
 	p.onEvacuating(now, e)
--- a/fleet/partners.go
+++ b/fleet/partners.go
@@ -30,14 +30,15 @@
 	p.rotate(now)
 	n := p.turn
 	p.turn++
-	toStrangers := n / strangerTurn
-	if len(p.strangers) > 0 && (n%strangerTurn == 0 || len(p.fellows) == 0) {
-		return p.strangers[toStrangers%len(p.strangers)], true
+	near, far := p.paths.near, append(slices.Clone(p.strangers), p.paths.far()...)
+	toFar := n / strangerTurn
+	if len(far) > 0 && (n%strangerTurn == 0 || len(near) == 0) {
+		return far[toFar%len(far)], true
 	}
-	if len(p.fellows) == 0 {
+	if len(near) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return p.fellows[(n-toStrangers)%len(p.fellows)], true
+	return near[(n-toFar)%len(near)], true
 }
 
 // rotate keeps the partners up to date: the other boxes of the group, and a few
@@ -47,9 +48,11 @@
 	alive := p.roster.Alive(now)
 	p.group = core.GroupOf(p.roster.Self(), alive, p.belief.View().Engines())
 	var fellows, choices []netip.AddrPort
+	var members []core.Peer
 	for _, m := range alive {
 		if slices.Contains(p.group.Members, m.Box) {
 			fellows = append(fellows, m.Address)
+			members = append(members, m)
 			continue
 		}
 		choices = append(choices, m.Address)
@@ -60,6 +63,7 @@
 		}
 	}
 	p.fellows = fellows
+	p.paths = pathsTo(p.roster.Self(), members)
 	p.strangers = slices.DeleteFunc(p.strangers, func(a netip.AddrPort) bool { return slices.Contains(fellows, a) })
 	full := len(p.strangers) >= strangerCount
 	if full && now.Sub(p.rotated) < rotateEvery {
@@ -86,9 +90,9 @@
 	go p.pool.Drop(address)
 }
 
-// partners are all boxes to which this one keeps connections.
+// partners are the boxes to which this one hands news on.
 func (p *Peers) partners() []netip.AddrPort {
-	return append(slices.Clone(p.fellows), p.strangers...)
+	return append(p.paths.handOn(), p.strangers...)
 }
 
 // Group gives the part of the fleet that this box belongs to.
--- /dev/null
+++ b/fleet/paths.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dillsaddle.example/dillsaddle/core"
+)
+
+// directMost is the size of a group up to which each box speaks to every other one itself.
+// In a group of 62 boxes of three zones, news that each handed to all took 0.13 GB between
+// zones in 34 s, three times as much as all else; with paths 0.02 GB.
+const directMost = 24
+
+// groupPaths say how messages reach the boxes of a group with few bytes between zones.
+type groupPaths struct {
+	near  []netip.AddrPort   // whom this box speaks to itself, in an order that all compute alike
+	place int                // of this box among those, and itself
+	zones [][]netip.AddrPort // the boxes of each other zone, of which one hands on to the others
+	turn  int
+}
+
+// pathsTo gives the paths from a box to the others of its group.
+func pathsTo(self core.Peer, members []core.Peer) groupPaths {
+	all := slices.Clone(members)
+	slices.SortFunc(all, func(a, b core.Peer) int { return compareHashes(a.Box, b.Box) })
+	var g groupPaths
+	zones := make(map[string][]netip.AddrPort)
+	for _, m := range all {
+		if m.Zone == self.Zone || len(all) < directMost {
+			g.near = append(g.near, m.Address)
+			if compareHashes(m.Box, self.Box) < 0 {
+				g.place++
+			}
+			continue
+		}
+		zones[m.Zone] = append(zones[m.Zone], m.Address)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		g.zones = append(g.zones, zones[zone])
+	}
+	return g
+}
+
+func compareHashes(a, b string) int {
+	x, y := xxhash.Sum64String(a), xxhash.Sum64String(b)
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return 0
+}
+
+// far gives the boxes that this one doesn't speak to itself.
+func (g *groupPaths) far() []netip.AddrPort { return slices.Concat(g.zones...) }
+
+// relays gives one box of each other zone, which hands a message on there; another one
+// with each message, so that one that is gone costs few.
+func (g *groupPaths) relays() []netip.AddrPort {
+	g.turn++
+	var out []netip.AddrPort
+	for _, zone := range g.zones {
+		out = append(out, zone[g.turn%len(zone)])
+	}
+	return out
+}
+
+// handOn gives the boxes to which this one hands news on: in a large group those at
+// distances of 1, 2, 4 and so on in the common order, by which news reach all in few steps,
+// and one of each other zone.
+func (g *groupPaths) handOn() []netip.AddrPort {
+	if len(g.zones) == 0 {
+		return slices.Clone(g.near)
+	}
+	var out []netip.AddrPort
+	for step := 1; step <= len(g.near); step *= 2 {
+		// Without this box itself the order is one shorter.
+		out = append(out, g.near[(g.place+step-1)%len(g.near)])
+	}
+	for _, zone := range g.zones {
+		out = append(out, zone[g.place%len(zone)])
+	}
+	return out
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -44,6 +44,7 @@
 	server       *wire.Server
 	group        core.Group
 	fellows      []netip.AddrPort // the other boxes of the group
+	paths        groupPaths       // by which messages reach them
 	strangers    []netip.AddrPort
 	turn         int
 	rotated      time.Time
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -31,7 +31,8 @@
 
 // Placements is what a box placed in the last moments.
 type Placements struct {
-	All []Placement `cbor:"1,keyasint"`
+	All   []Placement `cbor:"1,keyasint"`
+	Relay bool        `cbor:"2,keyasint,omitempty"` // hand it on to the boxes of the own zone
 }
 
 // Kind names the message.
@@ -57,7 +58,13 @@
 	defer p.mu.Unlock()
 	news := Placements{All: p.untold}
 	p.untold = nil
-	for _, address := range p.fellows {
+	p.pushPlacements(p.paths.near, news)
+	news.Relay = true
+	p.pushPlacements(p.paths.relays(), news)
+}
+
+func (p *Peers) pushPlacements(to []netip.AddrPort, news Placements) {
+	for _, address := range to {
 		if p.telling[address] {
 			continue
 		}
@@ -80,6 +87,11 @@
 
 // heard takes a partner's placements.
 func (p *Peers) heard(_ context.Context, _ *wire.Conn, news Placements) {
+	if news.Relay {
+		p.mu.Lock()
+		p.pushPlacements(p.paths.near, Placements{All: news.All})
+		p.mu.Unlock()
+	}
 	now := time.Now()
 	for _, placed := range news.All {
 		p.onPlaced(now, placed)
