--- a/gateway/crowded.go
+++ b/gateway/crowded.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,16 +12,9 @@
 )
 
 const (
-	// waitPart is the part of its time that a prompt may wait at the box for an engine with
-	// room.
-	waitPart = 0.25
-	// leastFit and mostFit bound how many times its target a prompt's first event may be
-	// expected to take.
-	leastFit = 0.7
-	mostFit  = 1.2
-	// shortestRun is what the reading of a prompt counts for, in tokens that are made
-	// meanwhile.
-	shortestRun = 40
+	// waitPart is the part of a stream's target that it may wait at the box for an engine
+	// with room; what is left is for its prompt to be read.
+	waitPart = 0.6
 	// lookAgain is how often a waiting prompt looks for room: as often as the boxes tell
 	// each other what began and ended.
 	lookAgain = 15 * time.Millisecond
@@ -30,33 +22,23 @@
 	leastRoomIn = 500 * time.Millisecond
 )
 
-// choose chooses an endpoint, or says why there is none to send to. A caller that has
-// waited before is late whatever is done: its prompt is kept here until an engine has
-// room, where it takes none from those that can still be in time.
+// choose chooses an endpoint. A prompt for which no engine has room waits here, where it
+// can go to the first one that gets some; at a full engine it would wait for that one's
+// runs alone. An event says that there is no endpoint to send to.
 func (p *passage) choose(now time.Time) (routing.Endpoint, core.Event) {
-	if !p.crowds() {
+	if !p.mayWait(now) {
 		return p.choosing(p.pick(now))
 	}
-	if p.returned() {
-		return p.await(now)
+	e, ok := p.turn(now)
+	if ok {
+		return e, nil
 	}
-	e, ok := p.pick(now)
-	if ok && p.tooLate(now, e) {
-		p.gateway.cold.drop(e)
+	if p.tooLate(now) {
 		return e, core.CallCrowded{}
 	}
-	return p.choosing(e, ok)
-}
-
-// await keeps the prompt until an engine has room and its turn has come; in the end it
-// goes to the best there is.
-func (p *passage) await(now time.Time) (routing.Endpoint, core.Event) {
-	if e, ok := p.turn(now); ok {
-		return e, nil
-	}
 	p.tellWaits(false)
 	defer p.tellWaits(true)
-	for time.Since(p.start) < time.Duration(waitPart*float64(p.timeout())) {
+	for time.Since(p.start) < p.waitMost() {
 		t := time.NewTimer(lookAgain)
 		select {
 		case <-t.C:
@@ -64,7 +46,7 @@
 			t.Stop()
 		}
 		if ev := p.over(); ev != nil {
-			return routing.Endpoint{}, ev
+			return e, ev
 		}
 		if e, ok := p.turn(time.Now()); ok {
 			return e, nil
@@ -80,10 +62,14 @@
 	return e, nil
 }
 
-// crowds tells whether the prompt can be refused or kept because engines are crowded.
-func (p *passage) crowds() bool {
+// mayWait tells whether the box keeps the prompt if no engine has room.
+func (p *passage) mayWait(now time.Time) bool {
 	return p.service.Engine != nil && !p.begun && p.in.PromptTokens > 0 && p.call.Sends() == 0 &&
-		p.route.Target > 0 && !p.gateway.spread.Blind(time.Now(), p.want(nil))
+		p.route.Target > 0 && !p.gateway.spread.Blind(now, p.want(nil))
+}
+
+func (p *passage) waitMost() time.Duration {
+	return time.Duration(waitPart * float64(p.route.Target))
 }
 
 // waiter describes the prompt among those that wait.
@@ -118,21 +104,14 @@
 	})
 }
 
-// tooLate tells whether the first event can't come in time from the engine that was chosen,
-// the best there is. What takes much memory for long goes behind what takes little of it:
-// of the callers that crowded engines can't serve in time, the fewest are refused.
-func (p *passage) tooLate(now time.Time, e routing.Endpoint) bool {
-	p.wait = p.gateway.spread.Estimate(now, e, p.want(nil)).First
-	return now.Sub(p.start)+p.wait > time.Duration(p.fit()*float64(p.route.Target))
-}
-
-// fit gives how many times its route's target a prompt's first event may be expected to
-// take, by the memory that it takes and for how long, against others of its route.
-func (p *passage) fit() float64 {
-	output := float64(p.output() + shortestRun)
-	cost := (float64(p.in.PromptTokens) + output/2) * output
-	usual := p.gateway.costs.learn(p.route.Name, cost)
-	return min(max(math.Sqrt(usual/cost), leastFit), mostFit)
+// tooLate tells whether the prompt's turn can't come in time, of a caller that wasn't
+// refused before.
+func (p *passage) tooLate(now time.Time) bool {
+	if p.returned() {
+		return false
+	}
+	p.wait = p.gateway.spread.TurnIn(now, p.want(nil), p.waiter())
+	return p.wait > p.route.Target
 }
 
 // returned tells whether the caller has waited before: it has less patience than most.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,10 +45,9 @@
 	log          *zap.Logger
 	counts       *counts
 	mu           sync.Mutex
-	usual        usualTimes     // to the begin of an answer, by route
-	paces        usualTimes     // between events, by service
-	patience     usualTimes     // of callers, by route
-	costs        usual[float64] // tokens of memory x tokens made meanwhile, by route
+	usual        usualTimes // to the begin of an answer, by route
+	paces        usualTimes // between events, by service
+	patience     usualTimes // of callers, by route
 	budgets      map[string]*core.SharedBudget
 	streams      map[string]map[*passage]bool // by the endpoint that runs them
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
@@ -132,7 +131,6 @@
 		usual:        newUsualTimes(),
 		paces:        newUsualTimes(),
 		patience:     newUsualTimes(),
-		costs:        newUsual[float64](),
 		budgets:      make(map[string]*core.SharedBudget),
 		streams:      make(map[string]map[*passage]bool),
 
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -22,36 +22,29 @@
 	usualWeight = 0.1
 )
 
-// usual are learned means, each by a name.
-type usual[T time.Duration | float64] struct {
+// usualTimes are learned times, each by a name.
+type usualTimes struct {
 	mu  sync.Mutex
-	all map[string]T
+	all map[string]time.Duration
 }
 
-// usualTimes are learned times.
-type usualTimes = usual[time.Duration]
-
-func newUsual[T time.Duration | float64]() usual[T] {
-	return usual[T]{all: make(map[string]T)}
+func newUsualTimes() usualTimes {
+	return usualTimes{all: make(map[string]time.Duration)}
 }
 
-func newUsualTimes() usualTimes { return newUsual[time.Duration]() }
-
-// learn takes one more value, and gives the mean with it.
-func (u *usual[T]) learn(name string, value T) T {
+func (u *usualTimes) learn(name string, took time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	mean, known := u.all[name]
+	usual, known := u.all[name]
 	if !known {
-		mean = value
+		u.all[name] = took
+		return
 	}
-	mean += T(usualWeight * float64(value-mean))
-	u.all[name] = mean
-	return mean
+	u.all[name] = usual + time.Duration(usualWeight*float64(took-usual))
 }
 
-// of gives the mean of a name, or 0 before any value was learned.
-func (u *usual[T]) of(name string) T {
+// of gives the usual time of a name, or 0 before any was learned.
+func (u *usualTimes) of(name string) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.all[name]
