--- a/admission/spread.go
+++ b/admission/spread.go
@@ -85,18 +85,17 @@
 // Spread places requests over the endpoints of services by what this box sent
 // to each, what each last told, and how its last requests ended.
 type Spread struct {
-	mu      sync.Mutex
-	zone    string
-	draw    func() float64
-	share   map[string]bool // the group's engines; nil for all
-	known   map[string]*endpointLoad
-	prompt  float64           // mean tokens of a prompt, learned
-	rate    float64           // tokens of prompts that an engine reads in a second, learned
-	output  float64           // mean tokens generated, learned
-	heard   time.Time         // when another box last told of a placement
-	flow    flow              // prompts that the group places, in tokens
-	over    flow              // what the group's ended runs held, in tokens
-	waiters map[string]Waiter // prompts of the group that wait for room, by their ids
+	mu     sync.Mutex
+	zone   string
+	draw   func() float64
+	share  map[string]bool // the group's engines; nil for all
+	known  map[string]*endpointLoad
+	prompt float64   // mean tokens of a prompt, learned
+	rate   float64   // tokens of prompts that an engine reads in a second, learned
+	output float64   // mean tokens generated, learned
+	heard  time.Time // when another box last told of a placement
+	flow   flow      // prompts that the group places, in tokens
+	over   flow      // what the group's ended runs held, in tokens
 }
 
 // reportLag is how old an engine's word is when it is given.
@@ -106,11 +105,10 @@
 // numbers from 0 to 1 that break ties.
 func NewSpread(zone string, draw func() float64) *Spread {
 	return &Spread{
-		zone:    zone,
-		draw:    draw,
-		rate:    firstRate,
-		known:   make(map[string]*endpointLoad),
-		waiters: make(map[string]Waiter),
+		zone:  zone,
+		draw:  draw,
+		rate:  firstRate,
+		known: make(map[string]*endpointLoad),
 	}
 }
 
@@ -172,7 +170,7 @@
 	// The group's own engines come first, then the strangers.
 	var chosen []routing.Endpoint
 	most := choiceCount
-	if s.blind(now, w) {
+	if w.Shared && now.Sub(s.heard) > blindTime {
 		most = blindChoices
 	}
 	for _, i := range append(s.some(own, most), s.some(strange, strangerChoices)...) {
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -16,8 +16,7 @@
 	tellMost = 64
 )
 
-// Placement is a prompt that a box has just sent to an engine or keeps until one has
-// room, a copy of a run that
+// Placement is a prompt that a box has just sent to an engine, a copy of a run that
 // is sent there as the run grows, the end of either, or word that an endpoint owes an
 // answer or broke a stream off.
 type Placement struct {
@@ -28,8 +27,6 @@
 	Broke    bool   `cbor:"5,keyasint,omitempty"` // a stream of the endpoint broke off unannounced
 	Over     bool   `cbor:"6,keyasint,omitempty"` // the run has ended
 	Held     int    `cbor:"7,keyasint,omitempty"` // tokens that a run held at its end
-	Waits    string `cbor:"8,keyasint,omitempty"` // the id of a prompt that waits for room at any engine, or waits no more
-	Rank     int    `cbor:"9,keyasint,omitempty"` // of that prompt
 }
 
 // Placements is what a box placed in the last moments.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,14 +196,6 @@
 		g.brokeOff(now)
 	case p.Overdue:
 		g.spread.Failed(now, p.Endpoint, false)
-	case p.Waits != "" && p.Over:
-		g.spread.WaitOver(p.Waits)
-	case p.Waits != "":
-		g.spread.Wait(admission.Waiter{
-			ID:    p.Waits,
-			Rank:  p.Rank,
-			Since: now,
-		})
 	case p.Over:
 		g.spread.Over(now, p.Endpoint, p.Tokens, p.Held)
 	case p.Copy:
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -44,11 +44,14 @@
 	}
 	p.view = p.gateway.view()
 	now := time.Now()
-	e, ev := p.choose(now)
-	if ev != nil {
-		return ev
+	e, ok := p.pick(now)
+	if !ok {
+		return core.CallUnplaced{}
+	}
+	if p.tooLate(now, e) {
+		p.gateway.cold.drop(e)
+		return core.CallCrowded{}
 	}
-	now = time.Now()
 	p.mu.Lock()
 	p.endpoint = e
 	p.mu.Unlock()
