gateway: nothing is refused because it can't begin in time

Hypothesis: a stream whose first event is expected after its target, at the best engine compared, is refused at once with the time that it would have waited; who comes back is always taken. Callers that are refused come back within their patience, late then for sure, and bring the same load. Engines are full in memory there (6.2 runs each of 6.5): what waits at a box under-uses them, and a refusal moves load to where there is no room either.

--- a/core/call.go
+++ b/core/call.go
@@ -99,8 +99,6 @@
 		return c.end(c.giveUp(ReasonNoEndpoint))
 	case CallQuarantined:
 		return c.end(c.giveUp(ReasonQuarantined))
-	case CallCrowded:
-		return c.end(c.giveUp(ReasonCrowded))
 	case CallUnsent:
 		return c.unsent()
 	case CallRefused:
--- a/core/call_event.go
+++ b/core/call_event.go
@@ -12,7 +12,6 @@
 	ReasonExpired     Reason = "time is over"
 	ReasonBudget      Reason = "retry budget spent"
 	ReasonQuarantined Reason = "endpoints end under the request"
-	ReasonCrowded     Reason = "no endpoint has room in time"
 )
 
 // CallPlaced says that an endpoint was chosen and the send begins.
@@ -25,9 +24,6 @@
 // under it.
 type CallQuarantined struct{ EventBase }
 
-// CallCrowded says that every endpoint has too much to do to begin the answer in time.
-type CallCrowded struct{ EventBase }
-
 // CallUnsent says that no byte of the request left the box.
 type CallUnsent struct{ EventBase }
 
--- a/core/group_test.go
+++ b/core/group_test.go
@@ -66,11 +66,18 @@
 		Expect(core.GroupSize(78, 38)).To(Equal(48))
 		Expect(core.GroupSize(300, 20)).To(Equal(48))
 		Expect(core.GroupSize(300, 0)).To(Equal(12))
-		g := groupOf(fleet(26, 3), 30, 45)
-		Expect(g.Members).To(HaveLen(25))
+		g := groupOf(fleet(36, 3), 40, 45)
+		Expect(g.Members).To(HaveLen(35))
 		Expect(g.Share(endpoints(15, 3))).To(HaveLen(15))
 	})
 
+	It("is one where all boxes together have few engines", func() {
+		g := groupOf(fleet(26, 3), 30, 45)
+		Expect(g.Members).To(HaveLen(77))
+		Expect(g.Share(endpoints(15, 3))).To(HaveLen(45))
+		Expect(groupOf(fleet(26, 3), 30, 73).Members).To(HaveLen(25))
+	})
+
 	It("agree with each other", func() {
 		all := fleet(26, 3)
 		g := groupOf(all, 7, 45)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,6 @@
 	mu           sync.Mutex
 	usual        usualTimes // to the begin of an answer, by route
 	paces        usualTimes // between events, by service
-	patience     usualTimes // of callers, by route
 	budgets      map[string]*core.SharedBudget
 	streams      map[string]map[*passage]bool // by the endpoint that runs them
 	evacuations  map[string]*evacuation       // by the endpoint that leaves
@@ -130,7 +129,6 @@
 		counts:       newCounts(),
 		usual:        newUsualTimes(),
 		paces:        newUsualTimes(),
-		patience:     newUsualTimes(),
 		budgets:      make(map[string]*core.SharedBudget),
 		streams:      make(map[string]map[*passage]bool),
 
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -44,7 +44,6 @@
 	made     atomic.Int64 // events passed on, for the plans of moves
 
 	queued    float64       // tokens of prompts to be read before the first event
-	wait      time.Duration // for the first event, as expected at the endpoint that was chosen
 	told      int           // the size by which the boxes know the current run; 0 for calls
 	first     time.Duration // until the first event
 	longest   time.Duration // between two events
@@ -71,9 +70,6 @@
 		return
 	}
 	p.limit = p.start.Add(p.timeout())
-	if p.in.Patience > p.gateway.patience.of(p.route.Name) {
-		p.gateway.patience.learn(p.route.Name, p.in.Patience)
-	}
 	if p.outlastsStop() {
 		p.refuse(http.StatusServiceUnavailable, "this box stops before the stream would end; another one can serve it")
 		return
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -48,10 +48,6 @@
 	if !ok {
 		return core.CallUnplaced{}
 	}
-	if p.tooLate(now, e) {
-		p.gateway.cold.drop(e)
-		return core.CallCrowded{}
-	}
 	p.mu.Lock()
 	p.endpoint = e
 	p.mu.Unlock()
@@ -168,11 +164,8 @@
 		zap.Int("rank", p.rank()),
 	)
 	retryAfter := defaultRetryAfter
-	switch c.Reason {
-	case core.ReasonQuarantined:
+	if c.Reason == core.ReasonQuarantined {
 		retryAfter = p.releasedIn()
-	case core.ReasonCrowded:
-		retryAfter = p.roomIn()
 	}
 	p.problem(status, string(c.Reason), retryAfter)
 	p.count("given up")
