losses: what boxes believed of engines when they placed prompts, and what was true

For each placement of a prompt: what the box believed of the engine's memory and how old its word was, and by all boxes' lines how many runs were there and at the engine with the fewest.

Changelog-added: `dillsaddle losses` tells how prompts fared by what boxes believed of engines.

--- a/losses/line.go
+++ b/losses/line.go
@@ -33,7 +33,9 @@
 	PauseAfter   string
 	LastEvent    string
 	Took         time.Duration
-	Failed       bool // the line carries an error
+	Failed       bool          // the line carries an error
+	Full         *float64      // how full an engine's memory was believed to get; nil elsewhere
+	ReportAge    time.Duration // of the engine's word that this came from
 }
 
 type lineBody struct {
@@ -56,6 +58,8 @@
 	LastEvent    string    `json:"last_event"`
 	Took         duration  `json:"took"`
 	Error        string    `json:"error"`
+	Full         *float64  `json:"full"`
+	ReportAge    duration  `json:"report_age"`
 }
 
 // duration reads what the log writes as text, such as 1.5s.
@@ -112,6 +116,8 @@
 		LastEvent:    b.LastEvent,
 		Took:         time.Duration(b.Took),
 		Failed:       b.Error != "",
+		Full:         b.Full,
+		ReportAge:    time.Duration(b.ReportAge),
 	}, nil
 }
 
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"time"
 
@@ -74,6 +75,41 @@
 		Expect(report(placed, stutters).Routes[0].Stutters).To(Equal(1))
 	})
 
+	It("tells by what boxes believed how prompts fared, and what was true", func() {
+		prompt := func(second int, request, engine, full, age string) string {
+			return fmt.Sprintf(`{"at":"2026-07-19T05:50:%02dZ","event":"placed","request":%q,"route":"long","endpoint":%q,"full":%s,"report_age":%q}`, second, request, engine, full, age)
+		}
+		r := report(
+			prompt(1, "A", "e-1", "0.15", "100ms"),
+			prompt(2, "B", "e-1", "0.2", "600ms"),
+			prompt(2, "C", "e-2", "0.1", "100ms"),
+			`{"at":"2026-07-19T05:50:03Z","event":"streamed","request":"C","route":"long","status":200}`,
+			// Two runs are at e-1, none at e-2 any more.
+			prompt(4, "R", "e-1", "0.35", "700ms"),
+			stutters,
+			`{"at":"2026-07-19T05:50:04Z","event":"placed","request":"call","route":"plain","endpoint":"i-1"}`,
+		)
+		var full, age []losses.Placing
+		for _, p := range r.Placings {
+			if p.By == "full" {
+				full = append(full, p)
+			} else {
+				age = append(age, p)
+			}
+		}
+		Expect(full).To(HaveLen(2))
+		Expect(full[0].Count).To(Equal(2))
+		Expect(full[1].From).To(BeNumerically("~", 0.2, 0.001))
+		Expect(full[1].Count).To(Equal(2))
+		Expect(full[1].Runs).To(BeNumerically("~", 1.5, 0.001))
+		Expect(full[1].Fewest).To(BeNumerically("~", 0.5, 0.001))
+		Expect(age).To(HaveLen(2))
+		Expect(age[1].From).To(BeNumerically("~", 0.5, 0.001))
+		var out bytes.Buffer
+		Expect(r.WriteText(&out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("prompts placed by"))
+	})
+
 	It("skips what a collector puts before a line, and says which lines it couldn't read", func() {
 		r := report("  12.5 box-1 "+placed, "no line of a box", `{"broken":`, "box-1 "+whole)
 		Expect(r.Lines).To(Equal(4))
--- a/losses/report.go
+++ b/losses/report.go
@@ -48,13 +48,14 @@
 
 // Report is what a log tells of lost requests.
 type Report struct {
-	Lines     int     `json:"lines"`
-	Skipped   Skipped `json:"skipped"`
-	Totals    []Total `json:"totals"`
-	Rows      []Row   `json:"losses"`
-	Routes    []Felt  `json:"felt_by_route"`
-	Customers []Felt  `json:"felt_by_customer"`
-	Ranks     []Felt  `json:"felt_by_rank"`
+	Lines     int       `json:"lines"`
+	Skipped   Skipped   `json:"skipped"`
+	Totals    []Total   `json:"totals"`
+	Rows      []Row     `json:"losses"`
+	Routes    []Felt    `json:"felt_by_route"`
+	Customers []Felt    `json:"felt_by_customer"`
+	Ranks     []Felt    `json:"felt_by_rank"`
+	Placings  []Placing `json:"placings"`
 }
 
 // Reader gathers log lines, of any boxes in any order.
@@ -63,6 +64,7 @@
 	skipped  Skipped
 	requests map[string]*request
 	left     map[string]time.Time // endpoints, with when a box first heard that they leave
+	steps    []step
 }
 
 // NewReader builds a reader that has seen nothing.
@@ -103,6 +105,9 @@
 		r.requests[l.Request] = q
 	}
 	q.take(l)
+	if s, ok := steps(l); ok {
+		r.steps = append(r.steps, s)
+	}
 }
 
 // Report counts what was read.
@@ -125,6 +130,7 @@
 		Routes:    feltBy(c.routes),
 		Customers: feltBy(c.customers),
 		Ranks:     feltBy(c.ranks),
+		Placings:  r.placings(),
 	}
 }
 
--- a/losses/text.go
+++ b/losses/text.go
@@ -37,6 +37,10 @@
 				short(f.FirstMedian), short(f.FirstTail), short(f.PauseMedian), short(f.PauseTail), f.Stutters)
 		}
 	}
+	fmt.Fprintf(t, "\nprompts placed by\tfrom\tprompts\tlate or lost\truns there\tfewest anywhere\n")
+	for _, p := range r.Placings {
+		fmt.Fprintf(t, "%s\t%.2f\t%d\t%.2f\t%.1f\t%.1f\n", p.By, p.From, p.Count, p.Late, p.Runs, p.Fewest)
+	}
 	fmt.Fprintf(t, "\n%d lines read", r.Lines)
 	if r.Skipped.Count > 0 {
 		fmt.Fprintf(t, ", %d of them skipped; the first is line %d: %s", r.Skipped.Count, r.Skipped.First, r.Skipped.Why)
