--- a/admission/spread.go
+++ b/admission/spread.go
@@ -72,7 +72,7 @@
 	// boxes of a fleet of 66 had restarted, every box took the emptiest of five by
 	// the same old reports, and some engines got eight prompts in half a second
 	// (0.0045 +- 0.0018 of the worth, 4 days in pairs).
-	choiceCount  = 5
+	choiceCount  = 20
 	blindChoices = 2
 	blindTime    = time.Second
 	// strangerChoices is how many engines of other groups are among them, for
