admission: what an endpoint's cold start adds stays as it was

Hypothesis: engines that have just joined look fuller to each box until that box has used them, and are used too little. Change tried: the cost only while they are cold.

--- a/admission/spread.go
+++ b/admission/spread.go
@@ -213,7 +213,7 @@
 	if e.Zone != w.zone(s) {
 		score += w.zoneCost()
 	}
-	if e.ColdAt(now) {
+	if e.Cold > 0 && l.used.IsZero() {
 		score += coldCost
 	}
 	score += failureCost * l.record(now)
