--- a/core/group.go
+++ b/core/group.go
@@ -81,7 +81,7 @@
 	for _, p := range all {
 		names = append(names, p.Box)
 	}
-	byHash(names)
+	slices.SortFunc(names, CompareByHash)
 	g.index = slices.Index(names, self.Box) * g.count / len(names)
 	for i, name := range names {
 		if i*g.count/len(names) == g.index && name != self.Box {
@@ -99,7 +99,7 @@
 			ids = append(ids, e.ID)
 		}
 	}
-	byHash(ids)
+	slices.SortFunc(ids, CompareByHash)
 	share := make(map[string]bool, len(ids))
 	for i, id := range ids {
 		if i*g.count/len(ids) == g.index {
@@ -109,9 +109,7 @@
 	return share
 }
 
-// byHash orders names the same way everywhere, and unlike their spelling.
-func byHash(names []string) {
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+// CompareByHash orders names the same way everywhere, and unlike their spelling.
+func CompareByHash(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 }
--- a/fleet/paths.go
+++ b/fleet/paths.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dillsaddle.example/dillsaddle/core"
 )
 
@@ -26,13 +24,13 @@
 // pathsTo gives the paths from a box to the others of its group.
 func pathsTo(self core.Peer, members []core.Peer) groupPaths {
 	all := slices.Clone(members)
-	slices.SortFunc(all, func(a, b core.Peer) int { return compareHashes(a.Box, b.Box) })
+	slices.SortFunc(all, func(a, b core.Peer) int { return core.CompareByHash(a.Box, b.Box) })
 	var g groupPaths
 	zones := make(map[string][]netip.AddrPort)
 	for _, m := range all {
 		if m.Zone == self.Zone || len(all) < directMost {
 			g.near = append(g.near, m.Address)
-			if compareHashes(m.Box, self.Box) < 0 {
+			if core.CompareByHash(m.Box, self.Box) < 0 {
 				g.place++
 			}
 			continue
@@ -45,17 +43,6 @@
 	return g
 }
 
-func compareHashes(a, b string) int {
-	x, y := xxhash.Sum64String(a), xxhash.Sum64String(b)
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	}
-	return 0
-}
-
 // far gives the boxes that this one doesn't speak to itself.
 func (g *groupPaths) far() []netip.AddrPort { return slices.Concat(g.zones...) }
 
