--- a/core/division.go
+++ b/core/division.go
@@ -38,12 +38,13 @@
 // keeps its units: it may be cut off from the others and not from what is divided.
 type Division struct {
 	rules DivisionRules
-	self  string
+	self  uint64 // the hash of this box's name
 	start time.Time
 	known map[string]*divisionEntry
 }
 
 type divisionEntry struct {
+	hash      uint64 // of the box's name
 	heard     time.Time
 	leftAt    time.Time // zero for a box that didn't say that it leaves
 	suspectAt time.Time // zero for one that isn't suspect
@@ -53,7 +54,7 @@
 func NewDivision(now time.Time, self string, rules DivisionRules) *Division {
 	return &Division{
 		rules: rules,
-		self:  self,
+		self:  xxhash.Sum64String(self),
 		start: now,
 		known: make(map[string]*divisionEntry),
 	}
@@ -64,7 +65,7 @@
 	for _, p := range others {
 		e := d.known[p.Box]
 		if e == nil {
-			e = &divisionEntry{}
+			e = &divisionEntry{hash: xxhash.Sum64String(p.Box)}
 			d.known[p.Box] = e
 		}
 		e.heard = now.Add(-p.Silence)
@@ -95,17 +96,17 @@
 	if now.Sub(d.start) < d.rules.Join {
 		return 0
 	}
-	own := xxhash.Sum64String(d.self + "/" + thing)
+	key := xxhash.Sum64String(thing)
 	others := make([]claimant, 0, len(d.known))
-	for box, e := range d.known {
+	for _, e := range d.known {
 		others = append(others, claimant{
-			base:   xxhash.Sum64String(box + "/" + thing),
+			base:   finalize(key ^ e.hash),
 			unsure: d.unsure(e),
 		})
 	}
 	share := 0
 	for unit := range units {
-		if d.mine(own, others, uint64(unit)) {
+		if d.mine(finalize(key^d.self), others, uint64(unit)) {
 			share++
 		}
 	}
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -11,7 +11,12 @@
 
 // shareMemory is how long this box's share of what a cold endpoint bears is kept before
 // it is worked out anew: boxes hear of each other within seconds.
-const shareMemory = 500 * time.Millisecond
+const shareMemory = 2 * time.Second
+
+// coldTries bounds the cold endpoints that one request asks for a place. When a zone comes
+// back a thousand may be cold at once: to work out this box's share of each of them, for
+// every request, took a small box's whole processor in a fleet of 301 boxes.
+const coldTries = 4
 
 // coldSends keeps this box's sends to cold endpoints within its share of what these bear
 // from all boxes together. With 62 boxes that each took a cold endpoint for an idle one,
@@ -58,15 +63,16 @@
 	return known
 }
 
-// free tells whether an endpoint may get one more request from this box now.
-func (c *coldSends) free(now time.Time, s *routing.Service, e routing.Endpoint) bool {
+// spent tells whether an endpoint is known to have no place left for this box now. It
+// works no share out.
+func (c *coldSends) spent(now time.Time, e routing.Endpoint) bool {
 	if !e.ColdAt(now) {
-		return true
+		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.bound(now, s, e)
-	return known == nil || known.ration.Free(now, known.share)
+	known := c.all[e.ID]
+	return known != nil && now.Sub(known.sharedAt) <= shareMemory && !known.ration.Free(now, known.share)
 }
 
 // hold keeps a place for a request that is planned; false says that there is none.
@@ -99,19 +105,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, known := range c.all {
-		if known.ration.Idle(now) {
+		if known.ration.Idle(now) && now.Sub(known.sharedAt) > shareMemory {
 			delete(c.all, id)
 		}
 	}
 }
 
 // candidates gives the endpoints that may get the request now: those of its homes that
-// aren't cold, or of whose sends this box has some left.
+// aren't cold, or of whose sends this box may have some left.
 func (p *passage) candidates(now time.Time) []routing.Endpoint {
+	return p.allowed(func(e routing.Endpoint) bool { return !p.gateway.cold.spent(now, e) })
+}
+
+// warm gives the endpoints of the request's homes that aren't cold.
+func (p *passage) warm(now time.Time) []routing.Endpoint {
+	return p.allowed(func(e routing.Endpoint) bool { return !e.ColdAt(now) })
+}
+
+func (p *passage) allowed(fits func(routing.Endpoint) bool) []routing.Endpoint {
 	all := p.gateway.view().Serving(p.service.Name)
-	kept := func(e routing.Endpoint) bool {
-		return p.homes.Allow(e.Zone) && p.gateway.cold.free(now, p.service, e)
-	}
+	kept := func(e routing.Endpoint) bool { return p.homes.Allow(e.Zone) && fits(e) }
 	if !slices.ContainsFunc(all, func(e routing.Endpoint) bool { return !kept(e) }) {
 		return all
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -64,15 +64,16 @@
 	return core.CallPlaced{}
 }
 
-// pick chooses an endpoint and keeps a place there if it is cold.
+// pick chooses an endpoint and keeps a place there if it is cold; after some cold ones
+// without a place it takes none of them.
 func (p *passage) pick(now time.Time) (routing.Endpoint, bool) {
-	for {
+	for range coldTries {
 		e, ok := p.gateway.spread.Pick(now, p.candidates(now), p.want(p.tried))
 		if !ok || p.gateway.cold.hold(now, p.service, e) {
 			return e, ok
 		}
-		// Another request took the last place meanwhile.
 	}
+	return p.gateway.spread.Pick(now, p.warm(now), p.want(p.tried))
 }
 
 // believed gives what decided the choice of an engine.
