gateway, platform: tell the limits that endpoints name

Cause: neither logs nor metrics say whether an endpoint named a limit, to which box, and from when to when. Change: the header is decoded in each answer of an endpoint, those to moves and questions for its load too; a line when a box hears the first and the last of it, and a counter. Conclusion: the hypotheses can be told apart where it is named.

Changelog-added: Logs and a counter tell of limits that endpoints name.

--- a/box/box.go
+++ b/box/box.go
@@ -86,7 +86,7 @@
 	)
 	b.clock = clock.New(b.suspended, clock.WithOnFault(func(err error) { log.Warn("suspensions aren't noticed", zap.Error(err)) }))
 	b.belief = fleet.NewBelief(fleet.WithOnChange(b.changed))
-	engines := platform.NewEngines()
+	engines := platform.NewEngines(platform.WithOnNotice(b.noticed))
 	reports := fleet.NewReports(engines, b.belief, log.Named("reports"), b.reported)
 	b.quarantine = fleet.NewQuarantine(log.Named("quarantine"))
 	peers, err := fleet.NewPeers(core.Peer{
@@ -198,6 +198,13 @@
 	}
 }
 
+// noticed hands what an engine says of itself to the gateway.
+func (b *Box) noticed(e routing.Endpoint, n gateway.Notice) {
+	if b.gateway != nil {
+		b.gateway.Noticed(time.Now(), e.ID, n)
+	}
+}
+
 // reported hands an engine's report to the gateway.
 func (b *Box) reported(at time.Time, r routing.Report) {
 	if b.gateway != nil {
--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -13,6 +13,7 @@
 	overBudget  *metrics.Counter
 	continued   *metrics.Counter
 	strays      *metrics.Counter
+	limited     *metrics.Counter // answers in which an endpoint named its limit
 	ends        *metrics.Counter // of endpoints, under a request; one that ended under several counts each time
 }
 
@@ -22,6 +23,7 @@
 		overBudget:  metrics.GetOrCreateCounter("dillsaddle_retry_budget_refusals_total"),
 		continued:   metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
 		strays:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
+		limited:     metrics.GetOrCreateCounter("dillsaddle_endpoint_limits_named_total"),
 		ends:        metrics.GetOrCreateCounter("dillsaddle_endpoints_ended_under_requests_total"),
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -202,6 +202,7 @@
 			continue
 		}
 		says := p.gateway.protocol.Answer(head.StatusCode, head.Header)
+		p.gateway.Noticed(time.Now(), p.endpoint.ID, says.Notice)
 		mine := says.ID == p.in.ID || (says.ID == "" && a.link.fresh && strays == 0)
 		if mine {
 			a.head = head
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	boxes        func() int
 	spread       *admission.Spread
 	cold         *coldSends
+	limits       *limits
 	pool         *Pool
 	log          *zap.Logger
 	counts       *counts
@@ -138,6 +139,7 @@
 		look:        func() {},
 	}
 	g.pool = NewPool(g.counts.connections.Inc)
+	g.limits = newLimits()
 	for _, o := range options {
 		o(g)
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -43,6 +43,14 @@
 	NotRun bool   // the endpoint didn't run the request
 	Load   *Load
 	Signed bool
+	Notice
+}
+
+// Notice is what an endpoint says of itself in any answer, to a request, a move or a
+// question for its load.
+type Notice struct {
+	Limited bool    // it takes so many requests only
+	Limit   float64 // requests a second, from all boxes together
 }
 
 // Load is what an endpoint tells of itself with an answer.
