box, emulator: a failing test for endpoints that name limits

Four boxes; endpoints name a limit of 2 to 3 requests a second in all their answers.

The emulator's servers say a word of themselves in all answers and keep what reached them.

--- a/box/cold_test.go
+++ b/box/cold_test.go
@@ -1,10 +1,8 @@
 package box_test
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -52,28 +50,6 @@
 		d.List(s, emulator.Plain, "ready")
 		return s
 	}
-	// load lets callers of all boxes send for a time, and counts answers by status.
-	load := func(lasts time.Duration) map[int]int {
-		var mu sync.Mutex
-		var wait sync.WaitGroup
-		got := make(map[int]int)
-		until := time.Now().Add(lasts)
-		for i, b := range boxes {
-			for j := range 10 {
-				wait.Go(func() {
-					for n := 0; time.Now().Before(until); n++ {
-						o := b.call(fmt.Sprintf("c%d-%d-%d", i, j, n))
-						mu.Lock()
-						got[o.Status]++
-						mu.Unlock()
-						time.Sleep(20 * time.Millisecond)
-					}
-				})
-			}
-		}
-		wait.Wait()
-		return got
-	}
 	// inAnySecond gives the most runs that a server began within a second.
 	inAnySecond := func(s *emulator.Server) int {
 		runs := s.Runs()
@@ -94,7 +70,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		warm.WorkTime = 300 * time.Millisecond
 		start()
-		got := load(3 * time.Second)
+		got := load(boxes, 3*time.Second)
 		Expect(got).To(HaveLen(1))
 		Expect(got).To(HaveKey(http.StatusOK))
 		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
@@ -105,7 +81,7 @@
 	It("serves what it bears where all are cold, and the rest is refused at once as not run", func() {
 		s := coldServer("i-cold")
 		start()
-		got := load(3 * time.Second)
+		got := load(boxes, 3*time.Second)
 		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
 		Expect(got[http.StatusOK]).To(BeNumerically(">=", 12))
 		Expect(got[http.StatusServiceUnavailable]).To(BeNumerically(">", got[http.StatusOK]))
@@ -120,10 +96,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		d.Drain("zone-b")
 		start()
-		load(500 * time.Millisecond)
+		load(boxes, 500*time.Millisecond)
 		Expect(far.Runs()).To(BeEmpty())
 		d.TakeBack("zone-b")
-		load(2 * time.Second)
+		load(boxes, 2*time.Second)
 		Expect(far.Runs()).NotTo(BeEmpty())
 		Expect(inAnySecond(far)).To(BeNumerically("<=", most))
 	})
--- /dev/null
+++ b/box/limit_test.go
@@ -0,0 +1,144 @@
+package box_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// Endpoints under strain named in their answers how many requests a second they take from
+// all boxes together, and got up to ten times that: callers saw failures and late answers
+// where the endpoints had asked for less. Eight boxes sent on as before.
+var _ = Describe("an endpoint that names a limit", func() {
+	const (
+		count  = 4
+		joined = 6 * time.Second // by then boxes have their parts of what is divided
+		told   = 500 * time.Millisecond
+		span   = 4 * time.Second
+	)
+	var d *emulator.Deployment
+	var boxes []*started
+	BeforeEach(func() {
+		var err error
+		d, err = emulator.NewDeployment()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+	})
+	add := func(id, service string) *emulator.Server {
+		s, err := d.Add(id, service)
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+	start := func() {
+		boxes = startBoxes(d, count)
+		for _, b := range boxes {
+			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+			DeferCleanup(b.Stop)
+		}
+		time.Sleep(joined)
+	}
+	limit := func(perSecond float64, all ...*emulator.Server) {
+		for _, s := range all {
+			s.Say(emulator.Word{Limit: strconv.FormatFloat(perSecond, 'f', -1, 64)})
+		}
+	}
+	// most is what an endpoint may get within a span, by the platform's bound.
+	most := func(perSecond float64) int { return int(perSecond*1.5*span.Seconds()) + 5 }
+
+	It("gets no more than that within any four seconds, and the others serve the rest", func() {
+		const perSecond = 3.0
+		strained, other := add("i-strained", emulator.Plain), add("i-other", emulator.Plain)
+		start()
+		limit(perSecond, strained)
+		load(boxes, told)
+		from := time.Now()
+		got := load(boxes, 9*time.Second)
+		Expect(got).To(HaveLen(1))
+		Expect(got).To(HaveKey(http.StatusOK))
+		arrivals := strained.Arrivals(from)
+		Expect(emulator.MostWithin(arrivals, span)).To(BeNumerically("<=", most(perSecond)))
+		Expect(len(arrivals)).To(BeNumerically(">=", 9*perSecond/2), "what it takes is sent to it")
+		Expect(len(other.Arrivals(from))).To(BeNumerically(">", len(arrivals)))
+	})
+
+	It("serves that where all name one, and the rest is refused at once as not run", func() {
+		const perSecond = 2.5
+		strained := add("i-strained", emulator.Plain)
+		start()
+		limit(perSecond, strained)
+		load(boxes, told)
+		from := time.Now()
+		got := load(boxes, 9*time.Second)
+		arrivals := strained.Arrivals(from)
+		Expect(emulator.MostWithin(arrivals, span)).To(BeNumerically("<=", most(perSecond)))
+		Expect(got[http.StatusOK]).To(BeNumerically(">=", 9*perSecond/2))
+		Expect(got[http.StatusServiceUnavailable]).To(BeNumerically(">", got[http.StatusOK]))
+		Expect(got).To(HaveLen(2))
+		Expect(arrivals).To(HaveLen(got[http.StatusOK]))
+	})
+
+	It("gets what others got before once it names none any more", func() {
+		strained := add("i-strained", emulator.Plain)
+		start()
+		limit(1, strained)
+		load(boxes, 2*time.Second)
+		strained.Say(emulator.Word{})
+		Eventually(func() map[int]int { return load(boxes, time.Second) }).WithTimeout(patience).Should(And(
+			HaveLen(1),
+			HaveKey(http.StatusOK),
+		))
+	})
+
+	It("gets no more by second sends, by streams and by questions for its load", func() {
+		const perSecond = 2.0
+		var engines []*emulator.Server
+		for i := range 2 {
+			engines = append(engines, add(fmt.Sprintf("e-%d", i), emulator.Model))
+		}
+		plain := add("i-fails", emulator.Plain)
+		plain.SetFault(emulator.Fails, -1)
+		other := add("i-fails-too", emulator.Plain)
+		other.SetFault(emulator.Fails, -1)
+		start()
+		limit(perSecond, append(engines, plain, other)...)
+		send := func(lasts time.Duration) {
+			var wait sync.WaitGroup
+			until := time.Now().Add(lasts)
+			for i, b := range boxes {
+				for _, path := range []string{emulator.RepeatPath, emulator.StreamPath, emulator.ResumePath} {
+					wait.Go(func() {
+						for n := 0; time.Now().Before(until); n++ {
+							b.caller.Do(context.Background(), emulator.Call{
+								ID:       fmt.Sprintf("s%d-%s-%d-%d", i, path[1:4], n, until.UnixNano()),
+								Method:   http.MethodPost,
+								Path:     path,
+								Deadline: time.Second,
+								Tokens: emulator.Tokens{
+									Prompt: 100,
+									Most:   20,
+								},
+							})
+							time.Sleep(50 * time.Millisecond)
+						}
+					})
+				}
+			}
+			wait.Wait()
+		}
+		send(told)
+		from := time.Now()
+		send(9 * time.Second)
+		for _, s := range append(engines, plain, other) {
+			Expect(emulator.MostWithin(s.Arrivals(from), span)).To(BeNumerically("<=", most(perSecond)), s.ID)
+			Expect(s.Arrivals(from)).NotTo(BeEmpty(), s.ID)
+		}
+	})
+})
