gateway, platform: tell what endpoints say of leaving and of rest

Cause: no log line says which answers told a box that an endpoint leaves, or asked it for rest, and for how long.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -14,6 +14,8 @@
 	continued   *metrics.Counter
 	strays      *metrics.Counter
 	limited     *metrics.Counter // answers in which an endpoint named its limit
+	leaving     *metrics.Counter // answers in which an endpoint said that it leaves
+	rests       *metrics.Counter // answers in which an endpoint asked this box for rest
 	ends        *metrics.Counter // of endpoints, under a request; one that ended under several counts each time
 }
 
@@ -24,6 +26,8 @@
 		continued:   metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
 		strays:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
 		limited:     metrics.GetOrCreateCounter("dillsaddle_endpoint_limits_named_total"),
+		leaving:     metrics.GetOrCreateCounter("dillsaddle_endpoint_leaving_answers_total"),
+		rests:       metrics.GetOrCreateCounter("dillsaddle_endpoint_rests_asked_total"),
 		ends:        metrics.GetOrCreateCounter("dillsaddle_endpoints_ended_under_requests_total"),
 	}
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -152,13 +152,5 @@
 	}
 }
 
-// Noticed takes what an endpoint says of itself in an answer to this box.
-func (g *Gateway) Noticed(now time.Time, e routing.Endpoint, n Notice) {
-	if n.Limited {
-		g.counts.limited.Inc()
-	}
-	g.gate.limits.limits.Answered(now, e.ID, n.Limited, n.Limit)
-}
-
 // MayAsk tells whether an endpoint may be asked for its load now, and counts that.
 func (g *Gateway) MayAsk(now time.Time, e routing.Endpoint) bool { return g.gate.check(now, e) }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -49,8 +49,10 @@
 // Notice is what an endpoint says of itself in any answer, to a request, a move or a
 // question for its load.
 type Notice struct {
-	Limited bool    // it takes so many requests only
-	Limit   float64 // requests a second, from all boxes together
+	Limited bool          // it takes so many requests only
+	Limit   float64       // requests a second, from all boxes together
+	Leaving bool          // it is on its way out
+	Rest    time.Duration // it wants nothing from this box for so long; 0 when it didn't say
 }
 
 // Load is what an endpoint tells of itself with an answer.
