soak, box: servers that name limits, ask for rest and say that they leave

The soak's servers have words of their own, from a series that leaves the seeds of other faults as they were; the promises are checked for boxes to which nothing happened. /status and the status command show endpoints that asked for less.

Changelog-added: Status shows the endpoints that asked for fewer requests or for rest.

--- a/box/limit_test.go
+++ b/box/limit_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dillsaddle.example/dillsaddle/commands"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
@@ -85,6 +87,9 @@
 		Expect(got[http.StatusOK]).To(BeNumerically(">=", 9*perSecond/2))
 		Expect(got[http.StatusServiceUnavailable]).To(BeNumerically(">", got[http.StatusOK]))
 		Expect(got).To(HaveLen(2))
+		var shown bytes.Buffer
+		Expect(commands.Run([]string{"status", boxes[0].operators}, &shown)).To(BeZero())
+		Expect(shown.String()).To(MatchRegexp(`ENDPOINT THAT ASKED FOR LESS.*\ni-strained +2\.5 +-`))
 		Expect(arrivals).To(HaveLen(got[http.StatusOK]))
 	})
 
--- a/box/operators.go
+++ b/box/operators.go
@@ -29,10 +29,22 @@
 	Sharers       int    `json:"sharers"` // boxes that share the retry budget
 	Boxes         []Peer `json:"boxes"`
 	Held          []Held `json:"held,omitempty"` // requests that no endpoint may get
+
+	Restrained []Restrained `json:"restrained,omitempty"` // endpoints that asked for fewer requests
 }
 
-// heldMost bounds the requests of a status.
-const heldMost = 32
+// heldMost bounds the requests of a status, restrainedMost its endpoints.
+const (
+	heldMost       = 32
+	restrainedMost = 64
+)
+
+// Restrained is an endpoint that asked for fewer requests, or for none for a while.
+type Restrained struct {
+	Endpoint  string   `json:"endpoint"`
+	PerSecond *float64 `json:"per_second,omitempty"` // from all boxes together; none where it named no limit
+	Rest      string   `json:"rest,omitempty"`       // how much longer it wants nothing from this box
+}
 
 // Held is a request under which endpoints ended.
 type Held struct {
@@ -102,12 +114,31 @@
 			For:     h.Left.Round(time.Second).String(),
 		})
 	}
+	s.Restrained = b.restrained()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		b.log.Warn("status was not taken", zap.Error(err))
 	}
 }
 
+func (b *Box) restrained() []Restrained {
+	var all []Restrained
+	for _, r := range b.gateway.Restraints(time.Now()) {
+		if len(all) == restrainedMost {
+			break
+		}
+		shown := Restrained{Endpoint: r.Endpoint}
+		if r.Limited {
+			shown.PerSecond = &r.PerSecond
+		}
+		if r.Rest > 0 {
+			shown.Rest = r.Rest.Round(time.Millisecond).String()
+		}
+		all = append(all, shown)
+	}
+	return all
+}
+
 // largeStoreAnswer is the size in bytes from which an answer of the store has a log
 // line; changes of endpoints take less.
 const largeStoreAnswer = 64 << 10
--- a/commands/status.go
+++ b/commands/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -9,6 +10,7 @@
 	"io"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -116,6 +118,12 @@
 	for _, h := range s.Held {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", h.Content, h.For, orNone(h.Ended))
 	}
+	if len(s.Restrained) > 0 {
+		fmt.Fprintln(w, "\nENDPOINT THAT ASKED FOR LESS\tREQUESTS/S OF ALL BOXES\tRESTS FOR")
+	}
+	for _, r := range s.Restrained {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", r.Endpoint, perSecond(r.PerSecond), cmp.Or(r.Rest, "-"))
+	}
 	fmt.Fprintln(w, "\nBOX\tZONE\tSILENCE\tLEAVING")
 	for _, b := range s.Boxes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", b.Box, b.Zone, b.Silence, b.Leaving)
@@ -123,6 +131,13 @@
 	return w.Flush()
 }
 
+func perSecond(limit *float64) string {
+	if limit == nil {
+		return "any"
+	}
+	return strconv.FormatFloat(*limit, 'f', 1, 64)
+}
+
 func orNone(names []string) string {
 	if len(names) == 0 {
 		return "none"
--- a/gateway/rests.go
+++ b/gateway/rests.go
@@ -36,6 +36,19 @@
 	return max(r.until[endpoint].Sub(now), 0)
 }
 
+// all gives how much longer each endpoint that rests wants nothing from this box.
+func (r *rests) all(now time.Time) map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[string]time.Duration)
+	for endpoint, until := range r.until {
+		if until.After(now) {
+			all[endpoint] = until.Sub(now)
+		}
+	}
+	return all
+}
+
 // suspended takes that the machine was suspended for a time that its clock didn't count.
 func (r *rests) suspended(d time.Duration) {
 	r.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -82,6 +82,8 @@
 	c := startCallers(f, seed)
 	d := startRepeater(f, seed, planned)
 	i := newInjector(f, seed, planned)
+	w := newWords(f, seed)
+	w.begin()
 	time.Sleep(faultPause)
 	for range faultCount {
 		i.revive()
@@ -101,13 +103,15 @@
 		Planned: planned,
 		Folder:  folder,
 	}
+	w.end()
 	i.revive()
 	i.replaceEnded()
 	r.recovers(f)
 	r.Broken = append(r.Broken, i.ends...)
 	all := c.stop()
-	r.Faults = i.done
+	r.Faults = append(i.done, w.String())
 	r.judge(f, i, all)
+	r.judgeWords(f, w, all)
 	r.judgeDeadly(f, d.stop())
 	return r, nil
 }
