gateway: stop no run for its move without a send to go on with

Cause: whether a send is left was asked after the run had been stopped. A box that knows no other has none, since it can't tell how many share the budget. Ruled out: limits and rests (the engine named none), the move itself (it took a millisecond). Change: the send is looked for, and borrowed from other boxes if need be, before the move; without one the run stays where it is and its move takes another turn. Conclusion: the engine that leaves serves on for seconds, in which a starting box meets others.

Changelog-fixed: Boxes that have just started no longer cut streams that they move off leaving engines.

--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -61,24 +61,31 @@
 // boxes for a part of their budgets if this one's is spent. A stream is worth the
 // wait, a short call is not.
 func (p *passage) mayContinue(service string) bool {
+	p.borrowSend(service)
+	return p.gateway.mayRepeat(service)
+}
+
+// borrowSend asks other boxes for a part of their budgets if this one's is spent, and
+// tells whether a send is left.
+func (p *passage) borrowSend(service string) bool {
 	g := p.gateway
-	begun := time.Now()
-	has := 0
-	boxes := g.boxes()
-	g.budget(service, begun, func(b *core.SharedBudget) { has = b.Has(begun, boxes) })
-	if has > 0 || g.borrow == nil {
-		return g.mayRepeat(service)
+	if g.hasSend(service) {
+		return true
+	}
+	if g.borrow == nil {
+		return false
 	}
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(p.request.Context(), borrowTime)
 	defer cancel()
 	g.borrow(ctx, service)
-	allowed := g.mayRepeat(service)
-	p.decided("asked other boxes for a send",
-		zap.Int("boxes", boxes),
+	has := g.hasSend(service)
+	p.note("asked other boxes for a send",
+		zap.Int("boxes", g.boxes()),
 		zap.Duration("asked_for", time.Since(begun)),
-		zap.Bool("allowed", allowed),
+		zap.Bool("allowed", has),
 	)
-	return allowed
+	return has
 }
 
 // Lend gives a part of this box's budget to another one.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -42,6 +42,10 @@
 		return false
 	}
 	defer p.endMove()
+	// A run that was stopped goes on by a send; without one its stream would be cut.
+	if !p.borrowSend(p.service.Name) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(p.request.Context(), moveTime)
 	defer cancel()
 	full := make(map[string]bool) // targets without room
