routing, fleet, core, platform: a type for the store's revisions

Revisions are ordered by number alone, in many places; the store may come back from an older copy, give numbers out again and count its era up. The type holds both in one number, so that no comparison can take half of it.

--- a/box/box.go
+++ b/box/box.go
@@ -155,7 +155,8 @@
 // changed logs a change of belief and tells the gateway.
 func (b *Box) changed(c fleet.Change) {
 	fields := []zap.Field{
-		zap.Uint64("revision", c.Revision),
+		zap.Uint64("era", c.Revision.Era()),
+		zap.Uint64("revision", c.Revision.Number()),
 		zap.String("from", c.From),
 	}
 	switch c.Kind {
--- a/box/operators.go
+++ b/box/operators.go
@@ -21,6 +21,7 @@
 	Ready         bool   `json:"ready"`
 	Configuration uint64 `json:"configuration"`
 	ListChanged   uint64 `json:"list_changed"` // the store's revision
+	StoreEra      uint64 `json:"store_era"`    // how often the store came back from an older copy
 	ListAge       string `json:"list_age"`
 	Active        int    `json:"active"`
 	LeftOut       int64  `json:"log_lines_left_out"`
@@ -88,7 +89,8 @@
 		Box:         b.settings.Box,
 		Zone:        b.settings.Zone,
 		Ready:       b.ready(),
-		ListChanged: v.Changed,
+		ListChanged: v.Changed.Number(),
+		StoreEra:    v.Changed.Era(),
 		ListAge:     time.Since(v.Confirmed).Round(time.Millisecond).String(),
 		Active:      b.gateway.Active(),
 		LeftOut:     b.sink.LeftOut(),
--- a/core/pull.go
+++ b/core/pull.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // Offer says how new the views are that a box has: the version of its configuration
 // and the last change of its list. Zero says nothing of either.
 type Offer struct {
 	Configuration uint64
-	Changed       uint64
+	Changed       routing.Revision
 }
 
 // Newer tells whether an offer has anything that is newer than another.
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -49,7 +49,7 @@
 	Routes   int      // in it
 	Count    int      // of endpoints in the first list
 	Joined   []string // for EndpointJoined: the ids of all that joined with this view, by the same source
-	Revision uint64
+	Revision routing.Revision
 	From     string // the store or a peer
 
 	// For a configuration: when this process first heard of this version or a
@@ -76,16 +76,16 @@
 	left     map[string]time.Time // leaving incarnations, with when that was learned
 	zones    map[string]routing.ZoneDrain
 	table    *routing.Table
-	changed  uint64
+	changed  routing.Revision
 	listed   bool
 	confirm  time.Time
 	backAt   time.Time // when the store came back after an outage
 	away     bool
 	heardOf  []heard // versions that are newer than the one in force, oldest first
 
-	removed   []Removal // the last ones, for partial lists
-	since     uint64    // the list's last change when this box first had one
-	forgotten uint64    // removals up to this revision are not known any more
+	removed   []Removal        // the last ones, for partial lists
+	since     routing.Revision // the list's last change when this box first had one
+	forgotten routing.Revision // removals up to this revision are not known any more
 }
 
 // heard is when anyone first told of a version of the configuration.
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -49,7 +49,7 @@
 
 // takeList replaces the list. The revision of the last change is known only
 // from the entries that are there; a removal may be as new as the list itself.
-func (b *Belief) takeList(now time.Time, from string, revision uint64, all []routing.Endpoint) {
+func (b *Belief) takeList(now time.Time, from string, revision routing.Revision, all []routing.Endpoint) {
 	seen := make(map[string]bool, len(all))
 	for _, e := range all {
 		seen[e.Name()] = true
@@ -130,7 +130,7 @@
 
 // Confirm takes a peer's word that it knew of no later change than a revision,
 // some time ago.
-func (b *Belief) Confirm(now time.Time, changed uint64, age time.Duration) {
+func (b *Belief) Confirm(now time.Time, changed routing.Revision, age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.confirmBy(now, changed, age)
@@ -141,7 +141,7 @@
 
 // confirmBy moves the time at which the list was last known to be whole, if this
 // box believes no less than who says so.
-func (b *Belief) confirmBy(now time.Time, changed uint64, age time.Duration) {
+func (b *Belief) confirmBy(now time.Time, changed routing.Revision, age time.Duration) {
 	at := now.Add(-age)
 	if age >= 0 && b.listed && b.changed >= changed && at.After(b.confirm) {
 		b.confirm = at
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -12,7 +12,7 @@
 
 // Since gives what changed after a revision, or tells that the whole list is
 // needed.
-func (b *Belief) Since(changed uint64) (updated []routing.Endpoint, removed []Removal, ok bool) {
+func (b *Belief) Since(changed routing.Revision) (updated []routing.Endpoint, removed []Removal, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if changed == 0 || changed < b.forgotten || changed < b.since {
@@ -135,7 +135,7 @@
 
 // remove takes an entry that went. One that went with the store away has its
 // time to come back; any other is leaving for good.
-func (b *Belief) remove(now time.Time, from string, e *entry, revision uint64) {
+func (b *Belief) remove(now time.Time, from string, e *entry, revision routing.Revision) {
 	if e.missing {
 		return
 	}
@@ -149,7 +149,7 @@
 	b.drop(from, e, revision)
 }
 
-func (b *Belief) drop(from string, e *entry, revision uint64) {
+func (b *Belief) drop(from string, e *entry, revision routing.Revision) {
 	name := e.Name()
 	delete(b.entries, name)
 	b.touched[e.ID] = name
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -12,7 +12,7 @@
 
 var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 
-func endpoint(id string, revision uint64, leaving bool) routing.Endpoint {
+func endpoint(id string, revision routing.Revision, leaving bool) routing.Endpoint {
 	return routing.Endpoint{
 		ID:       id,
 		Service:  "s",
@@ -25,7 +25,7 @@
 	return &routing.Document{Version: version}
 }
 
-func snapshot(revision uint64, all ...routing.Endpoint) *fleet.Snapshot {
+func snapshot(revision routing.Revision, all ...routing.Endpoint) *fleet.Snapshot {
 	return &fleet.Snapshot{
 		Revision:  revision,
 		Document:  document(1),
--- a/fleet/belief_zones.go
+++ b/fleet/belief_zones.go
@@ -27,7 +27,7 @@
 
 // takeDrained takes all zones that the store told to be drained at a revision: any
 // other that was drained before is taken back.
-func (b *Belief) takeDrained(now time.Time, revision uint64, drained []routing.ZoneDrain) {
+func (b *Belief) takeDrained(now time.Time, revision routing.Revision, drained []routing.ZoneDrain) {
 	b.takeZones(now, fromStore, drained)
 	for _, z := range drained {
 		b.changed = max(b.changed, z.Revision)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 const (
@@ -189,7 +191,7 @@
 	return f.part(latePart)
 }
 
-func (f *Follower) read(ctx context.Context) (uint64, bool) {
+func (f *Follower) read(ctx context.Context) (routing.Revision, bool) {
 	s, err := f.source.Read(ctx)
 	if err != nil {
 		f.failed(ctx, "read", err)
@@ -203,18 +205,18 @@
 
 // watch asks for changes until history is lost; a call that failed is made
 // again from the same revision.
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, bool) {
+func (f *Follower) watch(ctx context.Context, after routing.Revision) (routing.Revision, bool) {
 	c, err := f.source.Watch(ctx, after, f.part(watchPart))
 	if errors.Is(err, ErrHistoryLost) {
 		f.calls("history lost")
-		f.log.Info("the store dropped its history, reading everything", zap.Uint64("after", after))
+		f.log.Info("the store dropped its history, reading everything", zap.Uint64("after", after.Number()))
 		return 0, false
 	}
 	if errors.Is(err, ErrTooMuch) {
 		// The store holds each version that came since, and only the last is
 		// wanted; to ask for them again would bring still more.
 		f.calls("too much")
-		f.log.Info("the changes are larger than all there is, reading everything", zap.Uint64("after", after))
+		f.log.Info("the changes are larger than all there is, reading everything", zap.Uint64("after", after.Number()))
 		return 0, false
 	}
 	if err != nil {
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -18,7 +18,7 @@
 // source is a store in memory with faults; it waits in virtual time.
 type source struct {
 	mu       sync.Mutex
-	revision uint64
+	revision routing.Revision
 	all      map[string]routing.Endpoint
 	version  uint64
 	fault    error
@@ -74,7 +74,7 @@
 	return out, nil
 }
 
-func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (*fleet.Changes, error) {
+func (s *source) Watch(ctx context.Context, after routing.Revision, wait time.Duration) (*fleet.Changes, error) {
 	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
 		if c, err := s.since(after); c != nil || err != nil {
 			return c, err
@@ -86,7 +86,7 @@
 	}
 }
 
-func (s *source) since(after uint64) (*fleet.Changes, error) {
+func (s *source) since(after routing.Revision) (*fleet.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watches++
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -13,7 +13,7 @@
 	From          core.Peer        `cbor:"1,keyasint"`
 	Members       []core.Peer      `cbor:"2,keyasint,omitempty"`
 	Configuration uint64           `cbor:"3,keyasint"` // version in force; 0 for none
-	Changed       uint64           `cbor:"4,keyasint"` // the list's last change; 0 for no list
+	Changed       routing.Revision `cbor:"4,keyasint"` // the list's last change; 0 for no list
 	Reports       []routing.Report `cbor:"5,keyasint,omitempty"`
 	Age           time.Duration    `cbor:"6,keyasint"` // since the list was confirmed
 	Ends          []core.EndRecord `cbor:"7,keyasint,omitempty"`
@@ -26,8 +26,8 @@
 // Want asks a peer for its views where they are newer; the first part of them answers
 // it.
 type Want struct {
-	Configuration uint64 `cbor:"1,keyasint"`
-	Changed       uint64 `cbor:"2,keyasint"`
+	Configuration uint64           `cbor:"1,keyasint"`
+	Changed       routing.Revision `cbor:"2,keyasint"`
 }
 
 // Kind names the message.
@@ -38,7 +38,7 @@
 type Views struct {
 	Document  *routing.Document   `cbor:"1,keyasint,omitempty"`
 	Endpoints []routing.Endpoint  `cbor:"2,keyasint,omitempty"`
-	Changed   uint64              `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
+	Changed   routing.Revision    `cbor:"3,keyasint,omitempty"` // 0 when the list is not newer
 	Age       time.Duration       `cbor:"-"`                    // since the list was confirmed; it goes with the first part
 	Partial   bool                `cbor:"5,keyasint,omitempty"` // only what changed
 	Removed   []Removal           `cbor:"6,keyasint,omitempty"` // with a partial list
@@ -54,8 +54,8 @@
 
 // News is a change that a box learned from the store, as boxes hand it on.
 type News struct {
-	After   uint64              `cbor:"1,keyasint"` // the list's last change before it
-	Changed uint64              `cbor:"2,keyasint"`
+	After   routing.Revision    `cbor:"1,keyasint"` // the list's last change before it
+	Changed routing.Revision    `cbor:"2,keyasint"`
 	Version uint64              `cbor:"3,keyasint,omitempty"` // of a newer configuration; it is asked for once
 	Updated []routing.Endpoint  `cbor:"4,keyasint,omitempty"`
 	Removed []Removal           `cbor:"5,keyasint,omitempty"`
@@ -68,8 +68,8 @@
 func (News) Kind() string { return "news" }
 
 // newest gives the revision of the last change of the list.
-func (n News) newest() uint64 {
-	var at uint64
+func (n News) newest() routing.Revision {
+	var at routing.Revision
 	for _, e := range n.Updated {
 		at = max(at, e.Revision)
 	}
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -78,7 +79,7 @@
 
 // newsKey tells one piece of news from another.
 type newsKey struct {
-	changed uint64
+	changed routing.Revision
 	version uint64
 }
 
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -189,7 +189,7 @@
 		}
 		var many []routing.Endpoint
 		for i := range 40 {
-			many = append(many, endpoint(fmt.Sprintf("y%02d", i), uint64(20+i), false))
+			many = append(many, endpoint(fmt.Sprintf("y%02d", i), routing.Revision(20+i), false))
 		}
 		news, _ := beliefs[0].ApplyChanges(time.Now(), &fleet.Changes{
 			Revision: 60,
--- a/fleet/restart_test.go
+++ b/fleet/restart_test.go
@@ -16,7 +16,7 @@
 )
 
 // started gives an endpoint of a server that tells when it started.
-func started(name string, start int64, revision uint64, leaving bool) routing.Endpoint {
+func started(name string, start int64, revision routing.Revision, leaving bool) routing.Endpoint {
 	e := endpoint(routing.Incarnation(name, start), revision, leaving)
 	e.Started = start
 	return e
@@ -128,7 +128,7 @@
 		b.ApplySnapshot(noon, snapshot(10, started("a", 1000, 1, false), started("b", 1000, 2, false)))
 		kinds = nil
 	})
-	spoil := func(name string, revision uint64) {
+	spoil := func(name string, revision routing.Revision) {
 		b.ApplyChanges(noon, &fleet.Changes{
 			Revision: revision,
 			Updated:  []routing.Endpoint{routing.Unusable(name, revision)},
@@ -151,7 +151,7 @@
 	})
 
 	It("tells nothing when it was never a server's, however often it is written", func() {
-		for revision := uint64(11); revision < 100; revision++ {
+		for revision := routing.Revision(11); revision < 100; revision++ {
 			spoil("x", revision)
 		}
 		Expect(kinds).To(BeEmpty())
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -11,7 +11,7 @@
 // shareMemo keeps the last share: it is asked for some times a second, and
 // changes with the list, the configuration and the group only.
 type shareMemo struct {
-	changed uint64
+	changed routing.Revision
 	version uint64
 	group   core.Group
 	share   map[string]bool
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -16,12 +16,12 @@
 	Read(ctx context.Context) (*Snapshot, error)
 	// Watch gives what changed after a revision, as soon as there is something
 	// or the wait is over.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	Watch(ctx context.Context, after routing.Revision, wait time.Duration) (*Changes, error)
 }
 
 // Snapshot is all that the store published at a revision.
 type Snapshot struct {
-	Revision  uint64
+	Revision  routing.Revision
 	Document  *routing.Document // nil before the operator published one
 	Endpoints []routing.Endpoint
 	Drained   []routing.ZoneDrain // all zones that the operator wants to be drained
@@ -29,7 +29,7 @@
 
 // Changes is what the store published since a revision.
 type Changes struct {
-	Revision uint64
+	Revision routing.Revision
 	Document *routing.Document // the newest, or nil
 	Updated  []routing.Endpoint
 	Removed  []Removal
@@ -39,7 +39,7 @@
 // Removal is an endpoint's entry that went.
 type Removal struct {
 	Name     string `cbor:"ID"` // that the server was published under
-	Revision uint64
+	Revision routing.Revision
 }
 
 // ErrHistoryLost reports that the store no longer knows what changed since the
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -115,7 +115,7 @@
 // that came with it.
 func (f *smallFleet) learn(box int, d *routing.Document, changed ...routing.Endpoint) {
 	news, _ := f.beliefs[box].ApplyChanges(time.Now(), &fleet.Changes{
-		Revision: d.Version,
+		Revision: routing.Revision(d.Version),
 		Document: d,
 		Updated:  changed,
 	})
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -15,7 +15,7 @@
 type View struct {
 	Table     *routing.Table                // nil before a configuration is known
 	Listed    bool                          // whether the endpoints were ever read
-	Changed   uint64                        // the store's revision at the last change of the list
+	Changed   routing.Revision              // the store's revision at the last change of the list
 	Confirmed time.Time                     // when the store last said that this is all
 	Zones     []routing.ZoneDrain           // what is known of zones, by name
 	byService map[string][]routing.Endpoint // sorted by id
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -32,7 +32,7 @@
 			return out
 		}
 		service := endpoint("x", 1, false).Service
-		for step := range uint64(400) {
+		for step := range routing.Revision(400) {
 			before := b.View()
 			served := slices.Clone(before.Serving(service))
 			c := &fleet.Changes{Revision: step + 2}
@@ -86,14 +86,14 @@
 	belief := fleet.NewBelief()
 	var all []routing.Endpoint
 	for i := range 3000 {
-		all = append(all, endpoint(fmt.Sprintf("i-%05x", i*7919%65536), uint64(i+1), false))
+		all = append(all, endpoint(fmt.Sprintf("i-%05x", i*7919%65536), routing.Revision(i+1), false))
 	}
 	belief.ApplySnapshot(time.Now(), snapshot(4000, all...))
 	for i := range b.N {
 		belief.ApplyNews(time.Now(), "peer", fleet.News{
-			After:   uint64(4000 + i),
-			Changed: uint64(4001 + i),
-			Updated: []routing.Endpoint{endpoint("i-00000", uint64(4001+i), false)},
+			After:   routing.Revision(4000 + i),
+			Changed: routing.Revision(4001 + i),
+			Updated: []routing.Endpoint{endpoint("i-00000", routing.Revision(4001+i), false)},
 		})
 	}
 }
--- a/fleet/zones_test.go
+++ b/fleet/zones_test.go
@@ -12,7 +12,7 @@
 )
 
 // zoned gives a snapshot with an endpoint in each of two zones.
-func zoned(revision uint64, drained ...routing.ZoneDrain) *fleet.Snapshot {
+func zoned(revision routing.Revision, drained ...routing.ZoneDrain) *fleet.Snapshot {
 	s := &fleet.Snapshot{
 		Revision: revision,
 		Drained:  drained,
@@ -25,7 +25,7 @@
 	return s
 }
 
-func drain(zone string, revision uint64) routing.ZoneDrain {
+func drain(zone string, revision routing.Revision) routing.ZoneDrain {
 	return routing.ZoneDrain{
 		Zone:     zone,
 		Drained:  true,
@@ -33,7 +33,7 @@
 	}
 }
 
-func back(zone string, revision uint64) routing.ZoneDrain {
+func back(zone string, revision routing.Revision) routing.ZoneDrain {
 	return routing.ZoneDrain{
 		Zone:     zone,
 		Revision: revision,
@@ -98,7 +98,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var all []routing.ZoneDrain
 		newest := make(map[string]bool)
-		for revision := uint64(10); revision < 20; revision++ {
+		for revision := routing.Revision(10); revision < 20; revision++ {
 			zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
 			z := back(zone, revision)
 			z.Drained = rapid.Bool().Draw(t, "drained")
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -16,14 +16,14 @@
 	Slots     int            `cbor:"5,keyasint,omitempty"`
 	Leaving   bool           `cbor:"6,keyasint,omitempty"` // it announced its end and gets no new requests
 	Cold      time.Duration  `cbor:"7,keyasint,omitempty"` // it is slow for this much longer from when it was published
-	Revision  uint64         `cbor:"8,keyasint,omitempty"` // of the store, at the last change
+	Revision  Revision       `cbor:"8,keyasint,omitempty"` // of the store, at the last change
 	ColdUntil time.Time      `cbor:"-"`                    // by this box's clock; zero for one that isn't cold
 	Started   int64          `cbor:"9,keyasint,omitempty"` // by the server's own clock, Unix milliseconds; 0 where it doesn't tell
 }
 
 // List is what the store held about endpoints at one revision.
 type List struct {
-	Revision  uint64
+	Revision  Revision
 	Endpoints []Endpoint
 }
 
@@ -55,7 +55,7 @@
 func (e Endpoint) Usable() bool { return e.Service != "" }
 
 // Unusable gives what is known of an entry that names no server to use.
-func Unusable(name string, revision uint64) Endpoint {
+func Unusable(name string, revision Revision) Endpoint {
 	return Endpoint{
 		ID:       name,
 		Revision: revision,
