--- a/fleet/source.go
+++ b/fleet/source.go
@@ -50,6 +50,10 @@
 // now; the remedy is to read everything again.
 var ErrTooMuch = errors.New("the changes are larger than all there is; read everything again")
 
+// ErrStoreReplaced reports that the store has come back from an older copy, or that an
+// answer is of an older copy than one before; the remedy is to read everything again.
+var ErrStoreReplaced = errors.New("the store came back from an older copy; read everything again")
+
 // RefusedError reports that the store answered and turned the call away.
 type RefusedError struct {
 	Status int
