fleet, platform: order what the store says by its era and revision

Callers would lose requests at endpoints that had gone, and get none of the new ones: after the store came back from a copy some seconds old, boxes took nothing from it until its revisions had caught up, since they ordered lists by revision alone, and their lists grew old meanwhile. Change: the era that each answer of the store tells is part of every revision; a watch or a reading over two eras counts for nothing; a whole list of a newer era replaces the older one, at the reader and at boxes that hear of it; what the copy lacks stays for two seconds, for each box by its own clock; word of an older era, its confirmations too, changes nothing.

Changelog-fixed: Boxes follow a store that came back from an older copy of itself.

--- a/box/box.go
+++ b/box/box.go
@@ -166,6 +166,9 @@
 		fields = append(fields, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes), zap.Duration("waited", waited))
 	case fleet.ZoneDrained, fleet.ZoneTakenBack:
 		fields = append(fields, zap.String("drained_zone", c.Zone))
+	case fleet.StoreReplaced:
+		storeEras.Inc()
+		fields = append(fields, zap.Uint64("era_before", c.Before.Era()), zap.Uint64("revision_before", c.Before.Number()))
 	case fleet.ListKnown:
 		fields = append(fields, zap.Int("count", c.Count))
 	case fleet.EndpointJoined:
--- a/box/era_test.go
+++ b/box/era_test.go
@@ -170,9 +170,9 @@
 	It("go through it twice, also one that the store turns away and one that starts between", func() {
 		add("i-1")
 		start()
+		settle()
 		copied := d.Store.Copy()
 		fill(40)
-		settle()
 		away(copied)
 		fill(10)
 		copied = d.Store.Copy()
--- a/box/operators.go
+++ b/box/operators.go
@@ -149,6 +149,9 @@
 // it.
 var configurationWait = metrics.NewHistogram("dillsaddle_configuration_wait_seconds")
 
+// storeEras counts how often the store came back from an older copy.
+var storeEras = metrics.NewCounter("dillsaddle_store_replaced_total")
+
 // storeAnswered logs a large answer of the store.
 func (b *Box) storeAnswered(call string, bytes int, took time.Duration) {
 	if bytes >= largeStoreAnswer {
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -34,6 +34,7 @@
 	EndpointGone         ChangeKind = "endpoint gone"
 	EndpointMissing      ChangeKind = "endpoint missing after an outage"
 	EndpointRestarted    ChangeKind = "endpoint restarted under its name" // its former incarnation is gone
+	StoreReplaced        ChangeKind = "the store came back from an older copy"
 	EndpointUnusable     ChangeKind = "endpoint's entry names no server any more"
 	ListKnown            ChangeKind = "list known" // the first one
 	ZoneDrained          ChangeKind = "zone drained"
@@ -50,7 +51,8 @@
 	Count    int      // of endpoints in the first list
 	Joined   []string // for EndpointJoined: the ids of all that joined with this view, by the same source
 	Revision routing.Revision
-	From     string // the store or a peer
+	Before   routing.Revision // for StoreReplaced: the list's last change until then
+	From     string           // the store or a peer
 
 	// For a configuration: when this process first heard of this version or a
 	// newer one, from anyone; zero when it came unannounced.
@@ -75,6 +77,7 @@
 	touched  map[string]string    // incarnations that changed since the last view, with the servers' names
 	left     map[string]time.Time // leaving incarnations, with when that was learned
 	zones    map[string]routing.ZoneDrain
+	lacking  map[string]routing.ZoneDrain // drained zones that a copy of the store doesn't have as such
 	table    *routing.Table
 	changed  routing.Revision
 	listed   bool
@@ -118,6 +121,7 @@
 		touched:  make(map[string]string),
 		left:     make(map[string]time.Time),
 		zones:    make(map[string]routing.ZoneDrain),
+		lacking:  make(map[string]routing.ZoneDrain),
 	}
 	for _, o := range options {
 		o(b)
@@ -167,17 +171,25 @@
 	b.publish()
 }
 
+// returned tells whether what the store lacked after an outage, or after it came back from
+// an older copy, had its time to come back.
+func (b *Belief) returned(now time.Time) bool { return !b.away && now.Sub(b.backAt) >= returnGrace }
+
 // Tick drops entries whose time to come back is over.
 func (b *Belief) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
 	for _, e := range b.entries {
-		if e.missing && !b.away && now.Sub(b.backAt) >= returnGrace {
+		if e.missing && b.returned(now) {
 			b.drop("outage", e, b.changed)
 			changed = true
 		}
 	}
+	if b.returned(now) && len(b.lacking) > 0 {
+		b.giveUpZones(now)
+		changed = true
+	}
 	for id, at := range b.left {
 		if now.Sub(at) > leftMemory {
 			delete(b.left, id)
--- a/fleet/belief_apply.go
+++ b/fleet/belief_apply.go
@@ -17,6 +17,7 @@
 	// of while it answered is heard of again.
 	b.heardOf = nil
 	if !b.listed || s.Revision >= b.changed {
+		b.enterEra(now, fromStore, s.Revision)
 		b.takeDrained(now, s.Revision, s.Drained)
 		b.takeList(now, fromStore, s.Revision, s.Endpoints)
 		b.confirm = now
@@ -30,19 +31,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.takeDocument(from, v.Document)
+	fresh := v.Changed != 0 && (!b.listed || v.Changed > b.changed)
+	whole := fresh && !v.Partial
+	if whole {
+		b.enterEra(now, from, v.Changed)
+	}
 	b.takeZones(now, from, v.Zones)
 	switch {
-	case v.Changed == 0 || (b.listed && v.Changed <= b.changed):
-	case v.Partial && b.listed:
+	case !fresh:
+	case v.Partial && b.listed && v.Changed.Era() == b.changed.Era():
 		b.takeChanges(now, from, News{
 			Updated: v.Endpoints,
 			Removed: v.Removed,
 		})
 		b.changed = v.Changed
-	case !v.Partial:
+	case whole:
 		b.takeList(now, from, v.Changed, v.Endpoints)
 		b.changed = v.Changed
 	}
+	if whole {
+		b.awaitReturn(now, from, v.Changed)
+	}
 	b.confirmBy(now, v.Changed, v.Age)
 	b.publish()
 }
@@ -57,6 +66,10 @@
 		b.changed = max(b.changed, e.Revision)
 	}
 	for name, e := range b.entries {
+		if !seen[name] && e.Revision.Era() < revision.Era() && !b.returned(now) {
+			b.miss(from, e)
+			continue
+		}
 		if !seen[name] {
 			b.remove(now, from, e, revision)
 			b.changed = max(b.changed, revision)
@@ -108,7 +121,7 @@
 		return fresh
 	}
 	b.takeChanges(now, from, n)
-	if n.After <= b.changed {
+	if n.After <= b.changed && n.Changed.Era() == b.changed.Era() {
 		b.changed = max(b.changed, n.Changed)
 		b.confirmBy(now, n.Changed, n.Age)
 	}
@@ -140,10 +153,11 @@
 }
 
 // confirmBy moves the time at which the list was last known to be whole, if this
-// box believes no less than who says so.
+// box believes no less than who says so. Who has heard of no newer era of the store can't
+// tell.
 func (b *Belief) confirmBy(now time.Time, changed routing.Revision, age time.Duration) {
 	at := now.Add(-age)
-	if age >= 0 && b.listed && b.changed >= changed && at.After(b.confirm) {
+	if age >= 0 && b.listed && b.changed >= changed && b.changed.Era() == changed.Era() && at.After(b.confirm) {
 		b.confirm = at
 	}
 }
--- a/fleet/belief_list.go
+++ b/fleet/belief_list.go
@@ -58,8 +58,8 @@
 // new: what is left was told when it was written.
 func coldUntil(now time.Time, old *entry, e routing.Endpoint) time.Time {
 	known := old != nil && old.ID == e.ID
-	if known && old.Revision == e.Revision {
-		return old.ColdUntil
+	if known && old.Revision.Number() == e.Revision.Number() && old.Cold == e.Cold {
+		return old.ColdUntil // it may be read again in a later era of the store
 	}
 	var until time.Time
 	if e.Cold > 0 {
@@ -141,14 +141,22 @@
 	}
 	outage := from == fromStore && (b.away || (!b.backAt.IsZero() && now.Sub(b.backAt) < returnGrace))
 	if outage && !e.Leaving {
-		e.missing = true
-		b.tell(EndpointMissing, from, e.Endpoint)
+		b.miss(from, e)
 		return
 	}
 	b.left[e.ID] = now
 	b.drop(from, e, revision)
 }
 
+// miss notes that an entry isn't there, and may come back.
+func (b *Belief) miss(from string, e *entry) {
+	if e.missing {
+		return
+	}
+	e.missing = true
+	b.tell(EndpointMissing, from, e.Endpoint)
+}
+
 func (b *Belief) drop(from string, e *entry, revision routing.Revision) {
 	name := e.Name()
 	delete(b.entries, name)
--- a/fleet/belief_zones.go
+++ b/fleet/belief_zones.go
@@ -17,6 +17,7 @@
 		if known && z.Revision <= old.Revision {
 			continue
 		}
+		delete(b.lacking, z.Zone)
 		b.zones[z.Zone] = z
 		if z.Drained != old.Drained {
 			b.resort(now, z)
@@ -36,13 +37,18 @@
 		return slices.ContainsFunc(drained, func(z routing.ZoneDrain) bool { return z.Zone == zone })
 	}
 	for _, z := range b.zoneStates() {
-		if z.Drained && z.Revision < revision && !listed(z.Zone) {
-			b.takeZones(now, fromStore, []routing.ZoneDrain{{
-				Zone:     z.Zone,
-				Revision: revision,
-			}})
-			b.changed = max(b.changed, revision)
+		if !z.Drained || z.Revision >= revision || listed(z.Zone) {
+			continue
+		}
+		if z.Revision.Era() < revision.Era() && !b.returned(now) {
+			b.lack(z.Zone, revision)
+			continue
 		}
+		b.takeZones(now, fromStore, []routing.ZoneDrain{{
+			Zone:     z.Zone,
+			Revision: revision,
+		}})
+		b.changed = max(b.changed, revision)
 	}
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -212,6 +212,11 @@
 		f.log.Info("the store dropped its history, reading everything", zap.Uint64("after", after.Number()))
 		return 0, false
 	}
+	if errors.Is(err, ErrStoreReplaced) {
+		f.calls("store replaced")
+		f.log.Info("the store came back from an older copy, reading everything", zap.Uint64("era", after.Era()), zap.Uint64("after", after.Number()))
+		return 0, false
+	}
 	if errors.Is(err, ErrTooMuch) {
 		// The store holds each version that came since, and only the last is
 		// wanted; to ask for them again would bring still more.
