--- a/soak/fault.go
+++ b/soak/fault.go
@@ -17,6 +17,7 @@
 	planned bool // planned work only
 	done    []string
 	version uint64
+	last    *emulator.Document // that was published
 	undo    []func()
 	storeAt []time.Time // when the store or a link to it was troubled
 	revoked time.Time
@@ -203,9 +204,17 @@
 			i.revoked = time.Now()
 		}
 	}
+	i.last = document
 	i.fleet.deployment.Publish(document)
 }
 
+// publishAgain writes the last configuration once more, which the store may have lost.
+func (i *injector) publishAgain() {
+	if i.last != nil {
+		i.fleet.deployment.Publish(i.last)
+	}
+}
+
 func (i *injector) troubleStore() {
 	fault := []emulator.StoreFault{emulator.StoreBusy, emulator.StoreMany, emulator.StoreSilent, emulator.StoreReset}[i.r.IntN(4)]
 	i.say("store %s", fault)
--- a/soak/run.go
+++ b/soak/run.go
@@ -84,11 +84,13 @@
 	i := newInjector(f, seed, planned)
 	w := newWords(f, seed)
 	w.begin()
+	comesBack := newDrill(i, seed)
 	time.Sleep(faultPause)
 	for range faultCount {
 		i.revive()
 		i.replaceEnded()
 		i.inject()
+		comesBack.step()
 		time.Sleep(time.Duration(i.r.Int64N(int64(2 * faultPause))))
 		if i.r.IntN(2) == 0 {
 			i.undoOne()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 		Entry("servers' faults that would show a request sent twice", 16),
 		Entry("a reload met a starting box, which had no signal handlers yet and ended", 33),
 		Entry("a box that had just started moved a stream without a send to go on with", 2037),
+		Entry("a store that comes back from an older copy", 3001),
 		Entry("a request that no engine survives, whose ends were not told from resets behind a proxy", 1001),
 	)
 })
