--- a/box/box_test.go
+++ b/box/box_test.go
@@ -40,6 +40,31 @@
 	return startBoxesBeside(d, "", n)
 }
 
+// startReady starts boxes that serve, and stops them at the test's end.
+func startReady(d *emulator.Deployment, n int) []*started {
+	boxes := startBoxes(d, n)
+	for _, b := range boxes {
+		Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
+		DeferCleanup(b.Stop)
+	}
+	return boxes
+}
+
+// newDeployment starts a store and ends it, with its servers, at the test's end.
+func newDeployment() *emulator.Deployment {
+	d, err := emulator.NewDeployment()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	return d
+}
+
+// addTo starts a server of a service and lists it.
+func addTo(d *emulator.Deployment, id, service string) *emulator.Server {
+	s, err := d.Add(id, service)
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
 // startBoxesBeside starts boxes that know one which is there already.
 func startBoxesBeside(d *emulator.Deployment, seed string, n int) []*started {
 	addresses, err := emulator.FreeAddresses(4 * n)
--- a/box/cold_test.go
+++ b/box/cold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,10 +24,7 @@
 	var d *emulator.Deployment
 	var boxes []*started
 	BeforeEach(func() {
-		var err error
-		d, err = emulator.NewDeployment()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
+		d = newDeployment()
 		document := emulator.NewDocument(2)
 		for _, s := range document.Services {
 			s["coldPerS"] = perSecond
@@ -36,11 +32,7 @@
 		d.Publish(document)
 	})
 	start := func() {
-		boxes = startBoxes(d, count)
-		for _, b := range boxes {
-			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
-			DeferCleanup(b.Stop)
-		}
+		boxes = startReady(d, count)
 		time.Sleep(joined)
 	}
 	coldServer := func(id string) *emulator.Server {
@@ -50,20 +42,6 @@
 		d.List(s, emulator.Plain, "ready")
 		return s
 	}
-	// inAnySecond gives the most runs that a server began within a second.
-	inAnySecond := func(s *emulator.Server) int {
-		runs := s.Runs()
-		slices.SortFunc(runs, func(a, b emulator.Run) int { return a.At.Compare(b.At) })
-		worst, first := 0, 0
-		for i, r := range runs {
-			for r.At.Sub(runs[first].At) >= time.Second {
-				first++
-			}
-			worst = max(worst, i-first+1)
-		}
-		return worst
-	}
-
 	It("gets no more in any second than it bears from all boxes together", func() {
 		s := coldServer("i-cold")
 		warm, err := d.Add("i-warm", emulator.Plain)
@@ -73,7 +51,7 @@
 		got := load(boxes, 3*time.Second)
 		Expect(got).To(HaveLen(1))
 		Expect(got).To(HaveKey(http.StatusOK))
-		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
+		Expect(emulator.MostWithin(s.Arrivals(time.Time{}), time.Second)).To(BeNumerically("<=", most))
 		Expect(s.Runs()).NotTo(BeEmpty())
 		Expect(len(warm.Runs())).To(BeNumerically(">", len(s.Runs())))
 	})
@@ -82,7 +60,7 @@
 		s := coldServer("i-cold")
 		start()
 		got := load(boxes, 3*time.Second)
-		Expect(inAnySecond(s)).To(BeNumerically("<=", most))
+		Expect(emulator.MostWithin(s.Arrivals(time.Time{}), time.Second)).To(BeNumerically("<=", most))
 		Expect(got[http.StatusOK]).To(BeNumerically(">=", 12))
 		Expect(got[http.StatusServiceUnavailable]).To(BeNumerically(">", got[http.StatusOK]))
 		Expect(got).To(HaveLen(2))
@@ -101,6 +79,6 @@
 		d.TakeBack("zone-b")
 		load(boxes, 2*time.Second)
 		Expect(far.Runs()).NotTo(BeEmpty())
-		Expect(inAnySecond(far)).To(BeNumerically("<=", most))
+		Expect(emulator.MostWithin(far.Arrivals(time.Time{}), time.Second)).To(BeNumerically("<=", most))
 	})
 })
--- a/box/era_test.go
+++ b/box/era_test.go
@@ -24,24 +24,9 @@
 	)
 	var d *emulator.Deployment
 	var boxes []*started
-	BeforeEach(func() {
-		var err error
-		d, err = emulator.NewDeployment()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-	})
-	add := func(id string) *emulator.Server {
-		s, err := d.Add(id, emulator.Plain)
-		Expect(err).NotTo(HaveOccurred())
-		return s
-	}
-	start := func() {
-		boxes = startBoxes(d, 3)
-		for _, b := range boxes {
-			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
-			DeferCleanup(b.Stop)
-		}
-	}
+	BeforeEach(func() { d = newDeployment() })
+	add := func(id string) *emulator.Server { return addTo(d, id, emulator.Plain) }
+	start := func() { boxes = startReady(d, 3) }
 	// settle waits until all boxes have the store's last change.
 	settle := func() {
 		want := fmt.Sprintf(`"list_changed":%d,"store_era":%d,`, d.Store.Revision(), d.Store.Era())
--- a/box/leaving_test.go
+++ b/box/leaving_test.go
@@ -23,23 +23,12 @@
 	const bound = 2 * time.Second
 	var d *emulator.Deployment
 	var boxes []*started
-	BeforeEach(func() {
-		var err error
-		d, err = emulator.NewDeployment()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-	})
-	add := func(id, service string) *emulator.Server {
-		s, err := d.Add(id, service)
-		Expect(err).NotTo(HaveOccurred())
-		return s
-	}
+	BeforeEach(func() { d = newDeployment() })
+	add := func(id, service string) *emulator.Server { return addTo(d, id, service) }
 	start := func() {
-		boxes = startBoxes(d, 3)
+		boxes = startReady(d, 3)
 		for _, b := range boxes {
-			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
 			Eventually(func() string { return b.get("/status") }).WithTimeout(patience).Should(ContainSubstring(`"sharers":3`))
-			DeferCleanup(b.Stop)
 		}
 	}
 
--- a/box/limit_test.go
+++ b/box/limit_test.go
@@ -31,23 +31,10 @@
 	)
 	var d *emulator.Deployment
 	var boxes []*started
-	BeforeEach(func() {
-		var err error
-		d, err = emulator.NewDeployment()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-	})
-	add := func(id, service string) *emulator.Server {
-		s, err := d.Add(id, service)
-		Expect(err).NotTo(HaveOccurred())
-		return s
-	}
+	BeforeEach(func() { d = newDeployment() })
+	add := func(id, service string) *emulator.Server { return addTo(d, id, service) }
 	start := func() {
-		boxes = startBoxes(d, count)
-		for _, b := range boxes {
-			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
-			DeferCleanup(b.Stop)
-		}
+		boxes = startReady(d, count)
 		time.Sleep(joined)
 	}
 	limit := func(perSecond float64, all ...*emulator.Server) {
--- a/box/rest_test.go
+++ b/box/rest_test.go
@@ -29,24 +29,9 @@
 	)
 	var d *emulator.Deployment
 	var boxes []*started
-	BeforeEach(func() {
-		var err error
-		d, err = emulator.NewDeployment()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-	})
-	add := func(id, service string) *emulator.Server {
-		s, err := d.Add(id, service)
-		Expect(err).NotTo(HaveOccurred())
-		return s
-	}
-	start := func(n int) {
-		boxes = startBoxes(d, n)
-		for _, b := range boxes {
-			Expect(emulator.WaitReady(b.settings.Ready, patience)).To(Succeed())
-			DeferCleanup(b.Stop)
-		}
-	}
+	BeforeEach(func() { d = newDeployment() })
+	add := func(id, service string) *emulator.Server { return addTo(d, id, service) }
+	start := func(n int) { boxes = startReady(d, n) }
 	// sender gives the box that sent a request: load puts its number into the id.
 	sender := func(a emulator.Arrival) string { return strings.SplitN(a.ID, "-", 2)[0] }
 	// disturbed gives the most requests that came within one rest from the box that it was
