--- a/admission/flow.go
+++ b/admission/flow.go
@@ -42,10 +42,8 @@
 
 // unseen estimates the tokens of prompts that the boxes of another group have placed on
 // one of their engines since its last report, as if they had as many as this group has:
-// nobody tells this box of those. On a fleet of 295 boxes in five zones, boxes that saw
-// the engines of other zones as empty as their last reports crowded them, those that had
-// just joined above all: in virtual time, late first events 0.022 -> 0.000 of all, and
-// 0.053 -> 0.004 where one zone has 1.7 times the others' callers.
+// nobody tells this box of those. Taken for as empty as their last reports say, engines of
+// other zones are crowded, those that have just joined above all.
 func (s *Spread) unseen(now time.Time, l *endpointLoad) float64 {
 	age := min(now.Sub(l.memoryAt), unseenMost)
 	perEngine := s.flow.perSecond(now) / float64(max(len(s.share), 1))
--- a/admission/spread.go
+++ b/admission/spread.go
@@ -41,9 +41,8 @@
 	// generation is read anew.
 	fullCost = 24.0
 	// crowdCost is what each part of memory adds that can't leave the engine within a
-	// short notice: of engines that were told to go, those with up to five runs lost
-	// one stream in thirty, those with eight or more a third of them. It gained 0.007
-	// +- 0.005 of the worth on days with only leaving engines (12 in pairs).
+	// short notice: the more runs an engine has when it is told to go, the more of
+	// them are cut.
 	crowdCost = 9.0
 	// engineNoise spreads requests over engines that look alike.
 	engineNoise = 0.06
@@ -52,11 +51,8 @@
 	firstRate = 8000.0
 	// delayCost is what a second's wait for the reading of prompts adds, in whole
 	// memories: how full an engine is says little as long as it isn't near full, and a
-	// wait is felt by the caller. At 2, engines that had just joined were crowded until
-	// 0.3 s of prompts waited there, whatever was told. On one day of a fleet of 295 boxes
-	// late first events fell from 335 to 83 of 5,723 streams, and worth rose from 0.860 to
-	// 0.914 (one pair; 0.886 to 0.912 in another), measured before fullCost and crowdCost
-	// rose with it; the three together had 0.870 there, with processor time charged.
+	// wait is felt by the caller. With less, engines that have just joined are crowded
+	// whatever is told.
 	delayCost = 6.0
 	// usualTimes is after how many times its usual time an endpoint that says
 	// nothing is suspect; suspectLeast and suspectEngine are the least such
@@ -68,14 +64,10 @@
 	// time.
 	latencyWeight = 0.1
 	// choiceCount is how many endpoints one request compares; blindChoices is how
-	// many by a box that heard of no other box's placements for blindTime. After all
-	// boxes of a fleet of 66 had restarted, every box took the emptiest of five by
-	// the same old reports, and some engines got eight prompts in half a second
-	// (0.0045 +- 0.0018 of the worth, 4 days in pairs). A box that hears of every prompt
-	// placed, since no engine is a stranger's, compares knownChoices: +0.016 +- 0.005 and
-	// +0.011 +- 0.011 with 60 engines that are nearly full (10 days in pairs each). Where
-	// other groups place too that crowds engines: 0.003 of all first events late in place
-	// of 0.000, in virtual time.
+	// many by a box that heard of no other box's placements for blindTime: after a
+	// restart of all, every box would take the emptiest by the same old reports. A box
+	// that hears of every prompt placed, since no engine is a stranger's, compares
+	// knownChoices; where other groups place too that would crowd engines.
 	choiceCount  = 5
 	knownChoices = 20
 	blindChoices = 2
--- a/admission/spread_load.go
+++ b/admission/spread_load.go
@@ -98,8 +98,7 @@
 
 // Over takes a run's memory back, here or at another box, by the size by which the boxes
 // know it; held is what it held at its end. Reports are a second old when they come round,
-// and engines whose runs ended meanwhile look full. To know of ends gained 0.016 +- 0.007
-// of the worth with 60 engines that are nearly full (10 days in pairs).
+// and engines whose runs ended meanwhile look full.
 func (s *Spread) Over(now time.Time, id string, told, held int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/division.go
+++ b/core/division.go
@@ -15,13 +15,10 @@
 	Contests int           // ranks below this box's in which such a box may claim the same
 }
 
-// DefaultDivisionRules fit boxes that hear of each other within some seconds: of 295 that
-// started at once each knew nine in ten after 3 s, the last after 9 s; of a single one that
-// joins, word reaches all within 2 s. The memory is above any time for which parts of a
-// fleet lose each other, an hour: who forgot the others would take their parts. What the
-// dead had is unused as long: of 470 boxes, 6 fail in two hours. In 5,000 drawn fleets,
-// with up to three quarters as many boxes added while up to a third was cut off, at most
-// 1.08 of the whole was claimed with three contests, 1.43 with none.
+// DefaultDivisionRules fit boxes that hear of each other within some seconds. The memory
+// is above any time for which parts of a fleet lose each other, an hour: who forgot the
+// others would take their parts. What the dead had is unused as long. Contests keep parts
+// from being claimed twice while boxes are added and others are cut off.
 func DefaultDivisionRules() DivisionRules {
 	return DivisionRules{
 		Join:     5 * time.Second,
--- a/core/group.go
+++ b/core/group.go
@@ -26,9 +26,7 @@
 	wholeFleet = 24
 	// wholeEngines is how many engines one group of all boxes may have: a box hears of
 	// each prompt that the group places, 1 to 1.5 a second at an engine and some 100
-	// bytes, which is a half of the 23 KB/s that a box may take for control. 62 boxes
-	// that are one group, and not three, raised what requests were worth by 0.027 +-
-	// 0.010 with 60 engines that were nearly full (10 days in pairs).
+	// bytes, which is a half of the 23 KB/s that a box may take for control.
 	wholeEngines = 72
 	// wholeMost bounds the connections of such a group.
 	wholeMost = 96
--- a/fleet/paths.go
+++ b/fleet/paths.go
@@ -9,8 +9,7 @@
 )
 
 // directMost is the size of a group up to which each box speaks to every other one itself.
-// 62 boxes of three zones sent 0.183 GB between zones in 34 s as one group in which each
-// told all others, 0.086 by these paths, and 0.055 as groups of one zone (a day each).
+// Above it, to tell every other box costs most of the bytes between zones.
 const directMost = 24
 
 // groupPaths say how messages reach the boxes of a group with few bytes between zones.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -19,8 +19,7 @@
 	reportEvery = 500 * time.Millisecond
 	// staleEvery spaces them while the list is older than staleList: only the
 	// engines themselves tell then that they leave, with 1.5 to 2 s notice, and
-	// half a second late. To hear them gained 0.060 +- 0.007 of the worth on days with
-	// a store that was silent for 3 and 4.5 s (8 in pairs).
+	// half a second late.
 	staleEvery = 200 * time.Millisecond
 	staleList  = time.Second
 	// reportTime bounds one question.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -13,8 +13,7 @@
 const shareMemory = 2 * time.Second
 
 // coldSends keeps this box's sends to cold endpoints within its share of what these bear
-// from all boxes together. With 62 boxes that each took a cold endpoint for an idle one,
-// it got more than all of them may send.
+// from all boxes together: each of them takes a cold endpoint for an idle one.
 type coldSends struct {
 	mu        sync.Mutex
 	allowance routing.ColdAllowance
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -13,14 +13,10 @@
 	// copyMemory is how long after a stream broke off unannounced the streams that
 	// begin get copies. Engines that leave are emptied without them; against
 	// engines that die they are the only help, but they take the memory that runs
-	// need: on days without such deaths, worth was 0.029 higher without copies on a
-	// grown deployment with full engines, 0.014 and 0.004 on two others (in pairs,
-	// 5 plays on each grown one, 20 on the small one); on days on which engines
-	// crash and go dark it was 0.015 lower.
+	// need.
 	copyMemory = time.Minute
 	// backupMost is the fullest that an engine's memory may get by a copy: preempted
-	// runs pay for more, and at 0.25 copies are too few to protect (no better than
-	// none on days with crashes, 6 pairs).
+	// runs pay for more, and with much less copies are too few to protect.
 	backupMost = 0.5
 	// freshList is how old the list may be for a break to count as unannounced: with
 	// an older one, the engine's notice may just not have been heard.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -18,7 +18,6 @@
 // evacuation carries out the plan for one engine that leaves. The boxes of a
 // group take turns: when each began all its moves at once, the copies of eleven
 // streams shared the engine's link for its whole notice and all eleven were cut.
-// Turns raised what requests were worth by 0.013 +- 0.004 of all (20 days in pairs).
 type evacuation struct {
 	gateway  *Gateway
 	endpoint string
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -8,9 +8,8 @@
 	"dillsaddle.example/dillsaddle/routing"
 )
 
-// placeTries bounds the endpoints that one request asks for a place. A thousand may be
-// cold or limited at once, and to work out this box's share of one among 300 boxes takes
-// 12 us of a core (BenchmarkShareOfAColdEndpoint).
+// placeTries bounds the endpoints that one request asks for a place: a thousand may be cold
+// or limited at once, and to work out this box's share of each takes time.
 const placeTries = 8
 
 // gate stands before everything that this box sends to an endpoint: first and second
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -46,9 +46,8 @@
 }
 
 // keeps gives how many sends this box keeps for itself when another one asks: none
-// without streams of its own. In a fleet of 295 boxes each box's part of the slack is
-// one send, a third of the boxes has no callers, and none of those lent it: 10 of 40
-// streams that asked on a calm day were cut.
+// without streams of its own. In a large fleet each box's part of the slack is one send,
+// and boxes without callers have the most to lend.
 func (g *Gateway) keeps(service string) int {
 	n := g.countStreams(service)
 	if n.all == 0 {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -21,9 +21,8 @@
 	// shortCopy is how much longer than on a free link a copy may take that
 	// waited for no other: two calls on the way, and a short move before it.
 	shortCopy = 80 * time.Millisecond
-	// lastCopyTime is how long a stopped run waits for its last copy; without the
-	// bound, waits of 170 to 340 ms made 15 of 260 streams a day late (0.006 +- 0.002
-	// of the worth, 20 days in pairs).
+	// lastCopyTime is how long a stopped run waits for its last copy: its caller sees
+	// a longer wait as a stutter.
 	lastCopyTime = 40 * time.Millisecond
 	// moveMost is the fullest that an engine's memory may get by a move as long as
 	// there is another one: a target without room turns the move away.
@@ -116,9 +115,7 @@
 
 // moveTarget chooses where a run goes: within its zone, since a copy to another
 // one takes twice as long, and to an engine that no other copy is sent to, since it
-// would wait there. On a day with only leaving engines four moves off three of them
-// waited 1.0 to 1.6 s for the same target, and all four streams were cut. Worth:
-// +0.009 +- 0.003 of all (20 days in pairs).
+// would wait there until its own engine is gone.
 func (p *passage) moveTarget(source routing.Endpoint, full map[string]bool) (routing.Endpoint, bool) {
 	g := p.gateway
 	busy := g.receiving(p.in.ID)
--- a/gateway/overdue.go
+++ b/gateway/overdue.go
@@ -53,8 +53,7 @@
 // overdue waits for a send's answer to begin. An endpoint that fails part of its
 // requests by silence looks well otherwise: its other streams go on, its reports
 // come. A request that may run again leaves it for another one; for any, the
-// endpoint gets less new work, here and in the group. On days with such endpoints it
-// gained 0.045 +- 0.005 of the worth (6 days in pairs).
+// endpoint gets less new work, here and in the group.
 type overdue struct {
 	passage *passage
 	run     run
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -19,8 +19,8 @@
 const defaultRetryAfter = 300 * time.Millisecond
 
 // unknownRetryAfter is the same while this box knows no configuration. A box that starts
-// has one from the store within 0.05 s (295 boxes at once), so that who is refused meets
-// an outage of the store, which lasts seconds; a caller that came back after 0.3 s met it
+// has one from the store within tens of milliseconds, so that who is refused meets an
+// outage of the store, which lasts seconds; a caller that came back after 0.3 s met it
 // again, and most callers try twice. Spread is the part by which the times differ, so that
 // those who were refused together don't come back together.
 const (
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -15,9 +15,7 @@
 	// connectTime bounds a new connection; endpoints accept within
 	// milliseconds, and an opening packet that was dropped comes again after a
 	// second. connectElsewhere does so while another endpoint can take the request:
-	// one that went without a word held each request placed there for a second, 26
-	// of them on one day while the store was silent (0.032 +- 0.008 of the worth on
-	// such days, 6 in pairs).
+	// one that went without a word would hold each request placed there for a second.
 	connectTime      = 1300 * time.Millisecond
 	connectElsewhere = 250 * time.Millisecond
 	// restTime is how long a connection rests at most; endpoints that say
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,8 +12,7 @@
 
 // outlastsStop tells whether a stream would still run when the box ends. Nothing of
 // it was sent, and its caller reaches another box at once: new streams come for two
-// seconds after a planned stop began, and those longer than the grace were cut:
-// 0.010 +- 0.003 of the worth on days with planned stops of all boxes (6 in pairs).
+// seconds after a planned stop began, and those longer than the grace would be cut.
 func (p *passage) outlastsStop() bool {
 	stopAt := p.gateway.stopAt.Load()
 	engine := p.service.Engine
