fleet, core: a starting box that has met nobody isn't alone

Cause, found by reading while looking for a box with connections to all engines: a box whose seeds come up last knows nobody for a second, took that for all there is, and asked every engine for its load.

Changelog-fixed: A starting box that has met nobody yet doesn't take itself for alone.

--- a/core/settling.go
+++ b/core/settling.go
@@ -46,7 +46,8 @@
 }
 
 // Observe takes how many other boxes are known, and tells whether that is most of them.
-func (s *Settling) Observe(now time.Time, known int) bool {
+// Expected says that there are others: a box that knows none of them yet isn't alone.
+func (s *Settling) Observe(now time.Time, known int, expected bool) bool {
 	if s.settled {
 		return true
 	}
@@ -61,6 +62,7 @@
 	watched := now.Sub(oldest.at) >= s.rules.Window
 	grown := float64(known-oldest.known) > s.rules.Growth*float64(known)
 	age := now.Sub(s.start)
-	s.settled = age >= s.rules.Most || (age >= s.rules.Least && watched && !grown)
+	nobody := expected && known == 0
+	s.settled = age >= s.rules.Most || (age >= s.rules.Least && watched && !grown && !nobody)
 	return s.settled
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -44,7 +44,7 @@
 
 // settle looks whether this box knows most of the others.
 func (p *Peers) settle(now time.Time) {
-	if p.settled || !p.settling.Observe(now, len(p.alive)) {
+	if p.settled || !p.settling.Observe(now, len(p.alive), len(p.seeds) > 0) {
 		return
 	}
 	p.settled = true
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -80,3 +80,34 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Boxes whose seeds come up last know nobody for seconds, and took themselves for alone
+// after the first: each asked every engine for its load.
+func TestBoxesThatWaitForTheirSeedAskNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const engines, boxes = 24, 12
+		reporter := &countingReporter{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var all []*fleet.Reports
+		f := beginFleet(t, 0, 20*smallLink, func(b *fleet.Belief) *fleet.Reports {
+			b.ApplySnapshot(time.Now(), engineList(engines))
+			r := fleet.NewReports(reporter, b, zap.NewNop(), func(time.Time, routing.Report) {})
+			all = append(all, r)
+			return r
+		})
+		for box := 1; box < boxes; box++ {
+			f.start(box)
+			go all[box-1].Run(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		g.Expect(reporter.asked.Load()).To(gomega.BeZero())
+		f.start(0)
+		go all[boxes-1].Run(ctx)
+		time.Sleep(3 * time.Second)
+		g.Expect(reporter.asked.Load()).To(gomega.BeNumerically(">", 0))
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,7 @@
 // WithLimits gives what is known, here and at other boxes, of the limits that endpoints
 // name.
 func WithLimits(l *fleet.Limits) Option {
-	return func(g *Gateway) { g.gate.limits.limits = l }
+	return func(g *Gateway) { g.gate.limits.named = l }
 }
 
 // WithMover copies runs between engines; without it no run is copied.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -18,10 +18,10 @@
 // within its share of it. A box that kept the whole limit by itself would let the fleet
 // send it once for each box, and requests that aren't first sends reach the endpoint too.
 type limitedSends struct {
-	mu     sync.Mutex
-	limits *fleet.Limits
-	share  func(endpoint string, units int) int
-	all    map[string]*limitedEndpoint // by the endpoint's id
+	mu    sync.Mutex
+	named *fleet.Limits
+	share func(endpoint string, units int) int
+	all   map[string]*limitedEndpoint // by the endpoint's id
 }
 
 type limitedEndpoint struct {
@@ -35,15 +35,15 @@
 
 func newLimitedSends(limits *fleet.Limits) *limitedSends {
 	return &limitedSends{
-		limits: limits,
-		share:  func(_ string, units int) int { return units },
-		all:    make(map[string]*limitedEndpoint),
+		named: limits,
+		share: func(_ string, units int) int { return units },
+		all:   make(map[string]*limitedEndpoint),
 	}
 }
 
 // bound gives the pace of an endpoint that named a limit, or nil for any other.
 func (l *limitedSends) bound(now time.Time, endpoint string) *limitedEndpoint {
-	perSecond, limited := l.limits.Of(now, endpoint)
+	perSecond, limited := l.named.Of(now, endpoint)
 	if !limited {
 		return nil
 	}
@@ -65,7 +65,7 @@
 
 // limited tells whether an endpoint named a limit.
 func (l *limitedSends) limited(now time.Time, endpoint string) bool {
-	_, limited := l.limits.Of(now, endpoint)
+	_, limited := l.named.Of(now, endpoint)
 	return limited
 }
 
@@ -142,7 +142,7 @@
 
 // sweep forgets endpoints that name no limit any more and that nothing was sent to lately.
 func (l *limitedSends) sweep(now time.Time) {
-	l.limits.Sweep(now)
+	l.named.Sweep(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, known := range l.all {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -25,7 +25,7 @@
 		g.gate.rests.ask(now, e.ID, n.Rest)
 		g.log.Info("endpoint asks this box for rest", zap.String("endpoint", e.ID), zap.Duration("for", n.Rest))
 	}
-	g.gate.limits.limits.Answered(now, e.ID, n.Limited, n.Limit)
+	g.gate.limits.named.Answered(now, e.ID, n.Limited, n.Limit)
 }
 
 // Restraint is what an endpoint has asked for.
@@ -40,7 +40,7 @@
 func (g *Gateway) Restraints(now time.Time) []Restraint {
 	var all []Restraint
 	resting := g.gate.rests.all(now)
-	for _, w := range g.gate.limits.limits.All(now) {
+	for _, w := range g.gate.limits.named.All(now) {
 		all = append(all, Restraint{
 			Endpoint:  w.Endpoint,
 			PerSecond: w.PerSecond,
