core: ends of before a survived run don't count when their word comes round

Callers of a request that runs well could be refused for seconds at most boxes, after endpoints had ended under it at the same time for another cause. Cause: ages lose the time that messages take. Ends that came round by several boxes looked younger than the word of the survived run which had voided them, and counted again; a second word of that run is taken two seconds later at the earliest. Change: an end counts from half a second after a survived run on.

Changelog-fixed: A request that ran well is no longer held again by word of old ends that comes round.

--- a/core/quarantine_record.go
+++ b/core/quarantine_record.go
@@ -18,7 +18,7 @@
 		r = &endRecord{ends: make(map[string]time.Time)}
 		q.records[request] = r
 	}
-	if _, known := r.ends[endpoint]; known || !at.After(r.soundAt) {
+	if _, known := r.ends[endpoint]; known || !r.counts(at) {
 		return false
 	}
 	if len(r.ends) > q.rules.Ends {
@@ -56,11 +56,20 @@
 // be handed on; ages lose the time that messages take.
 const soundStep = 2 * time.Second
 
+// endDrift is by how much an end may look younger when its word comes round by several
+// boxes, as ages lose the time that messages take.
+const endDrift = 500 * time.Millisecond
+
+// counts tells whether an end at a time is later than the last survived run.
+func (r *endRecord) counts(at time.Time) bool {
+	return r.soundAt.IsZero() || at.After(r.soundAt.Add(endDrift))
+}
+
 // acquit takes back all ends before a time.
 func (q *Quarantine) acquit(now time.Time, r *endRecord, at time.Time) {
 	r.soundAt = at
 	for endpoint, end := range r.ends {
-		if !end.After(at) {
+		if !r.counts(end) {
 			delete(r.ends, endpoint)
 		}
 	}
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -49,6 +49,27 @@
 		Expect(q.All(after(3 * time.Second))).To(Equal([]core.Digest{deadly}))
 	})
 
+	// Word of ends that comes round by several boxes looks younger by the time that its
+	// messages took: a request that an endpoint had survived was held by 29 of 30 boxes, as
+	// the same three ends came again with ages just below that of the survived run.
+	It("isn't begun anew by ends of before a survived run whose word comes round", func() {
+		ends := []core.End{{Endpoint: "e-1"}, {Endpoint: "e-2"}, {Endpoint: "e-3"}}
+		told := func(age time.Duration) []core.EndRecord {
+			for i := range ends {
+				ends[i].Age = age
+			}
+			return []core.EndRecord{{Request: deadly, Ends: ends}}
+		}
+		q.Hear(after(10*time.Millisecond), told(10*time.Millisecond))
+		Expect(held(q, after(10*time.Millisecond))).To(BeTrue())
+		q.Hear(after(20*time.Millisecond), []core.EndRecord{{Request: deadly, Sound: true, Age: 5 * time.Millisecond}})
+		Expect(held(q, after(20*time.Millisecond))).To(BeFalse())
+		q.Hear(after(300*time.Millisecond), told(250*time.Millisecond))
+		Expect(held(q, after(300*time.Millisecond))).To(BeFalse())
+		q.Hear(after(3*time.Second), told(0))
+		Expect(held(q, after(3*time.Second))).To(BeTrue(), "ends that are new count")
+	})
+
 	It("lets a request through when its time is over, and holds it again after one more end", func() {
 		end(0, "e-1")
 		end(0, "e-2")
--- a/core/quarantine_word.go
+++ b/core/quarantine_word.go
@@ -47,7 +47,7 @@
 	if r == nil {
 		return
 	}
-	old := func(e End) bool { return !now.Add(-max(e.Age, 0)).After(r.soundAt) }
+	old := func(e End) bool { return !r.counts(now.Add(-max(e.Age, 0))) }
 	if slices.ContainsFunc(t.Ends, old) {
 		r.told = 0
 	}
