core, fleet, soak, emulator: notices and records by their usual names

Limits that boxes tell each other are records, as those of ended requests; what servers say of themselves is a notice in the emulator and the soak, as in the gateway. No behaviour changes.

--- a/box/leaving_test.go
+++ b/box/leaving_test.go
@@ -38,7 +38,7 @@
 		load(boxes, 300*time.Millisecond)
 		Expect(leaving.Runs()).NotTo(BeEmpty())
 		d.Store.SetFault(emulator.StoreSilent, 0)
-		leaving.Say(emulator.Word{Leaving: true})
+		leaving.Announce(emulator.Notice{Leaving: true})
 		load(boxes, bound)
 		from := time.Now()
 		got := load(boxes, 2*time.Second)
@@ -58,7 +58,7 @@
 		add("i-other", emulator.Plain)
 		start()
 		time.Sleep(time.Second) // boxes that have just met aren't of one group yet
-		leaving.Say(emulator.Word{Leaving: true})
+		leaving.Announce(emulator.Notice{Leaving: true})
 		load(boxes[:1], time.Second)
 		from := time.Now()
 		load(boxes[1:], 500*time.Millisecond)
@@ -89,7 +89,7 @@
 			go func() { outcomes <- stream(fmt.Sprintf("before-%d", i)) }()
 		}
 		Eventually(func() int { return len(leaving.Runs()) }).WithTimeout(patience).Should(BeNumerically(">", 0))
-		leaving.Say(emulator.Word{Leaving: true})
+		leaving.Announce(emulator.Notice{Leaving: true})
 		time.Sleep(bound)
 		from := time.Now()
 		Expect(stream("after")).To(HaveField("Whole", true))
--- a/box/limit_test.go
+++ b/box/limit_test.go
@@ -39,7 +39,7 @@
 	}
 	limit := func(perSecond float64, all ...*emulator.Server) {
 		for _, s := range all {
-			s.Say(emulator.Word{Limit: strconv.FormatFloat(perSecond, 'f', -1, 64)})
+			s.Announce(emulator.Notice{Limit: strconv.FormatFloat(perSecond, 'f', -1, 64)})
 		}
 	}
 	// most is what an endpoint may get within a span, by the platform's bound.
@@ -85,7 +85,7 @@
 		start()
 		limit(1, strained)
 		load(boxes, 2*time.Second)
-		strained.Say(emulator.Word{})
+		strained.Announce(emulator.Notice{})
 		Eventually(func() map[int]int { return load(boxes, time.Second) }).WithTimeout(patience).Should(And(
 			HaveLen(1),
 			HaveKey(http.StatusOK),
--- a/box/rest_test.go
+++ b/box/rest_test.go
@@ -56,7 +56,7 @@
 		tired, other := add("i-tired", emulator.Plain), add("i-other", emulator.Plain)
 		other.SetFault(emulator.Fails, -1) // the worse of the two, by its failures
 		start(2)
-		tired.Say(emulator.Word{Rest: rest})
+		tired.Announce(emulator.Notice{Rest: rest})
 		tired.SetFault(emulator.Shed, 4)
 		got := load(boxes, rest)
 		Expect(got).To(HaveKey(http.StatusInternalServerError))
@@ -70,7 +70,7 @@
 		begin := time.Now()
 		tired := add("i-tired", emulator.Plain)
 		start(1)
-		tired.Say(emulator.Word{Rest: rest})
+		tired.Announce(emulator.Notice{Rest: rest})
 		tired.SetFault(emulator.Shed, 1)
 		Expect(boxes[0].call("c0-first").Status).To(Equal(http.StatusServiceUnavailable))
 		o := boxes[0].call("c0-second")
@@ -104,7 +104,7 @@
 		Eventually(func() int { return len(tired.Runs()) }).WithTimeout(patience).Should(Equal(1))
 		add("e-other", emulator.Model)
 		Eventually(func() string { return boxes[0].get("/status") }).WithTimeout(patience).Should(ContainSubstring(fmt.Sprintf(`"list_changed":%d,`, d.Store.Revision())))
-		tired.Say(emulator.Word{Rest: rest})
+		tired.Announce(emulator.Notice{Rest: rest})
 		tired.SetFault(emulator.Shed, 1)
 		refused := ContainElement(HaveField("Rest", rest))
 		for i := 0; ; i++ {
--- a/core/limits.go
+++ b/core/limits.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// LimitWord is what a box tells of an endpoint's limit.
-type LimitWord struct {
+// LimitRecord is what a box tells of an endpoint's limit.
+type LimitRecord struct {
 	Endpoint  string        `cbor:"1,keyasint"`
 	Limited   bool          `cbor:"2,keyasint,omitempty"`
 	PerSecond float64       `cbor:"3,keyasint,omitempty"` // requests, from all boxes together
@@ -55,7 +55,7 @@
 
 // Answered takes an endpoint's answer to this box, and tells whether others should hear of
 // it at once.
-func (l *Limits) Answered(now time.Time, w LimitWord) bool {
+func (l *Limits) Answered(now time.Time, w LimitRecord) bool {
 	before, known := l.known[w.Endpoint]
 	if !w.Limited && (!known || (before.limited && now.Sub(before.at) < l.rules.Settle)) {
 		return false
@@ -64,8 +64,8 @@
 }
 
 // Hear takes what other boxes told, and gives what of it is worth handing on at once.
-func (l *Limits) Hear(now time.Time, told []LimitWord) []LimitWord {
-	var news []LimitWord
+func (l *Limits) Hear(now time.Time, told []LimitRecord) []LimitRecord {
+	var news []LimitRecord
 	for _, w := range told {
 		at := now.Add(-w.Age)
 		if w.Age < 0 || w.Age >= l.rules.Memory || !(w.PerSecond >= 0) || math.IsInf(w.PerSecond, 1) {
@@ -82,7 +82,7 @@
 }
 
 // set notes a word, and tells whether it differs from the one before.
-func (l *Limits) set(w LimitWord, at time.Time) bool {
+func (l *Limits) set(w LimitRecord, at time.Time) bool {
 	before := l.known[w.Endpoint]
 	l.known[w.Endpoint] = knownLimit{
 		limited:   w.Limited,
@@ -132,10 +132,10 @@
 }
 
 // All gives every word that is kept, with its age.
-func (l *Limits) All(now time.Time) []LimitWord {
-	all := make([]LimitWord, 0, len(l.known))
+func (l *Limits) All(now time.Time) []LimitRecord {
+	all := make([]LimitRecord, 0, len(l.known))
 	for endpoint, known := range l.known {
-		all = append(all, LimitWord{
+		all = append(all, LimitRecord{
 			Endpoint:  endpoint,
 			Limited:   known.limited,
 			PerSecond: known.perSecond,
@@ -146,7 +146,7 @@
 }
 
 // Sample gives up to some of the words, drawn anew each time.
-func (l *Limits) Sample(now time.Time, most int) []LimitWord {
+func (l *Limits) Sample(now time.Time, most int) []LimitRecord {
 	all := l.All(now)
 	if len(all) > most {
 		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/core/pace_test.go
+++ b/core/pace_test.go
@@ -153,19 +153,19 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			now := begin.Add(rules.Memory)
 			ages := rapid.SliceOfNDistinct(rapid.IntRange(0, 15000), 1, 12, rapid.ID[int]).Draw(t, "ages")
-			var words []core.LimitWord
+			var words []core.LimitRecord
 			for _, age := range ages {
-				words = append(words, core.LimitWord{
+				words = append(words, core.LimitRecord{
 					Endpoint:  "e-1",
 					Limited:   rapid.Bool().Draw(t, "limited"),
 					PerSecond: float64(rapid.IntRange(1, 9).Draw(t, "rate")),
 					Age:       time.Duration(age) * time.Millisecond,
 				})
 			}
-			newest := slices.MinFunc(words, func(a, b core.LimitWord) int { return int(a.Age - b.Age) })
+			newest := slices.MinFunc(words, func(a, b core.LimitRecord) int { return int(a.Age - b.Age) })
 			l := core.NewLimits(rules)
 			for _, w := range append(rapid.Permutation(words).Draw(t, "first"), rapid.Permutation(words).Draw(t, "again")...) {
-				l.Hear(now, []core.LimitWord{w})
+				l.Hear(now, []core.LimitRecord{w})
 			}
 			perSecond, limited := l.Of(now, "e-1")
 			if limited != newest.Limited || (limited && perSecond != newest.PerSecond) {
@@ -176,14 +176,14 @@
 
 	It("leaves out what nobody can mean", func() {
 		l := core.NewLimits(rules)
-		for _, w := range []core.LimitWord{
+		for _, w := range []core.LimitRecord{
 			{Endpoint: "e-1", Limited: true, PerSecond: math.NaN()},
 			{Endpoint: "e-1", Limited: true, PerSecond: -1},
 			{Endpoint: "e-1", Limited: true, PerSecond: math.Inf(1)},
 			{Endpoint: "e-1", Limited: true, PerSecond: 1, Age: -time.Second},
 			{Endpoint: "e-1", Limited: true, PerSecond: 1, Age: time.Hour},
 		} {
-			Expect(l.Hear(begin, []core.LimitWord{w})).To(BeEmpty())
+			Expect(l.Hear(begin, []core.LimitRecord{w})).To(BeEmpty())
 		}
 		Expect(l.Empty()).To(BeTrue())
 	})
@@ -191,12 +191,12 @@
 	It("is told at once where it changed by more than a little", func() {
 		l := core.NewLimits(rules)
 		limited := func(perSecond float64) bool {
-			return l.Answered(begin, core.LimitWord{Endpoint: "e-1", Limited: true, PerSecond: perSecond})
+			return l.Answered(begin, core.LimitRecord{Endpoint: "e-1", Limited: true, PerSecond: perSecond})
 		}
 		Expect(limited(4)).To(BeTrue())
 		Expect(limited(4.1)).To(BeFalse())
 		Expect(limited(3)).To(BeTrue())
-		Expect(l.Answered(begin.Add(time.Second), core.LimitWord{Endpoint: "e-1"})).To(BeTrue())
-		Expect(l.Answered(begin.Add(time.Second), core.LimitWord{Endpoint: "e-2"})).To(BeFalse())
+		Expect(l.Answered(begin.Add(time.Second), core.LimitRecord{Endpoint: "e-1"})).To(BeTrue())
+		Expect(l.Answered(begin.Add(time.Second), core.LimitRecord{Endpoint: "e-2"})).To(BeFalse())
 	})
 })
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -18,13 +18,13 @@
 // whole service may be under strain at once.
 const limitSample = 32
 
-// LimitWords is what a box tells its group at once of limits that endpoints named.
-type LimitWords struct {
-	All []core.LimitWord `cbor:"1,keyasint"`
+// LimitRecords is what a box tells its group at once of limits that endpoints named.
+type LimitRecords struct {
+	All []core.LimitRecord `cbor:"1,keyasint"`
 }
 
 // Kind names the message.
-func (LimitWords) Kind() string { return "limit words" }
+func (LimitRecords) Kind() string { return "limit records" }
 
 // Limits is what a box knows, by itself and from others, of the limits that endpoints
 // name. Within a group word of a change goes to all at once; greetings carry it from group
@@ -34,7 +34,7 @@
 	limits  *core.Limits
 	present atomic.Bool // whether anything is known; most boxes know of no limit
 	log     *zap.Logger
-	tell    func([]core.LimitWord)
+	tell    func([]core.LimitRecord)
 }
 
 // NewLimits builds a table in which no endpoint is limited.
@@ -42,7 +42,7 @@
 	return &Limits{
 		limits: core.NewLimits(core.DefaultLimitRules()),
 		log:    log,
-		tell:   func([]core.LimitWord) {},
+		tell:   func([]core.LimitRecord) {},
 	}
 }
 
@@ -53,7 +53,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := core.LimitWord{
+	w := core.LimitRecord{
 		Endpoint:  endpoint,
 		Limited:   limited,
 		PerSecond: perSecond,
@@ -61,8 +61,8 @@
 	news := l.limits.Answered(now, w)
 	l.present.Store(!l.limits.Empty())
 	if news {
-		l.changed([]core.LimitWord{w}, "own")
-		l.tell([]core.LimitWord{w})
+		l.changed([]core.LimitRecord{w}, "own")
+		l.tell([]core.LimitRecord{w})
 	}
 }
 
@@ -78,11 +78,11 @@
 }
 
 // All gives the endpoints that named limits, by id.
-func (l *Limits) All(now time.Time) []core.LimitWord {
+func (l *Limits) All(now time.Time) []core.LimitRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := slices.DeleteFunc(l.limits.All(now), func(w core.LimitWord) bool { return !w.Limited })
-	slices.SortFunc(all, func(a, b core.LimitWord) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	all := slices.DeleteFunc(l.limits.All(now), func(w core.LimitRecord) bool { return !w.Limited })
+	slices.SortFunc(all, func(a, b core.LimitRecord) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return all
 }
 
@@ -107,7 +107,7 @@
 }
 
 // sample gives what a greeting tells.
-func (l *Limits) sample(now time.Time) []core.LimitWord {
+func (l *Limits) sample(now time.Time) []core.LimitRecord {
 	if !l.present.Load() {
 		return nil
 	}
@@ -117,7 +117,7 @@
 }
 
 // hear takes what another box told, and gives what the group should hear of it.
-func (l *Limits) hear(now time.Time, told []core.LimitWord, from string) []core.LimitWord {
+func (l *Limits) hear(now time.Time, told []core.LimitRecord, from string) []core.LimitRecord {
 	if len(told) == 0 {
 		return nil
 	}
@@ -130,7 +130,7 @@
 }
 
 // changed logs what is believed of endpoints' limits after news of them.
-func (l *Limits) changed(news []core.LimitWord, from string) {
+func (l *Limits) changed(news []core.LimitRecord, from string) {
 	for _, w := range news {
 		event := "endpoint names no limit any more"
 		if w.Limited {
@@ -155,18 +155,18 @@
 
 // tellLimits tells the boxes of the group at once; who isn't reached hears it with a
 // greeting.
-func (p *Peers) tellLimits(words []core.LimitWord) {
-	p.tellFellows(LimitWords{All: words})
+func (p *Peers) tellLimits(words []core.LimitRecord) {
+	p.tellFellows(LimitRecords{All: words})
 }
 
 // limitsTold takes a fellow's word.
-func (p *Peers) limitsTold(_ context.Context, _ *wire.Conn, told LimitWords) {
+func (p *Peers) limitsTold(_ context.Context, _ *wire.Conn, told LimitRecords) {
 	p.limits.hear(time.Now(), told.All, fromPeer)
 }
 
 // limitsGreeted takes what a greeting told; what comes from another group is handed on in
 // this one.
-func (p *Peers) limitsGreeted(told []core.LimitWord, fellow bool) {
+func (p *Peers) limitsGreeted(told []core.LimitRecord, fellow bool) {
 	if news := p.limits.hear(time.Now(), told, fromPeer); len(news) > 0 && !fellow {
 		p.tellLimits(news)
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -10,14 +10,14 @@
 // Greeting is what two boxes tell each other: who they are, whom they heard of,
 // and how new their views are.
 type Greeting struct {
-	From          core.Peer        `cbor:"1,keyasint"`
-	Members       []core.Peer      `cbor:"2,keyasint,omitempty"`
-	Configuration uint64           `cbor:"3,keyasint"` // version in force; 0 for none
-	Changed       routing.Revision `cbor:"4,keyasint"` // the list's last change; 0 for no list
-	Reports       []routing.Report `cbor:"5,keyasint,omitempty"`
-	Age           time.Duration    `cbor:"6,keyasint"` // since the list was confirmed
-	Ends          []core.EndRecord `cbor:"7,keyasint,omitempty"`
-	Limits        []core.LimitWord `cbor:"8,keyasint,omitempty"` // that endpoints named
+	From          core.Peer          `cbor:"1,keyasint"`
+	Members       []core.Peer        `cbor:"2,keyasint,omitempty"`
+	Configuration uint64             `cbor:"3,keyasint"` // version in force; 0 for none
+	Changed       routing.Revision   `cbor:"4,keyasint"` // the list's last change; 0 for no list
+	Reports       []routing.Report   `cbor:"5,keyasint,omitempty"`
+	Age           time.Duration      `cbor:"6,keyasint"` // since the list was confirmed
+	Ends          []core.EndRecord   `cbor:"7,keyasint,omitempty"`
+	Limits        []core.LimitRecord `cbor:"8,keyasint,omitempty"` // that endpoints named
 }
 
 // Kind names the message.
--- a/soak/drill.go
+++ b/soak/drill.go
@@ -75,7 +75,7 @@
 		switch {
 		case s.left.IsZero():
 			i.fleet.deployment.ListAt(s.Server, s.proxy.Address(), s.service, "ready")
-		case s.word.Leaving:
+		case s.notice.Leaving:
 			i.fleet.deployment.ListAt(s.Server, s.proxy.Address(), s.service, "draining")
 		default:
 			time.AfterFunc(lapseTime, func() { i.fleet.deployment.Unlist(s.ID) })
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -160,7 +160,7 @@
 	i.say("%s drains", s.ID)
 	i.fleet.deployment.ListAt(s.Server, s.proxy.Address(), s.service, "draining")
 	s.left = time.Now()
-	s.say(func(w *emulator.Word) { w.Leaving = true })
+	s.announce(func(n *emulator.Notice) { n.Leaving = true })
 	if _, err := i.fleet.addServer(s.service); err != nil {
 		i.say("no new server: %v", err)
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -58,7 +58,7 @@
 	service string
 	left    time.Time // when its leaving was published
 	hurt    bool
-	word    emulator.Word
+	notice  emulator.Notice
 }
 
 // fleet is all that a run starts.
--- a/soak/words.go
+++ b/soak/notices.go
@@ -30,10 +30,10 @@
 	leaveBound = 2 * time.Second
 )
 
-// words lets servers say of themselves what they want: rest with each refusal, limits for
+// announcer lets servers say of themselves what they want: rest with each refusal, limits for
 // some, and that they leave. It has a series of its own, so that the seeds of the other
 // faults stay what they were.
-type words struct {
+type announcer struct {
 	fleet  *fleet
 	r      *rand.Rand
 	limits map[*listed]namedLimit
@@ -45,8 +45,8 @@
 	until     time.Time
 }
 
-func newWords(f *fleet, seed uint64) *words {
-	return &words{
+func newAnnouncer(f *fleet, seed uint64) *announcer {
+	return &announcer{
 		fleet:  f,
 		r:      rand.New(rand.NewPCG(seed, 55)),
 		limits: make(map[*listed]namedLimit),
@@ -54,36 +54,36 @@
 }
 
 // begin lets one server of each service name a limit.
-func (w *words) begin() {
+func (a *announcer) begin() {
 	limited := make(map[string]bool)
-	for _, s := range w.fleet.servers {
-		s.say(func(word *emulator.Word) { word.Rest = time.Duration(w.r.Int64N(int64(restMost))) })
+	for _, s := range a.fleet.servers {
+		s.announce(func(n *emulator.Notice) { n.Rest = time.Duration(a.r.Int64N(int64(restMost))) })
 		if limited[s.service] {
 			continue
 		}
 		limited[s.service] = true
-		n := namedLimit{
-			perSecond: limitLeast + (limitMost-limitLeast)*w.r.Float64(),
+		named := namedLimit{
+			perSecond: limitLeast + (limitMost-limitLeast)*a.r.Float64(),
 			from:      time.Now(),
 		}
-		w.limits[s] = n
-		s.say(func(word *emulator.Word) { word.Limit = strconv.FormatFloat(n.perSecond, 'f', 1, 64) })
+		a.limits[s] = named
+		s.announce(func(n *emulator.Notice) { n.Limit = strconv.FormatFloat(named.perSecond, 'f', 1, 64) })
 	}
 }
 
 // end lets all servers take any number of requests again.
-func (w *words) end() {
-	for s, n := range w.limits {
+func (a *announcer) end() {
+	for s, n := range a.limits {
 		n.until = time.Now()
-		w.limits[s] = n
-		s.say(func(word *emulator.Word) { word.Limit = "" })
+		a.limits[s] = n
+		s.announce(func(n *emulator.Notice) { n.Limit = "" })
 	}
 }
 
-// say changes what a server says of itself.
-func (l *listed) say(change func(*emulator.Word)) {
-	change(&l.word)
-	l.Say(l.word)
+// announce changes what a server says of itself.
+func (l *listed) announce(change func(*emulator.Notice)) {
+	change(&l.notice)
+	l.Announce(l.notice)
 }
 
 // sender gives the box that sent a request by the callers' id, or -1.
@@ -110,8 +110,8 @@
 	return len(b.hurt) == 0 && len(b.stopped) == 0
 }
 
-// judgeWords checks that boxes keep to what servers say of themselves.
-func (r *Report) judgeWords(f *fleet, w *words, all []seen) {
+// judgeNotices checks that boxes keep to what servers say of themselves.
+func (r *Report) judgeNotices(f *fleet, limiting *announcer, all []seen) {
 	began := make(map[string]time.Time, len(all))
 	for _, s := range all {
 		began[s.ID] = s.began
@@ -119,11 +119,11 @@
 	for _, s := range f.servers {
 		arrivals := s.Arrivals(time.Time{})
 		r.judgeRest(f, s, arrivals)
-		if n, limited := w.limits[s]; limited && !s.hurt {
+		if n, limited := limiting.limits[s]; limited && !s.hurt {
 			r.judgeLimit(f, s, arrivals, n)
 		}
-		if s.word.Leaving && !s.hurt {
-			r.judgeLeavingWord(f, s, arrivals, began)
+		if s.notice.Leaving && !s.hurt {
+			r.judgeLeavingNotice(f, s, arrivals, began)
 		}
 	}
 }
@@ -160,7 +160,7 @@
 	}
 }
 
-func (r *Report) judgeLeavingWord(f *fleet, s *listed, arrivals []emulator.Arrival, began map[string]time.Time) {
+func (r *Report) judgeLeavingNotice(f *fleet, s *listed, arrivals []emulator.Arrival, began map[string]time.Time) {
 	told := make(map[int]time.Time)
 	for _, a := range arrivals {
 		box := sender(a)
@@ -178,10 +178,10 @@
 }
 
 // String tells of the limits that were named.
-func (w *words) String() string {
+func (a *announcer) String() string {
 	var named []string
-	for _, s := range w.fleet.servers {
-		if n, limited := w.limits[s]; limited {
+	for _, s := range a.fleet.servers {
+		if n, limited := a.limits[s]; limited {
 			named = append(named, fmt.Sprintf("%s takes %.1f requests a second", s.ID, n.perSecond))
 		}
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -82,8 +82,8 @@
 	c := startCallers(f, seed)
 	d := startRepeater(f, seed, planned)
 	i := newInjector(f, seed, planned)
-	w := newWords(f, seed)
-	w.begin()
+	notices := newAnnouncer(f, seed)
+	notices.begin()
 	comesBack := newDrill(i, seed)
 	time.Sleep(faultPause)
 	for range faultCount {
@@ -105,15 +105,15 @@
 		Planned: planned,
 		Folder:  folder,
 	}
-	w.end()
+	notices.end()
 	i.revive()
 	i.replaceEnded()
 	r.recovers(f)
 	r.Broken = append(r.Broken, i.ends...)
 	all := c.stop()
-	r.Faults = append(i.done, w.String())
+	r.Faults = append(i.done, notices.String())
 	r.judge(f, i, all)
-	r.judgeWords(f, w, all)
+	r.judgeNotices(f, notices, all)
 	r.judgeDeadly(f, d.stop())
 	return r, nil
 }
