--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -55,9 +55,10 @@
 	Backoff time.Duration // for how long this box must not send to it; 0 if it may
 }
 
-// Load is the number of requests at an endpoint when it answered.
+// Load is the load of an endpoint when it answered.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running  int
+	Waiting  int
+	Slots    int
+	Slowdown float64 // factor by which work takes longer than usual; 1 if the endpoint reports none
 }
