fleet: query the engines in use, idle ones once a minute

Cause: one box of each group asked each of the group's engines for its load twice a second, busy or not, and gossiped up to 64 reports in each message.

Change: an engine that the group placed or ended work at within 2 s, or that reported load, is queried twice a second as before (five times with a stale list); an idle one once a minute (once a second with a stale list, when only reports show that it leaves). Reports of engines that have long been idle are not gossiped, since boxes assume that of one without a report.

Changelog: changed - idle engines are queried once a minute

--- a/fleet/load_reports.go
+++ b/fleet/load_reports.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -14,13 +13,6 @@
 )
 
 const (
-	// queryInterval is the time between queries of an engine. Shorter intervals would gain
-	// little, since an engine's report is about half a second old.
-	queryInterval = 500 * time.Millisecond
-	// staleQueryInterval applies while the list is older than staleListAge. Then only the
-	// engines' reports show that they are leaving, 1.5 to 2 s in advance.
-	staleQueryInterval = 200 * time.Millisecond
-	staleListAge       = time.Second
 	// queryTimeout bounds one query.
 	queryTimeout = 700 * time.Millisecond
 	// reportLifetime is the age up to which reports are gossiped.
@@ -55,6 +47,7 @@
 	onReport    func(time.Time, routing.Report)
 	queryFilter func(routing.Endpoint) bool
 	latest      map[string]timedReport
+	usage       map[string]engineUsage // by endpoint ID
 }
 
 // timedReport is a load report with the time of its data.
@@ -82,6 +75,7 @@
 		onReport:    onReport,
 		queryFilter: func(routing.Endpoint) bool { return true },
 		latest:      make(map[string]timedReport),
+		usage:       make(map[string]engineUsage),
 	}
 	for _, o := range options {
 		o(r)
@@ -89,55 +83,6 @@
 	return r
 }
 
-// Run queries the engines assigned to this box until the context ends.
-func (r *LoadReports) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, e := range r.assignedEngines() {
-			go r.query(ctx, e)
-		}
-		interval := queryInterval
-		if time.Since(r.state.View().ConfirmedAt) > staleListAge {
-			interval = staleQueryInterval
-		}
-		Sleep(ctx, interval)
-	}
-}
-
-// assignedEngines returns the engines that this box queries: of its group's preferred endpoints,
-// those for which this box hashes highest in the group. Until it has discovered its peers a box
-// queries none, or every starting box would query all.
-func (r *LoadReports) assignedEngines() []routing.Endpoint {
-	v := r.state.View()
-	if v.Table == nil || !r.peers.HasDiscoveredPeers() {
-		return nil
-	}
-	self, group := r.peers.Self(), r.peers.Group()
-	preferred := r.peers.PreferredEndpoints(v)
-	var assignedEngines []routing.Endpoint
-	for _, s := range v.Table.Document().Services {
-		if s.Engine == nil {
-			continue
-		}
-		for _, e := range v.Serving(s.Name) {
-			if preferred[e.ID] && hashesHighest(self, group.Members, e.ID) {
-				assignedEngines = append(assignedEngines, e)
-			}
-		}
-	}
-	return assignedEngines
-}
-
-// hashesHighest reports whether self wins rendezvous hashing for a key.
-func hashesHighest(self string, others []string, key string) bool {
-	weight := xxhash.Sum64String(self + "/" + key)
-	for _, other := range others {
-		if xxhash.Sum64String(other+"/"+key) > weight {
-			return false
-		}
-	}
-	return true
-}
-
 // query queries one engine and records its report, or that it has restarted.
 func (r *LoadReports) query(ctx context.Context, e routing.Endpoint) {
 	if !r.queryFilter(e) {
@@ -193,10 +138,14 @@
 		Report: report,
 		at:     at,
 	}
+	if hasLoad(report) {
+		r.recordBusy(report.Endpoint, at)
+	}
 	r.onReport(at, report)
 }
 
-// Sample returns reports with their ages for gossip, of the given endpoints, or of all if nil.
+// Sample returns reports with their ages for gossip, of the given endpoints, or of all if nil. It
+// omits engines that have long been idle, which all boxes assume of an engine without a report.
 func (r *LoadReports) Sample(now time.Time, endpoints map[string]bool) []routing.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,7 +156,7 @@
 			delete(r.latest, id)
 			continue
 		}
-		if len(out) < maxGossipReports && (endpoints == nil || endpoints[id]) {
+		if len(out) < maxGossipReports && (endpoints == nil || endpoints[id]) && (latest.Leaving || r.inUse(now, id)) {
 			latest.Report.Age = age
 			out = append(out, latest.Report)
 		}
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -40,6 +40,7 @@
 // BroadcastPlacement queues a placement for the boxes of the group and returns at once. A box to
 // which the previous message is still being sent is skipped, since late placements are useless.
 func (p *Peers) BroadcastPlacement(placement Placement) {
+	p.recordUse(time.Now(), placement)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.pendingPlacements) >= maxPlacements {
@@ -93,6 +94,14 @@
 	}
 	now := time.Now()
 	for _, placement := range batch.All {
+		p.recordUse(now, placement)
 		p.onPlacement(now, placement)
 	}
 }
+
+// recordUse has a placement's engine queried as one in use.
+func (p *Peers) recordUse(now time.Time, placement Placement) {
+	if p.reports != nil {
+		p.reports.recordUse(now, placement.Endpoint)
+	}
+}
