fleet: send an update once to each box of a group

Cause: each box sent each change of the list to its whole group and to two boxes of other groups, so that a change cost 13 messages a box, two of them mostly between zones, at any size above one group.

Change: an update says if its sender sent it to the whole group; then a receiver forwards it to other groups only, and there one box in four.

--- a/fleet/message.go
+++ b/fleet/message.go
@@ -62,6 +62,7 @@
 	Age          time.Duration       `cbor:"6,keyasint"`           // time since the store reported the change
 	Truncated    bool                `cbor:"7,keyasint,omitempty"` // the changes are omitted and fetched separately
 	Zones        []routing.ZoneDrain `cbor:"8,keyasint,omitempty"`
+	SentToGroup  bool                `cbor:"9,keyasint,omitempty"` // the sender sent it to all boxes of its group, which is the receiver's too
 }
 
 // Kind returns the message's kind.
--- a/fleet/partners.go
+++ b/fleet/partners.go
@@ -90,9 +90,19 @@
 	go p.pool.Drop(address)
 }
 
-// partners returns the boxes to which this box sends updates.
-func (p *Peers) partners() []netip.AddrPort {
-	return append(p.paths.updateTargets(), p.remotePartners...)
+// forwardingInterval is the number of boxes of a group of which one forwards updates to other
+// groups. Several do in each group, since boxes may be down.
+const forwardingInterval = 4
+
+// forwardingPartners returns the boxes of other groups to which this box forwards updates: none if
+// other boxes of its group do so.
+func (p *Peers) forwardingPartners() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paths.isDirect() && p.paths.position%forwardingInterval != 0 {
+		return nil
+	}
+	return slices.Clone(p.remotePartners)
 }
 
 // Group returns the group of boxes that this box belongs to.
--- a/fleet/paths.go
+++ b/fleet/paths.go
@@ -42,6 +42,9 @@
 	return g
 }
 
+// isDirect reports whether each box of the group sends to all others directly.
+func (g *groupPaths) isDirect() bool { return len(g.zones) == 0 }
+
 // indirect returns the boxes that are reached through relays.
 func (g *groupPaths) indirect() []netip.AddrPort { return slices.Concat(g.zones...) }
 
@@ -60,7 +63,7 @@
 // the boxes at distances 1, 2, 4 and so on in the common order, by which an update reaches all
 // in few hops, and one box of each other zone.
 func (g *groupPaths) updateTargets() []netip.AddrPort {
-	if len(g.zones) == 0 {
+	if g.isDirect() {
 		return slices.Clone(g.direct)
 	}
 	var out []netip.AddrPort
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -30,17 +30,39 @@
 
 // BroadcastUpdate sends an update to all partners, unless it was sent before.
 func (p *Peers) BroadcastUpdate(u Update) {
-	if p.markSeen(u) {
-		p.forwardUpdate(u.truncate(), nil)
+	if !p.markSeen(u) {
+		return
 	}
+	u = u.truncate()
+	p.mu.Lock()
+	remotePartners := slices.Clone(p.remotePartners)
+	p.mu.Unlock()
+	p.sendToGroup(u, nil)
+	p.sendUpdate(remotePartners, u, nil)
 }
 
-// forwardUpdate sends an update to all partners but the one that it came from.
+// forwardUpdate sends an update to all partners that it doesn't reach otherwise.
 func (p *Peers) forwardUpdate(u Update, from *wire.Conn) {
+	if !u.SentToGroup {
+		p.sendToGroup(u, from)
+	}
+	u.SentToGroup = false
+	p.sendUpdate(p.forwardingPartners(), u, from)
+}
+
+// sendToGroup sends an update to the boxes of the group, either to all or to those that forward it
+// to the rest.
+func (p *Peers) sendToGroup(u Update, from *wire.Conn) {
 	p.mu.Lock()
-	partners := p.partners()
+	targets := p.paths.updateTargets()
+	u.SentToGroup = p.paths.isDirect()
 	p.mu.Unlock()
-	for _, address := range partners {
+	p.sendUpdate(targets, u, from)
+}
+
+// sendUpdate sends an update to boxes but the one that it came from.
+func (p *Peers) sendUpdate(to []netip.AddrPort, u Update, from *wire.Conn) {
+	for _, address := range to {
 		go p.pushUpdate(address, u, from)
 	}
 }
