core, gateway: divide the whole retry slack among the boxes

Cause: each box rounded its part of the budget's slack down. With 640 sends for 585 boxes that is 0.93 a box with the safety margin, and below 0.6 at 1,000 boxes, so that a fleet of that size may not retry at all unless a box has several requests in a window.

Change: the boxes are ordered by the hashes of their names, and the slack is divided along that order, so that the parts add up to it at any size. A call whose box has no send left borrows one from its group, as streams do.

Measured: budget_test.go, sum of the parts of a slack of 20: 1,000 boxes 0 before, 20 now; gateway/faults_test.go for the borrowed send.

Changelog: fixed - retries in fleets with more boxes than the retry slack

--- a/box/box.go
+++ b/box/box.go
@@ -119,7 +119,7 @@
 	},
 		gateway.WithLog(log.Named("gateway")),
 		gateway.WithMover(engines),
-		gateway.WithBoxes(b.peers.Sharers),
+		gateway.WithBudgetShare(b.peers.BudgetShare),
 		gateway.WithRateShare(b.peers.RateShare),
 		gateway.WithOnPlaced(b.peers.BroadcastPlacement),
 		gateway.WithOnEvacuating(b.peers.BroadcastEvacuating),
--- a/box/status.go
+++ b/box/status.go
@@ -85,7 +85,7 @@
 		Program:      Program,
 		StoreDown:    b.state.IsStoreDown(),
 		Reader:       b.peers.Reader(),
-		Sharers:      b.peers.Sharers(),
+		Sharers:      b.peers.BudgetShare().Boxes,
 		Box:          b.settings.Box,
 		Zone:         b.settings.Zone,
 		Ready:        b.isReady(),
--- a/core/budget.go
+++ b/core/budget.go
@@ -14,6 +14,21 @@
 	Safety float64 // fraction of the limit that is used, since boxes' counts differ
 }
 
+// BudgetShare is a box's place among the boxes that share a budget. All boxes must order the boxes
+// in the same way.
+type BudgetShare struct {
+	Boxes int // number of boxes, this one included
+	Rank  int // this box's position in their order, from 0
+}
+
+// of returns the box's part of a number of units. The parts of all boxes add up to the number,
+// also if there are more boxes than units.
+func (s BudgetShare) of(units int) int {
+	boxes := max(s.Boxes, 1)
+	rank := min(s.Rank, boxes-1)
+	return units*(rank+1)/boxes - units*rank/boxes
+}
+
 // SharedBudget is one box's part of a service's retry budget: the retries earned by
 // the requests that the box itself sends, and its share of the slack. Boxes can
 // transfer unused retries to each other.
@@ -52,24 +67,24 @@
 }
 
 // Remaining returns the number of the box's own retries that are left, with the
-// slack divided among the given number of boxes.
-func (b *SharedBudget) Remaining(now time.Time, boxes int) int {
-	requests := float64(b.requests.sum(b.slot(now)))
-	share := float64(b.rules.Slack) / float64(max(boxes, 1))
+// slack divided among the boxes that share the budget.
+func (b *SharedBudget) Remaining(now time.Time, share BudgetShare) int {
+	earned := b.rules.Safety * b.rules.Ratio * float64(b.requests.sum(b.slot(now)))
+	slack := share.of(int(b.rules.Safety * float64(b.rules.Slack)))
 	if b.restarted && now.Sub(b.start) < b.rules.Window {
-		share = 0
+		slack = 0
 	}
-	return int(b.rules.Safety*(b.rules.Ratio*requests+share)) - b.spent.sum(b.slot(now))
+	return int(earned) + slack - b.spent.sum(b.slot(now))
 }
 
 // Allow takes one retry from the budget and reports whether there was one.
-func (b *SharedBudget) Allow(now time.Time, boxes int) bool {
+func (b *SharedBudget) Allow(now time.Time, share BudgetShare) bool {
 	if b.transferred > 0 && now.Sub(b.transferredAt) < transferTTL {
 		b.transferred--
 		return true
 	}
 	b.transferred = 0
-	if b.Remaining(now, boxes) < 1 {
+	if b.Remaining(now, share) < 1 {
 		return false
 	}
 	b.spent.add(b.slot(now))
@@ -78,8 +93,8 @@
 
 // TransferOut takes up to the given number of retries from the budget for another
 // box, but leaves keep of them. It returns the number taken.
-func (b *SharedBudget) TransferOut(now time.Time, boxes, retries, keep int) int {
-	transferred := max(0, min(retries, b.Remaining(now, boxes)-keep))
+func (b *SharedBudget) TransferOut(now time.Time, share BudgetShare, retries, keep int) int {
+	transferred := max(0, min(retries, b.Remaining(now, share)-keep))
 	for range transferred {
 		b.spent.add(b.slot(now))
 	}
@@ -101,11 +116,11 @@
 
 // Available returns the number of retries that the box can make now, received ones
 // included.
-func (b *SharedBudget) Available(now time.Time, boxes int) int {
+func (b *SharedBudget) Available(now time.Time, share BudgetShare) int {
 	if now.Sub(b.transferredAt) < transferTTL {
-		return b.transferred + b.Remaining(now, boxes)
+		return b.transferred + b.Remaining(now, share)
 	}
-	return b.Remaining(now, boxes)
+	return b.Remaining(now, share)
 }
 
 // slidingWindow counts events per slot. It has one more slot than the window is
--- a/core/budget_test.go
+++ b/core/budget_test.go
@@ -21,34 +21,49 @@
 	It("grants a box its share of the slack, and more retries as requests come", func() {
 		b := core.NewSharedBudget(noon, rules, true)
 		spent := 0
-		for b.Allow(noon, 4) {
+		for b.Allow(noon, core.BudgetShare{Boxes: 4}) {
 			spent++
 		}
 		Expect(spent).To(Equal(5))
 		for range 50 {
 			b.CountRequest(noon)
 		}
-		for b.Allow(noon, 4) {
+		for b.Allow(noon, core.BudgetShare{Boxes: 4}) {
 			spent++
 		}
 		Expect(spent).To(Equal(15))
 	})
 
+	// Guards against a slack that nobody may use because each box's part of it is below one.
+	It("divides the whole slack among the boxes, also if they are more than its units", func() {
+		for _, boxes := range []int{1, 3, 20, 40, 1000} {
+			total := 0
+			for rank := range boxes {
+				b := core.NewSharedBudget(noon, rules, true)
+				total += b.Remaining(noon, core.BudgetShare{
+					Boxes: boxes,
+					Rank:  rank,
+				})
+			}
+			Expect(total).To(Equal(rules.Slack), "%d boxes", boxes)
+		}
+	})
+
 	It("has no slack in the first window after a restart", func() {
 		b := core.NewSharedBudget(noon, rules, false)
-		Expect(b.Allow(noon, 1)).To(BeFalse())
-		Expect(b.Allow(noon.Add(rules.Window), 1)).To(BeTrue())
+		Expect(b.Allow(noon, core.BudgetShare{Boxes: 1})).To(BeFalse())
+		Expect(b.Allow(noon.Add(rules.Window), core.BudgetShare{Boxes: 1})).To(BeTrue())
 	})
 
 	It("transfers retries, which count as spent at the sender and expire at the receiver", func() {
 		sender := core.NewSharedBudget(noon, rules, true)
 		receiver := core.NewSharedBudget(noon, rules, false)
-		Expect(sender.TransferOut(noon, 4, 4, 2)).To(Equal(3))
-		Expect(sender.Remaining(noon, 4)).To(Equal(2))
+		Expect(sender.TransferOut(noon, core.BudgetShare{Boxes: 4}, 4, 2)).To(Equal(3))
+		Expect(sender.Remaining(noon, core.BudgetShare{Boxes: 4})).To(Equal(2))
 		receiver.TransferIn(noon, 3)
-		Expect(receiver.Allow(noon, 4)).To(BeTrue())
-		Expect(receiver.Available(noon, 4)).To(Equal(2))
-		Expect(receiver.Allow(noon.Add(2*time.Second), 4)).To(BeFalse())
+		Expect(receiver.Allow(noon, core.BudgetShare{Boxes: 4})).To(BeTrue())
+		Expect(receiver.Available(noon, core.BudgetShare{Boxes: 4})).To(Equal(2))
+		Expect(receiver.Allow(noon.Add(2*time.Second), core.BudgetShare{Boxes: 4})).To(BeFalse())
 	})
 
 	It("stays within the limit in every window", func() {
@@ -63,7 +78,7 @@
 					requests = append(requests, now)
 					continue
 				}
-				if b.Allow(now, 2) {
+				if b.Allow(now, core.BudgetShare{Boxes: 2}) {
 					sends = append(sends, now)
 				}
 			}
--- a/core/roster.go
+++ b/core/roster.go
@@ -207,17 +207,21 @@
 // HasContact reports whether any box has been in contact since the start.
 func (r *Roster) HasContact() bool { return r.contacted }
 
-// Sharers returns the number of boxes that share a budget: this one and all those heard of
-// within BudgetSilence. Silent boxes count for a while, so that a box that is cut off
-// doesn't take the whole budget.
-func (r *Roster) Sharers(now time.Time) int {
-	n := 1
+// BudgetShare returns this box's place among the boxes that share a budget: itself and all those
+// heard of within BudgetSilence, ordered by the hashes of their names. Silent boxes count for a
+// while, so that a box that is cut off doesn't take the whole budget.
+func (r *Roster) BudgetShare(now time.Time) BudgetShare {
+	share := BudgetShare{Boxes: 1}
 	for _, e := range r.members {
-		if now.Sub(e.lastHeard) <= r.rules.BudgetSilence {
-			n++
+		if now.Sub(e.lastHeard) > r.rules.BudgetSilence {
+			continue
+		}
+		share.Boxes++
+		if CompareByHash(e.Box, r.self.Box) < 0 {
+			share.Rank++
 		}
 	}
-	return n
+	return share
 }
 
 // snapshot returns the entry's record with its current silence.
--- a/core/roster_test.go
+++ b/core/roster_test.go
@@ -33,7 +33,7 @@
 		roster.RecordContact(noon, newPeer("a", 1, 0))
 		roster.Merge(noon, []core.Peer{newPeer("b", 1, time.Second), newPeer("self", 9, 0)})
 		Expect(boxNames(roster.Alive(noon))).To(Equal([]string{"a", "b"}))
-		Expect(roster.Sharers(noon)).To(Equal(3))
+		Expect(roster.BudgetShare(noon).Boxes).To(Equal(3))
 	})
 
 	It("suspects a silent box that doesn't answer, but counts it among the sharers", func() {
@@ -45,8 +45,8 @@
 		Expect(boxNames(roster.Alive(later))).To(Equal([]string{"a"}))
 		roster.RecordNoAnswer(later, netip.AddrPort{})
 		Expect(roster.Alive(later)).To(BeEmpty())
-		Expect(roster.Sharers(later)).To(Equal(2))
-		Expect(roster.Sharers(noon.Add(2 * time.Minute))).To(Equal(1))
+		Expect(roster.BudgetShare(later).Boxes).To(Equal(2))
+		Expect(roster.BudgetShare(noon.Add(2 * time.Minute)).Boxes).To(Equal(1))
 	})
 
 	It("includes a suspension of the machine in the ages that it sends", func() {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -202,15 +202,15 @@
 	p.roster.MarkLeaving()
 }
 
-// Sharers returns the number of boxes that share a retry budget. It is huge, and the share thus
-// minimal, until another box was contacted, unless there are no seeds.
-func (p *Peers) Sharers() int {
+// BudgetShare returns this box's place among the boxes that share a retry budget. Their number is
+// huge, and the share thus empty, until another box was contacted, unless there are no seeds.
+func (p *Peers) BudgetShare() core.BudgetShare {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.roster.HasContact() && len(p.seeds) > 0 {
-		return math.MaxInt32
+		return core.BudgetShare{Boxes: math.MaxInt32}
 	}
-	return p.roster.Sharers(time.Now())
+	return p.roster.BudgetShare(time.Now())
 }
 
 // Traffic returns the number of messages received from other boxes.
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -72,7 +72,7 @@
 	It("discover each other from one seed, and forward an update that one of them received", func() {
 		all, states := startPeers(5)
 		for _, p := range all {
-			Eventually(p.Sharers).WithTimeout(timeout).Should(Equal(5))
+			Eventually(func() int { return p.BudgetShare().Boxes }).WithTimeout(timeout).Should(Equal(5))
 		}
 		states[3].ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
 		for _, state := range states {
@@ -100,7 +100,7 @@
 			Address: own,
 		}, []netip.AddrPort{own, netip.MustParseAddrPort(texts[1])}, fleet.NewState())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(p.Sharers()).To(BeNumerically(">", 1_000_000))
+		Expect(p.BudgetShare().Boxes).To(BeNumerically(">", 1_000_000))
 	})
 
 	It("lend a part of a retry budget to a box that needs it", func() {
@@ -137,7 +137,7 @@
 	It("agree on few readers", func() {
 		all, _ := startPeers(9)
 		for _, p := range all {
-			Eventually(p.Sharers).WithTimeout(timeout).Should(Equal(9))
+			Eventually(func() int { return p.BudgetShare().Boxes }).WithTimeout(timeout).Should(Equal(9))
 		}
 		readers := func() int {
 			n := 0
@@ -182,7 +182,7 @@
 	It("is announced without them, and each box fetches them", func() {
 		all, states := startPeers(4)
 		for _, p := range all {
-			Eventually(p.Sharers).WithTimeout(20 * time.Second).Should(Equal(4))
+			Eventually(func() int { return p.BudgetShare().Boxes }).WithTimeout(20 * time.Second).Should(Equal(4))
 		}
 		for _, state := range states {
 			state.ApplySnapshot(time.Now(), snapshot(10, endpoint("x", 1, false)))
--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -97,7 +97,7 @@
 		req.Tokens = p.expectedTokens()
 		req.Prompt = p.inbound.PromptTokens
 		req.Memory = engine.MemoryTokens
-		req.Shared = p.gateway.boxes() > 1
+		req.Shared = p.gateway.budgetShare().Boxes > 1
 		req.MovableTokens = movableTokens(engine)
 	}
 	return req
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
@@ -209,6 +210,21 @@
 		Expect(o.Signature).NotTo(BeEmpty())
 		Expect(b.deployment.Runs()["a1"]).To(HaveLen(2))
 	})
+
+	// Guards against failed calls in a fleet that is so large that most boxes have no part
+	// of the retry budget's slack.
+	It("is sent again with a send of another box when this box's retry budget is spent", func() {
+		var b *testbed
+		b = newTestbedWith(false, gateway.WithRetryBorrowing(func(_ context.Context, service string) {
+			b.gateway.ReceiveTransfer(time.Now(), service, 1)
+		}))
+		b.add("i-1", emulator.PlainService).SetFault(emulator.InternalError, 1)
+		b.add("i-2", emulator.PlainService).SetFault(emulator.InternalError, 1)
+		o := b.call(http.MethodGet, emulator.RepeatPath, "a1", "")
+		Expect(b.deployment.Runs()["a1"]).To(HaveLen(2))
+		Expect(o.Status).To(Equal(http.StatusInternalServerError))
+		Expect(b.call(http.MethodGet, emulator.RepeatPath, "a2", "").Status).To(Equal(http.StatusOK))
+	})
 })
 
 var _ = Describe("a request that can't be forwarded", func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,7 +39,7 @@
 	onLeaving          func(endpoint string)
 	borrowRetries      func(ctx context.Context, service string)
 	view               func() *fleet.View
-	boxes              func() int
+	budgetShare        func() core.BudgetShare
 	balancer           *admission.Balancer
 	sendGate           *sendGate
 	pool               *Pool
@@ -69,9 +69,10 @@
 	return func(g *Gateway) { g.log = log }
 }
 
-// WithBoxes sets the function that returns how many boxes share the retry budget.
-func WithBoxes(boxes func() int) Option {
-	return func(g *Gateway) { g.boxes = boxes }
+// WithBudgetShare sets the function that returns this box's place among the boxes that share the
+// retry budget.
+func WithBudgetShare(budgetShare func() core.BudgetShare) Option {
+	return func(g *Gateway) { g.budgetShare = budgetShare }
 }
 
 // WithRateShare sets the function that returns how many of an endpoint's units this box may
@@ -94,7 +95,7 @@
 }
 
 // WithRetryBorrowing sets the function that requests sends from other boxes' retry budgets
-// when a stream needs one and this box's share is spent. ReceiveTransfer adds what they grant.
+// when this box's share is spent. ReceiveTransfer adds what they grant.
 func WithRetryBorrowing(borrowRetries func(ctx context.Context, service string)) Option {
 	return func(g *Gateway) { g.borrowRetries = borrowRetries }
 }
@@ -135,7 +136,7 @@
 		rules:            rules,
 		protocol:         protocol,
 		view:             view,
-		boxes:            func() int { return 1 },
+		budgetShare:      func() core.BudgetShare { return core.BudgetShare{Boxes: 1} },
 		onPlaced:         func(fleet.Placement) {},
 		onEvacuating:     func(fleet.Evacuating) {},
 		onLeaving:        func(string) {},
@@ -234,7 +235,7 @@
 func (g *Gateway) takeRetry(service string) bool {
 	now := time.Now()
 	allowed := false
-	g.withBudget(service, now, func(b *core.SharedBudget) { allowed = b.Allow(now, g.boxes()) })
+	g.withBudget(service, now, func(b *core.SharedBudget) { allowed = b.Allow(now, g.budgetShare()) })
 	if !allowed {
 		g.counters.refusedRetries.Inc()
 	}
--- a/gateway/overdue_timer.go
+++ b/gateway/overdue_timer.go
@@ -111,7 +111,7 @@
 func (g *Gateway) hasRetryBudget(service string) bool {
 	now := time.Now()
 	available := 0
-	boxes := g.boxes()
-	g.withBudget(service, now, func(b *core.SharedBudget) { available = b.Available(now, boxes) })
+	share := g.budgetShare()
+	g.withBudget(service, now, func(b *core.SharedBudget) { available = b.Available(now, share) })
 	return available > 0
 }
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -95,10 +95,13 @@
 	p.runCall()
 }
 
-// takeRetry spends one send of the retry budget, and reports whether there was one.
+// takeRetry spends one send of the retry budget, and reports whether there was one. If this box's
+// share is spent, it requests sends from other boxes, but at model engines only to continue a
+// stream, which has been worked on for longer than a request that can begin anew.
 func (p *proxiedRequest) takeRetry(service string) bool {
-	if p.headSent && p.route.Kind == routing.Streaming {
-		return p.takeStreamRetry(service)
+	continues := p.headSent && p.route.Kind == routing.Streaming
+	if continues || p.service.Engine == nil {
+		p.ensureRetryBudget(service)
 	}
 	return p.gateway.takeRetry(service)
 }
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -13,7 +13,7 @@
 	// keptSends is how many sends a box with running streams keeps when another box
 	// requests some. In a large fleet a box's share of the budget is one to four sends.
 	keptSends = 1
-	// borrowTimeout bounds how long a broken stream waits for a send from other boxes.
+	// borrowTimeout bounds how long a request waits for a send from other boxes.
 	borrowTimeout = 120 * time.Millisecond
 )
 
@@ -54,13 +54,6 @@
 	return keptSends + n.leaving
 }
 
-// takeStreamRetry spends a send on continuing a broken stream and reports whether there was
-// one. Unlike for calls, it requests sends from other boxes if this box's share is spent.
-func (p *proxiedRequest) takeStreamRetry(service string) bool {
-	p.ensureRetryBudget(service)
-	return p.gateway.takeRetry(service)
-}
-
 // ensureRetryBudget requests sends from other boxes if this box's share of the retry budget
 // is spent, and reports whether a send is available.
 func (p *proxiedRequest) ensureRetryBudget(service string) bool {
@@ -77,7 +70,7 @@
 	g.borrowRetries(ctx, service)
 	available := g.hasRetryBudget(service)
 	p.logAsync("retry budget spent; requested sends from other boxes",
-		zap.Int("boxes", g.boxes()),
+		zap.Int("boxes", g.budgetShare().Boxes),
 		zap.Duration("asked_for", time.Since(requestedAt)),
 		zap.Bool("allowed", available),
 	)
@@ -89,8 +82,8 @@
 func (g *Gateway) TransferOut(now time.Time, service string, sends int) int {
 	keep := g.sendsToKeep(service)
 	transferred := 0
-	boxes := g.boxes()
-	g.withBudget(service, now, func(b *core.SharedBudget) { transferred = b.TransferOut(now, boxes, sends, keep) })
+	share := g.budgetShare()
+	g.withBudget(service, now, func(b *core.SharedBudget) { transferred = b.TransferOut(now, share, sends, keep) })
 	return transferred
 }
 
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -8,13 +8,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
 var _ = Describe("a box that is asked to transfer sends of its retry budget", func() {
 	// Ten boxes share a slack of 50.
-	shared := gateway.WithBoxes(func() int { return 10 })
+	shared := gateway.WithBudgetShare(func() core.BudgetShare { return core.BudgetShare{Boxes: 10} })
 	const share = 5
 	// totalTransferred returns how many sends the box transfers when asked repeatedly.
 	totalTransferred := func(b *testbed) int {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform/emulator"
@@ -211,7 +212,7 @@
 	It("is not stopped for its move while the box has no send to continue it", func() {
 		var boxes atomic.Int64
 		boxes.Store(math.MaxInt32)
-		b = newTestbedWith(true, gateway.WithBoxes(func() int { return int(boxes.Load()) }))
+		b = newTestbedWith(true, gateway.WithBudgetShare(func() core.BudgetShare { return core.BudgetShare{Boxes: int(boxes.Load())} }))
 		time.AfterFunc(400*time.Millisecond, func() { boxes.Store(3) })
 		second := moveOnDrain("n1", b.add("e-1", emulator.ModelService), 20, time.Millisecond)
 		Expect(second.Runs()[0].ResumedFrom).NotTo(BeEmpty())
