fleet: take the first state from peers and not from the store

Cause: a starting box ranked first among the readers, since it knew no other box, and read the whole list from the store: 13 calls and 1.8 MB at 5,998 servers. Boxes that start together all did so; what the store's link carries bounds how soon they serve again, and it grows with boxes times servers.

Until they know their peers only the boxes that read first watch the store, so that lists don't grow old meanwhile. The delay after a failed call varies by a quarter and not by half, which bounds the calls in a time.

Changelog: changed - starting boxes take their state from other boxes

--- a/box/box.go
+++ b/box/box.go
@@ -139,6 +139,7 @@
 	watcher := fleet.NewStoreWatcher(b.newStoreClient(), b.state, s.ChangeBound(),
 		fleet.WithStoreWatcherLog(log.Named("store")),
 		fleet.WithReaderRank(b.peers.ReaderRank),
+		fleet.WithStartupPeers(b.peers, s.FirstStart),
 		fleet.WithOnUpdate(b.peers.BroadcastUpdate),
 		fleet.WithOnStoreCall(countStoreCall),
 	)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -37,6 +37,7 @@
 	discovered        bool // most other boxes are known
 	state             *State
 	seeds             []netip.AddrPort
+	isSeed            bool // the seeds given to this box contain itself
 	log               *zap.Logger
 	network           wire.Network
 	handlers          *wire.Handlers
@@ -102,6 +103,7 @@
 		rateShares:      core.NewShareAllocator(time.Now(), self.Box, core.DefaultShareRules()),
 		state:           state,
 		seeds:           withoutAddress(seeds, self.Address),
+		isSeed:          slices.Contains(seeds, self.Address),
 		log:             zap.NewNop(),
 		aliveBoxes:      make(map[string]bool),
 		onPlacement:     func(time.Time, Placement) {},
@@ -148,6 +150,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seeds = withoutAddress(seeds, p.roster.Self().Address)
+	p.isSeed = slices.Contains(seeds, p.roster.Self().Address)
+}
+
+// ExpectsPeers implements StartupPeers.
+func (p *Peers) ExpectsPeers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.seeds) > 0 && !p.isSeed
 }
 
 // Run gossips with other boxes until the context ends.
--- a/fleet/state_fetcher.go
+++ b/fleet/state_fetcher.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// IsFetching implements StartupPeers.
+func (p *Peers) IsFetching() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fetching
+}
+
 // fetchAll fetches until this box has the newest advertised state. It fetches from one box at a
 // time, since transfers are large compared to the links of small boxes.
 func (p *Peers) fetchAll() {
--- a/fleet/store_watcher.go
+++ b/fleet/store_watcher.go
@@ -63,6 +63,9 @@
 	onUpdate          func(Update)
 	log               *zap.Logger
 	onCall            func(result string)
+	startupPeers      StartupPeers
+	firstStart        bool
+	readsFirst        bool // this box read the store at its start, before it had any state
 	storeLost         bool
 	hasWaitedForPeers bool
 	lastReadAt        time.Time // last full read
@@ -105,6 +108,7 @@
 		onUpdate:         func(Update) {},
 		log:              zap.NewNop(),
 		onCall:           func(string) {},
+		startupPeers:     noPeers{},
 	}
 	for _, o := range options {
 		o(w)
@@ -119,6 +123,7 @@
 
 // Run watches the store until the context ends.
 func (w *StoreWatcher) Run(ctx context.Context) {
+	w.awaitPeerState(ctx)
 	for ctx.Err() == nil {
 		w.waitUntilNeeded(ctx)
 		revision, ok := w.readAll(ctx)
@@ -139,8 +144,14 @@
 	}
 }
 
-// isReader reports whether this box watches the store for all.
-func (w *StoreWatcher) isReader() bool { return w.readerRank() < readerCount }
+// isReader reports whether this box watches the store for all. Until a box knows its peers, it
+// would rank itself first; then only the boxes that had to read the store first watch it.
+func (w *StoreWatcher) isReader() bool {
+	if !w.startupPeers.HasDiscoveredPeers() {
+		return w.readsFirst
+	}
+	return w.readerRank() < readerCount
+}
 
 // shouldRead reports whether this box should watch the store now.
 func (w *StoreWatcher) shouldRead() bool {
@@ -168,7 +179,7 @@
 		}
 		if !v.HasEndpointList || v.Table == nil {
 			// Nothing was published at the last read, or the read failed.
-			if now.Sub(w.lastReadAt) >= w.fraction(watchTimeoutFraction) {
+			if now.Sub(w.lastReadAt) >= w.unpublishedPollInterval() {
 				return
 			}
 			Sleep(ctx, idlePollInterval)
@@ -186,7 +197,7 @@
 
 // maxListAge returns the list age at which this box reads the store though it is no reader.
 func (w *StoreWatcher) maxListAge() time.Duration {
-	if w.readerRank() < readerCount+standbyCount {
+	if w.startupPeers.HasDiscoveredPeers() && w.readerRank() < readerCount+standbyCount {
 		return w.fraction(standbyStaleFraction)
 	}
 	return w.fraction(staleFraction)
@@ -253,7 +264,7 @@
 	if w.readsLast() {
 		w.retryDelay = maxFallbackRetryDelay
 	}
-	Sleep(ctx, w.retryDelay/2+rand.N(w.retryDelay/2+1))
+	Sleep(ctx, w.retryDelay*3/4+rand.N(w.retryDelay/4+1))
 }
 
 func (w *StoreWatcher) maxRetryDelay() time.Duration {
