box: make sure that the far server is needed in the test of its cold start

Cause: the far server got requests only while the near one, which answered at once, happened to be busy: 5 to 14 of some 2,000 requests in trials, none in 1 of 4 whole runs. Change: the near server takes 300 ms a request, as in the spec before it. The checks are the same.

--- a/box/cold_test.go
+++ b/box/cold_test.go
@@ -68,8 +68,9 @@
 	It("counts as cold after its zone's drain ended, even if its entry doesn't say so", func() {
 		far, err := d.AddIn("zone-b", "i-far", emulator.PlainService)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = d.Add("i-near", emulator.PlainService)
+		near, err := d.Add("i-near", emulator.PlainService)
 		Expect(err).NotTo(HaveOccurred())
+		near.WorkTime = 300 * time.Millisecond // it is busy, so that the far one is needed
 		d.Drain("zone-b")
 		start()
 		runLoad(boxes, 500*time.Millisecond)
