soak: many boxes killed together, servers that restart, unusable entries

Cause: the deployment of the whole fleet loses power at most of its boxes at once, its servers start again under their IDs, and entries may come from another writer; the soak played none of the three.

Change: seeds from 4000 on draw such faults from a source of their own, so that the faults of all seeds below stay. Servers of these seeds tell when they started.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -91,29 +90,45 @@
 }
 
 // checkCrashingRequest checks that the crashing request is quarantined after crashThreshold
-// crashes, and that a request reported as not run reached no engine.
-func (r *Report) checkCrashingRequest(f *fleet, outcomes []emulator.Outcome) {
+// crashes, and that a request reported as not run reached no engine. Crashes before a time at which
+// all boxes were killed together are known to no box any more and don't count.
+func (r *Report) checkCrashingRequest(f *fleet, outcomes []emulator.Outcome, memoryLostTimes []time.Time) {
 	runs := f.deployment.Runs()
-	var crashRuns []emulator.Run
+	var crashTimes []time.Time
 	for _, o := range outcomes {
 		if o.PromisesNotRun() && len(runs[o.ID]) > 0 {
 			r.addViolation("REFUSED: %s got status %d (not run) but ran", o.ID, o.Status)
 		}
-		crashRuns = append(crashRuns, runs[o.ID]...)
+		for _, run := range runs[o.ID] {
+			crashTimes = append(crashTimes, run.StartedAt)
+		}
+	}
+	slices.SortFunc(crashTimes, time.Time.Compare)
+	r.CrashRuns = len(crashTimes)
+	for _, lostAt := range memoryLostTimes {
+		known := slices.IndexFunc(crashTimes, func(at time.Time) bool { return at.After(lostAt) })
+		if known < 0 {
+			break
+		}
+		r.checkLateCrashes(crashTimes[:known])
+		crashTimes = crashTimes[known:]
 	}
-	slices.SortFunc(crashRuns, func(a, b emulator.Run) int { return cmp.Compare(a.StartedAt.UnixNano(), b.StartedAt.UnixNano()) })
-	r.CrashRuns = len(crashRuns)
-	if len(crashRuns) <= crashThreshold {
+	r.checkLateCrashes(crashTimes)
+}
+
+// checkLateCrashes checks the sorted times of crashes of which the boxes kept word.
+func (r *Report) checkLateCrashes(crashTimes []time.Time) {
+	if len(crashTimes) <= crashThreshold {
 		return
 	}
-	quarantinedAt := crashRuns[crashThreshold-1].StartedAt.Add(workTime + quarantineDelay)
+	quarantinedAt := crashTimes[crashThreshold-1].Add(workTime + quarantineDelay)
 	late := 0
-	for _, run := range crashRuns {
-		if run.StartedAt.After(quarantinedAt) {
+	for _, at := range crashTimes {
+		if at.After(quarantinedAt) {
 			late++
 		}
 	}
 	if late > maxLateCrashes {
-		r.addViolation("BUDGET: a request that had crashed three engines reached %d more after the quarantine delay, %d in all", late, len(crashRuns))
+		r.addViolation("BUDGET: a request that had crashed three engines reached %d more after the quarantine delay, %d in all", late, len(crashTimes))
 	}
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -21,7 +21,8 @@
 	undo            []func()    // end the active faults, oldest first
 	storeFaultTimes []time.Time // starts and ends of faults of the store and its links
 	keyRevokedAt    time.Time
-	unexpectedExits []string // violations: boxes that exited without being signalled
+	unexpectedExits []string    // violations: boxes that exited without being signalled
+	memoryLostTimes []time.Time // when all boxes that ran were killed together
 }
 
 func newInjector(f *fleet, seed uint64, plannedOnly bool) *injector {
@@ -73,9 +74,12 @@
 }
 
 // randomServer returns a random server that is still listed as ready.
-func (i *injector) randomServer() *listedServer {
+func (i *injector) randomServer() *listedServer { return i.randomServerFrom(i.r) }
+
+// randomServerFrom is randomServer with another random source.
+func (i *injector) randomServerFrom(r *rand.Rand) *listedServer {
 	for {
-		s := i.fleet.servers[i.r.IntN(len(i.fleet.servers))]
+		s := i.fleet.servers[r.IntN(len(i.fleet.servers))]
 		if s.leavingSince.IsZero() {
 			return s
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -46,6 +46,7 @@
 	startedAt    time.Time
 	exitedAt     time.Time
 	restarting   bool        // a restart is queued
+	paused       bool        // it got a SIGSTOP, and no SIGCONT since
 	stopTimes    []time.Time // when SIGTERM was sent
 	disturbances []time.Time // when it was killed, paused or resumed
 }
@@ -68,17 +69,19 @@
 	boxes            []*boxProcess
 	servers          []*listedServer
 	lastServerNumber int
+	reportsStarts    bool // the servers tell when they started
 }
 
-func startFleet(program, folder string, boxes int) (*fleet, error) {
+func startFleet(program, folder string, boxes int, reportsStarts bool) (*fleet, error) {
 	d, err := emulator.NewDeployment()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		program:    program,
-		folder:     folder,
-		deployment: d,
+		program:       program,
+		folder:        folder,
+		deployment:    d,
+		reportsStarts: reportsStarts,
 	}
 	for range plainServerCount {
 		if _, err := f.addServer(emulator.PlainService); err != nil {
@@ -101,6 +104,9 @@
 	}
 	s.Events, s.EventInterval, s.WorkTime = streamEvents, eventGap, workTime
 	s.CrashBody = crashBody
+	if f.reportsStarts {
+		s.Born = time.Now().UnixMilli()
+	}
 	proxy, err := NewFaultProxy(s.Address())
 	if err != nil {
 		return nil, err
@@ -198,6 +204,7 @@
 	b.exited = exited
 	b.startedAt = time.Now()
 	b.restarting = false
+	b.paused = false
 	return nil
 }
 
@@ -210,6 +217,7 @@
 		b.stopTimes = append(b.stopTimes, time.Now())
 	case syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGCONT:
 		b.disturbances = append(b.disturbances, time.Now())
+		b.paused = s == syscall.SIGSTOP
 	}
 	// Fails if the process has already exited.
 	_ = b.process.Process.Signal(s)
@@ -230,6 +238,12 @@
 	}
 }
 
+func (b *boxProcess) isPaused() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.paused
+}
+
 func (b *boxProcess) markRestarting() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -71,7 +71,7 @@
 	for _, option := range opts {
 		option(&o)
 	}
-	f, err := startFleet(program, folder, o.boxes)
+	f, err := startFleet(program, folder, o.boxes, reportsStarts(seed))
 	if f != nil {
 		defer f.close()
 	}
@@ -85,12 +85,14 @@
 	announcements := newAnnouncer(f, seed)
 	announcements.announceLimits()
 	restorer := newStoreRestorer(i, seed)
+	massFaults := newMassFaults(i, seed)
 	time.Sleep(meanFaultPause)
 	for range faultCount {
 		i.restartExited()
 		i.replaceCrashed()
 		i.injectRandom()
 		restorer.step()
+		massFaults.step()
 		time.Sleep(time.Duration(i.r.Int64N(int64(2 * meanFaultPause))))
 		if i.r.IntN(2) == 0 {
 			i.undoOldest()
@@ -114,7 +116,7 @@
 	r.Faults = append(i.descriptions, announcements.String())
 	r.checkCalls(f, i, results)
 	r.checkNotices(f, announcements, results)
-	r.checkCrashingRequest(f, crashing.stop())
+	r.checkCrashingRequest(f, crashing.stop(), i.memoryLostTimes)
 	return r, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 		Entry("a SIGHUP ends a starting box that has no signal handlers yet", 33),
 		Entry("a newly started box interrupts a stream to move it, with no send left to resume it", 2037),
 		Entry("the store is restored from an older copy", 3001),
+		Entry("all boxes are killed at the same moment, which lose word of crashes", 4049),
 		Entry("a request crashes every engine, behind proxies that make crashes look like resets", 1001),
 	)
 })
