core: gossip each change of the roster four times and not twelve

Cause: each box repeats each change of another box in twelve messages, up to 48 changes a message. When all boxes start together each has all others to tell: at 600 boxes 7,200 records of some 70 bytes a box, 20 s of full messages. That grows with the fleet, and new changes wait behind it.

Change: four repeats.

--- a/core/roster.go
+++ b/core/roster.go
@@ -36,7 +36,9 @@
 // a record from before a box fell silent doesn't clear it. MaxAliveSilence far exceeds the
 // time in which the records of all boxes come round in a fleet of some hundred boxes.
 // BudgetSilence exceeds the window of any budget, so that a box that is cut off doesn't
-// claim the others' shares. ChangeSends is enough to reach a thousand boxes.
+// claim the others' shares. With ChangeSends a change reaches all but a few percent of the
+// boxes, at any size, and the rotation reaches the rest; more sends would delay the spread of
+// many changes, as when most boxes restart.
 func DefaultRosterRules() RosterRules {
 	return RosterRules{
 		MinSilence:      2500 * time.Millisecond,
@@ -47,7 +49,7 @@
 		Sample:          16,
 		MaxChanged:      48,
 		MinRotated:      4,
-		ChangeSends:     12,
+		ChangeSends:     4,
 	}
 }
 
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -226,6 +226,9 @@
 // Traffic returns the number of messages received from other boxes.
 func (p *Peers) Traffic() uint64 { return p.handlers.Traffic().ReceivedMessages.Load() }
 
+// SentBytes returns the number of bytes sent to other boxes, without the framing.
+func (p *Peers) SentBytes() uint64 { return p.handlers.Traffic().SentBytes.Load() }
+
 // Self returns this box's name.
 func (p *Peers) Self() string {
 	p.mu.Lock()
--- a/fleet/startup_state_test.go
+++ b/fleet/startup_state_test.go
@@ -21,7 +21,7 @@
 
 // newStartingFleet returns a fleet without boxes and a store with endpoints. Each box has the
 // first one as its seed.
-func newStartingFleet(t *testing.T, endpoints int) *startingFleet {
+func newStartingFleet(t *testing.T, endpoints int, limit time.Duration) *startingFleet {
 	f := &startingFleet{
 		testFleet: launchFleetWith(t, 0, 20*smallLinkBytesPerSecond, func(*fleet.State) *fleet.LoadReports { return nil }),
 		store:     newFakeStore(),
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	f.watch = func(box int) {
-		w := fleet.NewStoreWatcher(f.store, f.states[box], propagationLimit,
+		w := fleet.NewStoreWatcher(f.store, f.states[box], limit,
 			fleet.WithReaderRank(f.peers[box].ReaderRank),
 			fleet.WithStartupPeers(f.peers[box], false),
 			fleet.WithOnUpdate(f.peers[box].BroadcastUpdate),
@@ -68,7 +68,7 @@
 		g := gomega.NewWithT(t)
 		const endpoints = 600
 		for _, boxes := range []int{48, 96} {
-			f := newStartingFleet(t, endpoints)
+			f := newStartingFleet(t, endpoints, propagationLimit)
 			f.startBoxes(0, boxes)
 			time.Sleep(3 * time.Second)
 			g.Expect(f.servingBoxes(endpoints)).To(gomega.Equal(boxes))
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		const endpoints, boxes = 600, 24
-		f := newStartingFleet(t, endpoints)
+		f := newStartingFleet(t, endpoints, propagationLimit)
 		f.startBoxes(0, boxes)
 		time.Sleep(discoveryTime)
 		before, _ := f.store.callCounts()
@@ -101,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		const endpoints, boxes = 600, 12
-		f := newStartingFleet(t, endpoints)
+		f := newStartingFleet(t, endpoints, propagationLimit)
 		f.startBoxes(1, boxes)
 		time.Sleep(3 * time.Second)
 		g.Expect(f.servingBoxes(endpoints)).To(gomega.Equal(boxes - 1))
--- a/fleet/state_transfer_test.go
+++ b/fleet/state_transfer_test.go
@@ -41,7 +41,8 @@
 	states      []*fleet.State
 	quarantined []*fleet.Quarantine
 	limits      []*fleet.Limits
-	placements  []*atomic.Int64 // number of placements that each box received
+	placements  []*atomic.Int64  // number of placements that each box received
+	moreSeeds   []netip.AddrPort // further seeds of the boxes that start
 	start       func(box int)
 }
 
@@ -71,7 +72,7 @@
 		time.Sleep(discoveryTime)
 	})
 	f := &testFleet{network: n}
-	seed := netip.AddrPortFrom(boxAddr(0), 8000)
+	seeds := []netip.AddrPort{netip.AddrPortFrom(boxAddr(0), 8000)}
 	f.start = func(i int) {
 		n.AddHost(boxAddr(i), bytesPerSecond)
 		state := fleet.NewState()
@@ -83,7 +84,7 @@
 			Address:    netip.AddrPortFrom(boxAddr(i), 8000),
 			Zone:       fmt.Sprintf("zone-%d", i%2),
 			InstanceID: uint64(i + 1),
-		}, []netip.AddrPort{seed}, state, append(loadReportsOptions(reports(state)), fleet.WithNetwork(n.ForHost(boxAddr(i))), fleet.WithQuarantine(q), fleet.WithLimits(limits),
+		}, append(seeds, f.moreSeeds...), state, append(loadReportsOptions(reports(state)), fleet.WithNetwork(n.ForHost(boxAddr(i))), fleet.WithQuarantine(q), fleet.WithLimits(limits),
 			fleet.WithPlacementHandler(func(time.Time, fleet.Placement) { received.Add(1) }))...)
 		if err != nil {
 			t.Fatal(err)
