admission: don't weigh the slowdown that an endpoint reports

A box sends a call to each server there every two seconds, so that a word that holds for some hundred milliseconds is old at the next. The header stays decoded, for the loads in it.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -43,10 +43,6 @@
 	// unmovableCost is the cost of memory beyond what can be moved off an engine within the
 	// notice before it terminates; the runs that remain are lost.
 	unmovableCost = 9.0
-	// slowdownCost is the cost of an endpoint where work takes twice as long as usual.
-	slowdownCost = 0.5
-	// slowdownDecay is the time constant with which a reported slowdown loses its weight.
-	slowdownDecay = 300 * time.Millisecond
 	// scoreNoise is the range of a random cost that spreads requests over equal engines.
 	scoreNoise = 0.06
 	// initialPrefillRate is the assumed prefill rate before it is observed, in tokens per
@@ -217,7 +213,7 @@
 	if e.ColdAt(now) {
 		score += coldCost
 	}
-	score += failureCost*l.failureScore(now) + slowdownCost*l.excessSlowdown(now)
+	score += failureCost * l.failureScore(now)
 	if now.Before(l.avoidUntil) || l.isSuspect(now, req) {
 		score += failureCost
 	}
--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -14,7 +14,6 @@
 	reportedRequests int            // running and waiting requests by the last response header
 	loadReportedAt   time.Time      // when that header was received
 	startedSince     int            // requests that this box sent after it
-	slowdown         float64        // factor by which work took longer than usual, by the same header
 	report           routing.Report // last memory report of the engine
 	reportAt         time.Time      // when the report was made
 	recentChanges    []memoryChange // not yet included in the report
@@ -186,23 +185,14 @@
 	l.addChange(now, tokens, 0)
 }
 
-// ObserveLoad records the number of requests that an endpoint reported with a response, and the
-// factor by which work takes longer there than usual.
-func (b *Balancer) ObserveLoad(now time.Time, id string, requests int, slowdown float64) {
+// ObserveLoad records the number of requests that an endpoint reported with a response.
+func (b *Balancer) ObserveLoad(now time.Time, id string, requests int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(id)
 	l.reportedRequests = requests
 	l.startedSince = 0
 	l.loadReportedAt = now
-	l.slowdown = slowdown
-}
-
-// excessSlowdown returns by how much work takes longer at an endpoint than usual, as a fraction of
-// the usual time. It decays with the age of the report, since it changes several times a second.
-func (l *endpointLoad) excessSlowdown(now time.Time) float64 {
-	age := now.Sub(l.loadReportedAt)
-	return math.Max(0, l.slowdown-1) * math.Exp(-float64(age)/float64(slowdownDecay))
 }
 
 // Memory records an engine's memory report and when it was made, unless a newer one is known.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -111,7 +111,9 @@
 	if a.headers.NotRun {
 		return p.handleNotRun(a)
 	}
-	p.observeLoad(a.headers.Load)
+	if a.headers.Load != nil {
+		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, a.headers.Load.Running+a.headers.Load.Waiting)
+	}
 	if invalidReason := a.invalidReason(); invalidReason != "" {
 		a.close()
 		return p.failed(invalidReason, nil, core.CallBroken{})
@@ -222,19 +224,14 @@
 	return errOnlyStrayAnswers
 }
 
-// observeLoad records the load that the endpoint reported with its answer, if any.
-func (p *proxiedRequest) observeLoad(load *Load) {
-	if load != nil {
-		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, load.Running+load.Waiting, load.Slowdown)
-	}
-}
-
 // handleNotRun handles an answer that says that the request was not run.
 func (p *proxiedRequest) handleNotRun(a *answer) core.Event {
 	status := a.head.StatusCode
 	_, err := io.Copy(io.Discard, io.LimitReader(a.head.Body, maxBufferedAnswer))
 	a.release(p, err == nil)
-	p.observeLoad(a.headers.Load)
+	if a.headers.Load != nil {
+		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, a.headers.Load.Running+a.headers.Load.Waiting)
+	}
 	p.gateway.balancer.Failed(time.Now(), p.endpoint.ID, status == http.StatusMisdirectedRequest)
 	p.logDecision("endpoint refused", zap.String("endpoint", p.endpoint.ID), zap.Int("status", status))
 	return core.CallRefused{}
