--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,6 +1,7 @@
 # Targets for developers, operators and CI.
 GO ?= go
 DEPLOYMENT ?= buscodigo
+FLEET_SIZES ?= 75,150,300,600
 STATICCHECK := bin/staticcheck
 
 .PHONY: all build run test format lint unit prove measure slopes plots clean
@@ -44,6 +45,7 @@
 # Extrapolates the cost of each part to the fleet size in docs/CAPACITY.md.
 slopes: build
 	@bin/dillsaddle-lab slopes
+	@$(GO) test ./fleet -run TestCostOfABoxDoesNotGrowWithTheFleet -count=1 -v -timeout 20m -args -sizes $(FLEET_SIZES)
 
 plots: build
 	@bin/dillsaddle-lab plots
