fleet: wait for a peer's state for 0.3 s and not for 1.5 s

Cause: after a loss of power at all boxes a starting box's first message to a seed hangs while the seed is dark, so that the wait for a peer's state ran to its end and callers were refused meanwhile.

Boxes whose seeds are up have it by then.

Changelog: none

--- a/fleet/startup.go
+++ b/fleet/startup.go
@@ -12,7 +12,7 @@
 	// peerStateTimeout is how long a starting box waits on average for its first state from
 	// a peer before it reads the store. It is drawn at random, so that the boxes that read
 	// first can pass the state on to the others.
-	peerStateTimeout = 1500 * time.Millisecond
+	peerStateTimeout = 300 * time.Millisecond
 	// firstStartTimeout is the same at the first start of a deployment, when no callers wait
 	// and the servers may not have registered yet.
 	firstStartTimeout = 5 * time.Second
