--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"dillsaddle.example/dillsaddle/routing"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -26,6 +27,34 @@
 	StreamBroken  bool   `cbor:"5,keyasint,omitempty"` // a stream of the endpoint broke without notice
 	RunEnded      bool   `cbor:"6,keyasint,omitempty"` // a run ended at the endpoint or was moved off it
 	HeldTokens    int    `cbor:"7,keyasint,omitempty"` // tokens in the engine's memory when the run ended
+
+	Waiting   *Waiting         `cbor:"8,keyasint,omitempty"`  // a request waits for room, or its wait ended
+	Pace      *EnginePace      `cbor:"9,keyasint,omitempty"`  // how fast and steadily the engine served a stream
+	Sensitive bool             `cbor:"10,keyasint,omitempty"` // the run has a target for its pauses
+	Priority  routing.Priority `cbor:"11,keyasint,omitempty"` // of the prompt that was sent
+}
+
+// Waiting informs the group of a request that waits at a box until an engine has room.
+type Waiting struct {
+	Request  string           `cbor:"1,keyasint"`
+	Ended    bool             `cbor:"2,keyasint,omitempty"` // the request waits no longer; the fields below are unset
+	Service  string           `cbor:"3,keyasint,omitempty"`
+	Customer string           `cbor:"4,keyasint,omitempty"`
+	Priority routing.Priority `cbor:"5,keyasint,omitempty"`
+	DueIn    time.Duration    `cbor:"6,keyasint,omitempty"` // time until it must be sent to meet its target; negative if missed
+	Limit    time.Duration    `cbor:"7,keyasint,omitempty"` // time until it stops waiting
+	Tokens   int              `cbor:"8,keyasint,omitempty"` // memory of its run at the expected end
+	Prompt   int              `cbor:"9,keyasint,omitempty"` // tokens to prefill
+	Box      string           `cbor:"10,keyasint,omitempty"`
+}
+
+// EnginePace is what a box observed of an engine while it served a stream. After the stream's
+// first events it has the interval only, at the stream's end also the other fields.
+type EnginePace struct {
+	EventInterval time.Duration `cbor:"1,keyasint,omitempty"` // usual time between two events
+	Exposures     int           `cbor:"2,keyasint,omitempty"` // prompts sent to the engine during the stream
+	Broken        bool          `cbor:"3,keyasint,omitempty"` // a pause exceeded the route's target
+	Ended         bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // Placements is the message with a box's latest placements.
