fleet: count one engine's queries in the test of engines in use

Cause: the test compared the queries of all engines before and while one is used.

Change: it counts the queries of the engine in use: 16 in 8 s within two, where at least 12 more than before were wanted, and at most one in 8 s once it is idle.

--- a/fleet/load_queries_test.go
+++ b/fleet/load_queries_test.go
@@ -83,20 +83,20 @@
 func TestEngineInUseIsQueriedTwiceASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		const engines = 48
-		q := startQueriedFleet(t, 24, engines)
-		idle := q.queriesIn(8 * time.Second)
-		used := q.queriesWhileUsed(8*time.Second, "e-07")
-		g.Expect(used - idle).To(gomega.BeNumerically(">=", 12))
+		const engine = "e-07"
+		q := startQueriedFleet(t, 24, 48)
+		g.Expect(q.queriesWhileUsed(8*time.Second, engine)).To(gomega.BeNumerically("~", 16, 2))
 		time.Sleep(4 * time.Second)
-		g.Expect(q.queriesIn(8 * time.Second)).To(gomega.BeNumerically("<=", idle+engines/8))
+		before := q.reporter.queriesOf(engine)
+		time.Sleep(8 * time.Second)
+		g.Expect(q.reporter.queriesOf(engine)-before).To(gomega.BeNumerically("<=", 1), "idle again")
 	})
 }
 
-// queriesWhileUsed returns the number of queries in a time in which one box places a prompt at an
-// engine each second.
-func (q *queriedFleet) queriesWhileUsed(d time.Duration, engine string) float64 {
-	before := q.reporter.queries.Load()
+// queriesWhileUsed returns the number of queries of an engine in a time in which one box places a
+// prompt there each second.
+func (q *queriedFleet) queriesWhileUsed(d time.Duration, engine string) int {
+	before := q.reporter.queriesOf(engine)
 	for range d / time.Second {
 		q.peers[3].BroadcastPlacement(fleet.Placement{
 			Endpoint: engine,
@@ -104,7 +104,7 @@
 		})
 		time.Sleep(time.Second)
 	}
-	return float64(q.reporter.queries.Load() - before)
+	return q.reporter.queriesOf(engine) - before
 }
 
 // Guards against gossip that grows with the number of engines: reports of idle engines tell other
--- a/fleet/startup_test.go
+++ b/fleet/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -19,10 +20,19 @@
 type countingReporter struct {
 	queries atomic.Int64
 	running int
+
+	mu       sync.Mutex
+	byEngine map[string]int // queries, by endpoint ID
 }
 
 func (r *countingReporter) Report(_ context.Context, e routing.Endpoint) (routing.Report, error) {
 	r.queries.Add(1)
+	r.mu.Lock()
+	if r.byEngine == nil {
+		r.byEngine = make(map[string]int)
+	}
+	r.byEngine[e.ID]++
+	r.mu.Unlock()
 	return routing.Report{
 		Endpoint: e.ID,
 		Running:  r.running,
@@ -30,6 +40,12 @@
 	}, nil
 }
 
+func (r *countingReporter) queriesOf(engine string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byEngine[engine]
+}
+
 // engineSnapshot returns a configuration with one engine service and a list of engines in the
 // zones of startFleet's boxes.
 func engineSnapshot(engines int) *fleet.Snapshot {
