box, commands: waiting requests and engines in the status

Cause: an operator can't see which requests wait for room, nor how full and how fast a box takes its engines to be.

Change: /status has the sections waiting (own and remote numbers, own requests with route, ranks and time) and engines (pace, reported and estimated memory use, pause-sensitive streams); `dillsaddle status` prints them.

--- a/box/status.go
+++ b/box/status.go
@@ -32,6 +32,10 @@
 	Quarantined   []Quarantined `json:"held,omitempty"`
 
 	Throttled []Throttled `json:"restrained,omitempty"`
+
+	Waiting        WaitingRequests `json:"waiting"`
+	Engines        []EngineLoad    `json:"engines,omitempty"`
+	OmittedEngines int             `json:"engines_left_out,omitempty"`
 }
 
 // Limits on the length of the lists in a status.
@@ -117,6 +121,7 @@
 		})
 	}
 	s.Throttled = b.throttledEndpoints()
+	b.addLoad(time.Now(), &s)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		b.log.Warn("status response could not be written", zap.Error(err))
--- a/commands/status.go
+++ b/commands/status.go
@@ -111,6 +111,7 @@
 	fmt.Fprintf(w, "list of endpoints\tchanged at %d, confirmed %s ago\n", s.ListNumber, s.ListAge)
 	fmt.Fprintf(w, "state\tready %t, %d requests, reader %t, store away %t\n", s.Ready, s.Active, s.Reader, s.StoreDown)
 	fmt.Fprintf(w, "retry budget\tshared by %d boxes\n", s.Sharers)
+	fmt.Fprintf(w, "waiting\t%d requests here, %d known from other boxes\n", s.Waiting.Own, s.Waiting.Remote)
 	fmt.Fprintf(w, "log\t%d lines left out\n", s.DroppedLines)
 	if len(s.Quarantined) > 0 {
 		fmt.Fprintln(w, "\nREQUEST KEPT FROM ENDPOINTS\tFOR\tENDED UNDER IT")
@@ -124,6 +125,7 @@
 	for _, r := range s.Throttled {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", r.Endpoint, formatRate(r.PerSecond), cmp.Or(r.Backoff, "-"))
 	}
+	printLoad(w, s)
 	fmt.Fprintln(w, "\nBOX\tZONE\tSILENCE\tLEAVING")
 	for _, b := range s.Boxes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", b.Box, b.Zone, b.Silence, b.Leaving)
