losses: waits for room, refusals by reason, late engines

Cause: a report doesn't know requests that waited for room, and takes any late stream with a pause over 150 ms for one that paused, though its first event was late and its route accepts the pause.

Change: the reader takes `waiting for room`, `waited for room`, `engine pace changed` and the estimate of `refused`; missing fields, or those of another type, count as unknown. Late streams are told apart by what streams of the route that were not late had: a first event or a pause beyond these is the cause, and a late first event counts as a wait if that took most of the time. New tables: waits by route and outcome, refusals by route, reason and status, engines by late requests and changes of pace.

--- a/losses/line.go
+++ b/losses/line.go
@@ -36,6 +36,9 @@
 	Failed       bool          // the line has an error
 	MemoryUse    *float64      // estimated memory use of the chosen engine; nil for plain services
 	ReportAge    time.Duration // age of the load report behind the estimate
+	Outcome      string        // of a wait, or whether a request ran
+	For          time.Duration // how long the request waited
+	Estimate     time.Duration // estimated wait of a refused request; 0 if unknown
 }
 
 // lineBody is the JSON object in a log line.
@@ -61,6 +64,23 @@
 	Error        string    `json:"error"`
 	MemoryUse    *float64  `json:"full"`
 	ReportAge    duration  `json:"report_age"`
+
+	Outcome  optional[string]   `json:"outcome"`
+	For      optional[duration] `json:"for"`
+	Estimate optional[duration] `json:"estimate"`
+}
+
+// optional is a field that is left out if it has another type than expected, so that the line
+// still counts.
+type optional[T any] struct{ value T }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *optional[T]) UnmarshalJSON(text []byte) error {
+	var value T
+	if json.Unmarshal(text, &value) == nil {
+		o.value = value
+	}
+	return nil
 }
 
 // duration is a time.Duration that is encoded as text, such as "1.5s".
@@ -119,6 +139,9 @@
 		Failed:       b.Error != "",
 		MemoryUse:    b.MemoryUse,
 		ReportAge:    time.Duration(b.ReportAge),
+		Outcome:      b.Outcome.value,
+		For:          time.Duration(b.For.value),
+		Estimate:     time.Duration(b.Estimate.value),
 	}, nil
 }
 
--- a/losses/placement.go
+++ b/losses/placement.go
@@ -110,11 +110,12 @@
 		lastUsed:     make(map[string]time.Time),
 	}
 	rows := make(map[statsKey]*PlacementStats)
+	facts := r.facts()
 	for _, s := range r.runSteps {
 		if s.placed {
 			runs := len(tracker.runsByEngine[s.endpoint])
 			minRuns := min(tracker.minRuns(s.at), runs)
-			late := r.requests[s.request].wasLateOrLost(r.hasLeft)
+			late := r.requests[s.request].wasLateOrLost(facts)
 			for _, key := range s.statsKeys() {
 				addPlacement(rows, key, runs, minRuns, late)
 			}
@@ -173,7 +174,7 @@
 }
 
 // wasLateOrLost reports whether the request's answer was late or lost.
-func (r *request) wasLateOrLost(engineLeft func(endpoint string) bool) bool {
-	_, lost := r.loss(engineLeft)
+func (r *request) wasLateOrLost(f logFacts) bool {
+	_, lost := r.loss(f)
 	return lost
 }
--- a/losses/report.go
+++ b/losses/report.go
@@ -55,6 +55,9 @@
 	Customers  []StreamStats    `json:"felt_by_customer"`
 	Ranks      []StreamStats    `json:"felt_by_rank"`
 	Placements []PlacementStats `json:"placings"`
+	Waits      []WaitStats      `json:"waits"`
+	Refusals   []Refusals       `json:"refusals"`
+	Engines    []EngineStats    `json:"engines"` // those with late requests or changes of pace, worst first
 }
 
 // Reader reads the logs of any number of boxes, in any order.
@@ -64,6 +67,8 @@
 	requests map[string]*request
 	leftAt   map[string]time.Time // when a box first logged that the endpoint was leaving or gone
 	runSteps []runStep
+
+	paceChanges map[string]int // by endpoint
 }
 
 // NewReader returns an empty Reader.
@@ -71,6 +76,8 @@
 	return &Reader{
 		requests: make(map[string]*request),
 		leftAt:   make(map[string]time.Time),
+
+		paceChanges: make(map[string]int),
 	}
 }
 
@@ -86,8 +93,12 @@
 	return err
 }
 
-// addLine adds a line to its request, or records that an endpoint left.
+// addLine adds a line to its request, or records that an endpoint left or changed its pace.
 func (r *Reader) addLine(l Line) {
+	if l.Event == "engine pace changed" {
+		r.paceChanges[l.Endpoint]++
+		return
+	}
 	if l.Request == "" {
 		if l.Event == "endpoint leaving" || l.Event == "endpoint gone" {
 			if at, known := r.leftAt[l.Endpoint]; !known || l.At.Before(at) {
@@ -118,9 +129,15 @@
 		routes:    make(map[string]*streamHistograms),
 		customers: make(map[string]*streamHistograms),
 		ranks:     make(map[string]*streamHistograms),
+		waits:     newWaitCounter(),
+		engines:   make(map[string]*EngineStats),
+	}
+	facts := r.facts()
+	for endpoint, n := range r.paceChanges {
+		c.engine(endpoint).PaceChanges = n
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
-		c.count(r.requests[id], r.hasLeft)
+		c.count(r.requests[id], facts)
 	}
 	return Report{
 		Lines:      r.lines,
@@ -131,14 +148,12 @@
 		Customers:  streamStats(c.customers),
 		Ranks:      streamStats(c.ranks),
 		Placements: r.placementStats(),
+		Waits:      c.waits.allWaits(),
+		Refusals:   c.waits.allRefusals(),
+		Engines:    engineStats(c.engines),
 	}
 }
 
-func (r *Reader) hasLeft(endpoint string) bool {
-	_, leftAt := r.leftAt[endpoint]
-	return leftAt
-}
-
 // rowKey identifies a Row.
 type rowKey struct {
 	route  string
@@ -154,11 +169,13 @@
 	routes    map[string]*streamHistograms
 	customers map[string]*streamHistograms
 	ranks     map[string]*streamHistograms
+	waits     *waitCounter
+	engines   map[string]*EngineStats
 }
 
-// count adds a request to the totals and the stream statistics and, if it was lost or late,
-// to the rows.
-func (c *counter) count(q *request, hasLeft func(string) bool) {
+// count adds a request to the totals and the statistics and, if it was lost or late, to the
+// rows.
+func (c *counter) count(q *request, f logFacts) {
 	t := c.totals[q.route]
 	if t == nil {
 		t = &Total{Route: q.route}
@@ -168,12 +185,14 @@
 	if q.outcome != nil && q.outcome.Event == "streamed" {
 		c.addStream(q)
 	}
-	l, lost := q.loss(hasLeft)
+	l, lost := q.loss(f)
+	c.waits.add(q, lost)
 	if !lost {
 		return
 	}
 	if l.Late {
 		t.Late++
+		c.addLate(q.outcome.Endpoint, l.Cause)
 	} else {
 		t.Lost++
 	}
--- a/losses/request.go
+++ b/losses/request.go
@@ -13,6 +13,7 @@
 // Moments, in the order of a request's life.
 const (
 	BeforeSend    Moment = "before it was sent"
+	WhileWaiting  Moment = "while it waited for room"
 	AwaitingFirst Moment = "before its first event or answer"
 	BetweenEvents Moment = "between events"
 	WhileMoving   Moment = "while it was moved"
@@ -41,6 +42,8 @@
 	DeadlineExceeded   Cause = "deadline exceeded"
 	BoxCrashed         Cause = "box ended during the request"
 	SlowFirst          Cause = "first event or answer late"
+	LongWait           Cause = "long wait for room at an engine"
+	EstimateTooLong    Cause = "estimated wait for room too long"
 	PauseWhileMoving   Cause = "pause while moving to another engine"
 	PauseAtEngine      Cause = "pause at the engine" // it preempted the run or processed long prompts
 	RefusedByGateway   Cause = "refused by the box"
@@ -65,6 +68,10 @@
 	endpointCrashed bool            // the endpoint of the last send crashed
 	seams           map[string]bool // IDs of the events after which the run went on elsewhere
 	outcome         *Line           // the line that ended the request; nil if there is none
+	hasWaited       bool            // it began to wait for room at an engine
+	waitingSince    time.Time       // start of its last wait
+	waited          time.Duration   // all of its waits that ended
+	waitOutcome     string          // of its last wait; empty if there is no line about its end
 }
 
 // addLine updates the request with a line.
@@ -83,6 +90,8 @@
 	case "placed":
 		r.placed = true
 		r.endpoint = l.Endpoint
+	case "waiting for room", "waited for room":
+		r.addWait(l)
 	case "moved", "copy failed", "no target to move to", "move failed: engine unreachable":
 		r.moveStarted = true
 	case "continued from a copy", "resumed in another run":
@@ -108,22 +117,24 @@
 	Late    bool // the answer was complete, but late
 }
 
-// loss returns the request's loss, if any. A placed request without a final line was lost
-// with its box.
-func (r *request) loss(engineLeft func(endpoint string) bool) (Loss, bool) {
+// loss returns the request's loss, if any. A placed or waiting request without a final line was
+// lost with its box.
+func (r *request) loss(f logFacts) (Loss, bool) {
 	l := Loss{
 		Request: r.id,
 		Route:   r.route,
 	}
 	switch {
-	case r.outcome == nil && !r.placed:
+	case r.outcome == nil && !r.placed && !r.hasWaited:
 		return l, false
+	case r.outcome == nil && !r.placed:
+		l.Moment, l.Cause = WhileWaiting, BoxCrashed
 	case r.outcome == nil:
 		l.Moment, l.Cause = InProgress, BoxCrashed
 	case r.outcome.Event == "streamed" || r.outcome.Event == "answered":
-		return r.lossOfAnswered(l)
+		return r.lossOfAnswered(l, f)
 	case r.outcome.Event == "refused":
-		l.Moment, l.Cause = BeforeSend, r.refusalCause()
+		l.Moment, l.Cause = r.lossMoment(), r.refusalCause()
 		// An unknown key or route is the caller's error.
 		return l, r.outcome.Status >= http.StatusInternalServerError
 	case r.outcome.Event == "caller left":
@@ -132,7 +143,7 @@
 			l.Cause = AnswerOverdue
 		}
 	default:
-		l.Moment, l.Cause = r.lossMoment(), r.failureCause(engineLeft)
+		l.Moment, l.Cause = r.lossMoment(), r.failureCause(f)
 	}
 	return l, true
 }
@@ -140,6 +151,8 @@
 // lossMoment returns the phase that the request was in when it ended.
 func (r *request) lossMoment() Moment {
 	switch {
+	case !r.placed && r.hasWaited:
+		return WhileWaiting
 	case !r.placed:
 		return BeforeSend
 	case r.moveStarted:
@@ -160,11 +173,14 @@
 	case string(core.ReasonQuarantined):
 		return RequestQuarantined
 	}
+	if r.outcome.Estimate > 0 {
+		return EstimateTooLong
+	}
 	return RefusedByGateway
 }
 
 // failureCause converts the reason of a request that was cut or given up.
-func (r *request) failureCause(engineLeft func(endpoint string) bool) Cause {
+func (r *request) failureCause(f logFacts) Cause {
 	switch core.Reason(r.outcome.EndReason) {
 	case core.ReasonNoEndpoint:
 		return NoEndpoint
@@ -185,7 +201,7 @@
 		}
 	}
 	switch {
-	case engineLeft(r.endpoint):
+	case f.hasLeft(r.endpoint):
 		return EngineLeft
 	case r.endpointCrashed:
 		return EndpointCrashed
@@ -194,7 +210,7 @@
 }
 
 // lossOfAnswered returns the loss of an answered request, if it failed or was late.
-func (r *request) lossOfAnswered(l Loss) (Loss, bool) {
+func (r *request) lossOfAnswered(l Loss, f logFacts) (Loss, bool) {
 	if r.outcome.Status >= http.StatusInternalServerError {
 		l.Moment, l.Cause = AwaitingFirst, EndpointFailed
 		return l, true
@@ -203,16 +219,16 @@
 		return l, false
 	}
 	l.Late = true
-	l.Moment, l.Cause = AtAnswer, SlowFirst
-	if r.outcome.Event == "streamed" && r.outcome.PauseAfter != "" && r.outcome.LongestPause > minStutter {
-		l.Moment, l.Cause = BetweenEvents, PauseAtEngine
-		if r.seams[r.outcome.PauseAfter] {
-			l.Cause = PauseWhileMoving
+	switch {
+	case !r.isPauseLate(f):
+		l.Moment, l.Cause = AtAnswer, SlowFirst
+		if r.outcome.Event == "streamed" && r.isMostlyWait() {
+			l.Moment, l.Cause = WhileWaiting, LongWait
 		}
+	case r.seams[r.outcome.PauseAfter]:
+		l.Moment, l.Cause = BetweenEvents, PauseWhileMoving
+	default:
+		l.Moment, l.Cause = BetweenEvents, PauseAtEngine
 	}
 	return l, true
 }
-
-// minStutter is the shortest pause between events that readers notice, well above an
-// engine's usual time between events.
-const minStutter = 150 * time.Millisecond
--- a/losses/text.go
+++ b/losses/text.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -37,6 +39,7 @@
 				formatDuration(s.FirstMedian), formatDuration(s.FirstTail), formatDuration(s.PauseMedian), formatDuration(s.PauseTail), s.Stutters)
 		}
 	}
+	r.writeWaits(t)
 	fmt.Fprintf(t, "\nprompts placed by\tfrom\tprompts\tlate or lost\truns there\tfewest anywhere\n")
 	for _, p := range r.Placements {
 		fmt.Fprintf(t, "%s\t%.2f\t%d\t%.2f\t%.1f\t%.1f\n", p.By, p.RangeStart, p.Count, p.Late, p.Runs, p.MinRuns)
@@ -49,6 +52,32 @@
 	return t.Flush()
 }
 
+// writeWaits writes the tables of waits, refusals and engines; those without rows are omitted.
+func (r *Report) writeWaits(t io.Writer) {
+	if len(r.Waits) > 0 {
+		fmt.Fprintf(t, "\nwaits by route\trequests\tp50\tp99\tlate or lost\toutcomes\n")
+	}
+	for _, w := range r.Waits {
+		var outcomes []string
+		for _, name := range slices.Sorted(maps.Keys(w.Outcomes)) {
+			outcomes = append(outcomes, fmt.Sprintf("%s %d", name, w.Outcomes[name]))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%d\t%s\n", nameOrDash(w.Route), w.Requests, formatDuration(w.Median), formatDuration(w.Tail), w.Failed, strings.Join(outcomes, ", "))
+	}
+	if len(r.Refusals) > 0 {
+		fmt.Fprintf(t, "\nrefusals by route\treason\tstatus\trequests\tmean estimate\texamples\n")
+	}
+	for _, s := range r.Refusals {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", nameOrDash(s.Route), nameOrDash(s.Reason), s.Status, s.Count, formatDuration(s.Estimate), strings.Join(s.Requests, " "))
+	}
+	if len(r.Engines) > 0 {
+		fmt.Fprintf(t, "\nengines\tlate for a pause\tlate for the first event\tchanges of pace\n")
+	}
+	for _, e := range r.Engines {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", nameOrDash(e.Endpoint), e.LatePauses, e.LateFirsts, e.PaceChanges)
+	}
+}
+
 func nameOrDash(name string) string {
 	if name == "" {
 		return "-"
