soak: bursts for full and slow engines, faults while requests wait

Cause: requests will wait at boxes until an engine has room. The soak has no load that fills engines, none that slows down, and its faults come at random and not while requests wait.

Change: seeds from 5000 on use the routes that compete for engines with 600 tokens of memory, which work at twice the usual time in spells. Bursts of 12 urgent and 6 patient streams of both customers come in about half of the steps, and up to 0.4 s later a box is killed or paused, an engine drains or crashes, or the second customer's key is revoked. Streams have half of the events there: with all of them, one that waited at a slow engine outlasted the grace period of a stopping box (seed 5001, reported as LOST). New checks for all seeds: a box to which nothing happened answers at most 1 s after the deadline, and no request whose key was revoked begins to run 4 s later. The report counts the requests that waited, by the boxes' logs. Lower seeds draw the same faults.

Result: seeds 5000 to 5003 by hand and go test -race of soak (ten seeds, two of them new, 153 s) held. Nothing waits at boxes yet, so no wait was counted.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +16,8 @@
 	// streamDeadline is well above the two seconds that a stream lasts.
 	streamDeadline = 12 * time.Second
 	meanCallPause  = 40 * time.Millisecond
+	// answerSlack is how long after their deadline callers wait for an answer.
+	answerSlack = time.Second
 )
 
 // callResult is one request, as its caller saw it.
@@ -27,9 +28,13 @@
 	key       string
 	startedAt time.Time
 	endedAt   time.Time
-	isStream  bool
+	deadline  time.Duration
+	events    int // number of events of the complete stream; 0 if the answer is none
 }
 
+// mayRepeat reports whether the request may run on a second server.
+func (s *callResult) mayRepeat() bool { return s.kind == "repeat" || s.kind == "urgent" }
+
 // callerPool is a set of concurrent callers that send requests to all boxes until stopped.
 type callerPool struct {
 	mu      sync.Mutex
@@ -40,22 +45,22 @@
 
 func startCallers(f *fleet, seed uint64) *callerPool {
 	c := &callerPool{done: make(chan struct{})}
-	for i, b := range f.boxes {
+	for i := range f.boxes {
 		for n := range callersPerBox {
 			key := emulator.Key
 			if n%2 == 1 {
 				key = emulator.OtherKey
 			}
 			c.workers.Go(func() {
-				c.runCaller(i, b.settings.Front, key, rand.New(rand.NewPCG(seed, uint64(i*callersPerBox+n))), fmt.Sprintf("s%d-b%d-c%d", seed, i, n))
+				c.runCaller(f, i, key, rand.New(rand.NewPCG(seed, uint64(i*callersPerBox+n))), fmt.Sprintf("s%d-b%d-c%d", seed, i, n))
 			})
 		}
 	}
 	return c
 }
 
-func (c *callerPool) runCaller(box int, front, key string, r *rand.Rand, name string) {
-	caller := emulator.NewCaller(front, key)
+func (c *callerPool) runCaller(f *fleet, box int, key string, r *rand.Rand, name string) {
+	caller := emulator.NewCaller(f.boxes[box].settings.Front, key)
 	for n := 0; ; n++ {
 		select {
 		case <-c.done:
@@ -73,28 +78,11 @@
 		switch r.IntN(6) {
 		case 0:
 			kind, call.Path, call.Deadline = "stream", emulator.StreamPath, streamDeadline
-			call.Tokens = emulator.Tokens{
-				Prompt:    100,
-				MaxOutput: 160,
-			}
+			call.Tokens = f.streamTokens
 		case 1, 2:
 			kind, call.Path, call.Method, call.Body = "repeat", emulator.RepeatPath, http.MethodGet, ""
 		}
-		startedAt := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), call.Deadline+time.Second)
-		o := caller.Do(ctx, call)
-		cancel()
-		c.mu.Lock()
-		c.results = append(c.results, callResult{
-			Outcome:   o,
-			box:       box,
-			kind:      kind,
-			key:       key,
-			startedAt: startedAt,
-			endedAt:   time.Now(),
-			isStream:  kind == "stream",
-		})
-		c.mu.Unlock()
+		c.send(caller, box, kind, call)
 	}
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -158,8 +158,9 @@
 
 // drainServer replaces a server in a planned way: the server is listed as draining and keeps
 // serving, and a new one is listed.
-func (i *injector) drainServer() {
-	s := i.randomServer()
+func (i *injector) drainServer() { i.drain(i.randomServer()) }
+
+func (i *injector) drain(s *listedServer) {
 	i.recordFault("%s drains", s.ID)
 	i.fleet.deployment.PutEntryAt(s.Server, s.proxy.Address(), s.service, "draining")
 	s.leavingSince = time.Now()
@@ -180,8 +181,9 @@
 	}
 }
 
-func (i *injector) crashServer() {
-	s := i.randomServer()
+func (i *injector) crashServer() { i.crash(i.randomServer()) }
+
+func (i *injector) crash(s *listedServer) {
 	i.recordFault("%s crashes", s.ID)
 	s.Crash()
 	s.disturbed = true
@@ -198,10 +200,17 @@
 }
 
 func (i *injector) publishConfiguration() {
-	i.version += 1 + uint64(i.r.IntN(3))
+	i.version += uint64(i.r.IntN(3))
+	i.publish(i.r.IntN(2) == 0)
+}
+
+// publish publishes the next configuration, without the second customer's key if it is to be
+// revoked or has been.
+func (i *injector) publish(revokesKey bool) {
+	i.version++
 	i.recordFault("configuration %d", i.version)
-	document := emulator.NewDocument(i.version)
-	if i.r.IntN(2) == 0 || !i.keyRevokedAt.IsZero() {
+	document := emulator.NewDocument(i.version, i.fleet.documentOptions...)
+	if revokesKey || !i.keyRevokedAt.IsZero() {
 		// The second customer's key is revoked for the rest of the run.
 		document.Tenants = document.Tenants[:1]
 		if i.keyRevokedAt.IsZero() {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -66,22 +66,29 @@
 	program          string
 	folder           string
 	deployment       *emulator.Deployment
+	documentOptions  []emulator.DocumentOption
 	boxes            []*boxProcess
 	servers          []*listedServer
 	lastServerNumber int
 	reportsStarts    bool // the servers tell when they started
+	hasLoad          bool // routes compete for full and slow engines
+	streamTokens     emulator.Tokens
 }
 
-func startFleet(program, folder string, boxes int, reportsStarts bool) (*fleet, error) {
-	d, err := emulator.NewDeployment()
+func startFleet(program, folder string, boxes int, seed uint64) (*fleet, error) {
+	options := documentOptions(seed)
+	d, err := emulator.NewDeployment(options...)
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		program:       program,
-		folder:        folder,
-		deployment:    d,
-		reportsStarts: reportsStarts,
+		program:         program,
+		folder:          folder,
+		deployment:      d,
+		documentOptions: options,
+		reportsStarts:   reportsStarts(seed),
+		hasLoad:         hasLoad(seed),
+		streamTokens:    streamTokens(seed),
 	}
 	for range plainServerCount {
 		if _, err := f.addServer(emulator.PlainService); err != nil {
@@ -104,6 +111,7 @@
 	}
 	s.Events, s.EventInterval, s.WorkTime = streamEvents, eventGap, workTime
 	s.CrashBody = crashBody
+	f.limitEngine(s, service)
 	if f.reportsStarts {
 		s.Born = time.Now().UnixMilli()
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,6 +32,7 @@
 	Requests   int
 	Served     int
 	CrashRuns  int      // how often the crashing request reached an engine
+	Waits      int      // how many requests waited for room at an engine
 	Violations []string // the violated guarantees, each with the request
 	LogFolder  string   // folder of the boxes' logs
 }
@@ -46,6 +47,9 @@
 	if r.CrashRuns > 0 {
 		line += fmt.Sprintf("; the crashing request reached %d engines", r.CrashRuns)
 	}
+	if r.Waits > 0 {
+		line += fmt.Sprintf("; %d requests waited for room", r.Waits)
+	}
 	for _, b := range r.Violations {
 		line += "\n  " + b
 	}
@@ -71,7 +75,7 @@
 	for _, option := range opts {
 		option(&o)
 	}
-	f, err := startFleet(program, folder, o.boxes, reportsStarts(seed))
+	f, err := startFleet(program, folder, o.boxes, seed)
 	if f != nil {
 		defer f.close()
 	}
@@ -86,6 +90,7 @@
 	announcements.announceLimits()
 	restorer := newStoreRestorer(i, seed)
 	massFaults := newMassFaults(i, seed)
+	load := newLoadFaults(i, callers, seed)
 	time.Sleep(meanFaultPause)
 	for range faultCount {
 		i.restartExited()
@@ -93,6 +98,7 @@
 		i.injectRandom()
 		restorer.step()
 		massFaults.step()
+		load.step()
 		time.Sleep(time.Duration(i.r.Int64N(int64(2 * meanFaultPause))))
 		if i.r.IntN(2) == 0 {
 			i.undoOldest()
@@ -117,7 +123,7 @@
 	r.checkCalls(f, i, results)
 	r.checkNotices(f, announcements, results)
 	r.checkCrashingRequest(f, crashing.stop(), i.memoryLostTimes)
-	return r, nil
+	return r, r.countWaits(f)
 }
 
 func (i *injector) undoOldest() {
@@ -171,7 +177,7 @@
 		if s.Fault != "" {
 			r.addViolation("MIXED or ORDER: %s", s.Fault)
 		}
-		if s.isStream && s.Status == http.StatusOK && s.IsComplete && s.Events != streamEvents {
+		if s.events > 0 && s.Status == http.StatusOK && s.IsComplete && s.Events != s.events {
 			r.addViolation("ORDER: stream %s ended as complete after %d events", s.ID, s.Events)
 		}
 		starts := 0
@@ -183,19 +189,21 @@
 				r.addViolation("the key of %s was forwarded to a server", s.ID)
 			}
 		}
-		if s.kind != "repeat" && starts > 1 {
+		if !s.mayRepeat() && starts > 1 {
 			r.addViolation("TWICE: %s ran %d times", s.ID, starts)
 		}
 		if s.PromisesNotRun() && len(runs[s.ID]) > 0 {
 			r.addViolation("REFUSED: %s got status %d (not run) but ran", s.ID, s.Status)
 		}
-		if s.kind == "repeat" && starts > 2 {
+		if s.mayRepeat() && starts > 2 {
 			r.addViolation("BUDGET: %s ran on %d servers", s.ID, starts)
 		}
 	}
 	r.checkPlannedWork(i, results, runs)
 	r.checkLeavingServers(f, i, runs)
 	r.checkRevokedKey(i, results)
+	r.checkRevokedRuns(i, results, runs)
+	r.checkOverdue(f, results)
 }
 
 // checkPlannedWork checks that planned work interrupts no request that a server runs.
@@ -207,7 +215,7 @@
 		if s.Status == 0 && len(runs[s.ID]) > 0 && s.endedAt.Sub(s.startedAt) < graceSeconds*time.Second/2 {
 			r.addViolation("LOST: %s was sent to a server and its connection closed without an answer", s.ID)
 		}
-		if s.isStream && s.Status == http.StatusOK && !s.IsComplete {
+		if s.events > 0 && s.Status == http.StatusOK && !s.IsComplete {
 			r.addViolation("LOST: planned work interrupted stream %s after %d events", s.ID, s.Events)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,8 @@
 		Entry("a newly started box interrupts a stream to move it, with no send left to resume it", 2037),
 		Entry("the store is restored from an older copy", 3001),
 		Entry("all boxes are killed at the same moment, which lose word of crashes", 4049),
+		Entry("planned work during bursts of urgent and patient streams for full and slow engines", 5001),
+		Entry("boxes killed and paused, and engines that leave, during such bursts", 5003),
 		Entry("a request crashes every engine, behind proxies that make crashes look like resets", 1001),
 	)
 })
