soak: check that a revoked key stops requests that wait

Change: no request with a revoked key may begin to run 0.5 s after its box logged that the configuration is in force; boxes and servers to which something happened are exempt.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -21,6 +21,7 @@
 	undo            []func()    // end the active faults, oldest first
 	storeFaultTimes []time.Time // starts and ends of faults of the store and its links
 	keyRevokedAt    time.Time
+	revokedVersion  uint64      // of the first configuration without the key; 0 before it
 	unexpectedExits []string    // violations: boxes that exited without being signalled
 	memoryLostTimes []time.Time // when all boxes that ran were killed together
 }
@@ -215,6 +216,7 @@
 		document.Tenants = document.Tenants[:1]
 		if i.keyRevokedAt.IsZero() {
 			i.keyRevokedAt = time.Now()
+			i.revokedVersion = i.version
 		}
 	}
 	i.lastPublished = document
--- a/soak/load.go
+++ b/soak/load.go
@@ -1,13 +1,10 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
 	"dillsaddle.example/dillsaddle/platform/emulator"
@@ -192,52 +189,3 @@
 		}
 	}
 }
-
-// checkRevokedRuns checks that no request that waited while its key was revoked runs after
-// applyTimeout.
-func (r *Report) checkRevokedRuns(i *injector, results []callResult, runs map[string][]emulator.Run) {
-	if i.keyRevokedAt.IsZero() || i.storeFaultNear(i.keyRevokedAt) || i.anyBoxDisturbed(i.fleet) {
-		return
-	}
-	for _, s := range results {
-		if s.key != emulator.OtherKey || len(runs[s.ID]) == 0 {
-			continue
-		}
-		first := runs[s.ID][0].StartedAt
-		for _, run := range runs[s.ID] {
-			if run.StartedAt.Before(first) {
-				first = run.StartedAt
-			}
-		}
-		if late := first.Sub(i.keyRevokedAt); late > applyTimeout {
-			r.addViolation("CONFIG: %s was sent to a server %s after its key was revoked", s.ID, late)
-		}
-	}
-}
-
-// countWaits counts the requests that waited for room, by the boxes' logs.
-func (r *Report) countWaits(f *fleet) error {
-	for _, b := range f.boxes {
-		log, err := os.Open(b.log.Name())
-		if err != nil {
-			return err
-		}
-		lines := bufio.NewScanner(log)
-		lines.Buffer(nil, maxLogLine)
-		for lines.Scan() {
-			if bytes.Contains(lines.Bytes(), []byte(`"waiting for room"`)) {
-				r.Waits++
-			}
-		}
-		if err := log.Close(); err != nil {
-			return err
-		}
-		if err := lines.Err(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// maxLogLine bounds the length of a line in a box's log.
-const maxLogLine = 1 << 20
--- a/soak/run.go
+++ b/soak/run.go
@@ -123,7 +123,7 @@
 	r.checkCalls(f, i, results)
 	r.checkNotices(f, announcements, results)
 	r.checkCrashingRequest(f, crashing.stop(), i.memoryLostTimes)
-	return r, r.countWaits(f)
+	return r, r.checkLogs(f, i, results)
 }
 
 func (i *injector) undoOldest() {
@@ -202,7 +202,6 @@
 	r.checkPlannedWork(i, results, runs)
 	r.checkLeavingServers(f, i, runs)
 	r.checkRevokedKey(i, results)
-	r.checkRevokedRuns(i, results, runs)
 	r.checkOverdue(f, results)
 }
 
