admission, gateway: requests wait for room instead of queueing at engines

Where a service's routes leave time to wait, a prompt that would exceed an engine's memory or queue for prefill there waits at its box, in an order that all boxes of the group share. Requests that certainly can't be served in time are refused before they wait.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -89,6 +89,7 @@
 	remotePlacementAt time.Time                // when another box last reported a placement
 	flow              flow                     // prompt tokens sent by the group's boxes
 	released          flow                     // tokens of memory freed by the group's runs
+	sent              map[sentKey]*flow        // tokens of the requests that the group's boxes sent
 }
 
 // reportLag is how long a change of an engine's memory may take to show in its reports.
@@ -103,6 +104,7 @@
 		random:      random,
 		prefillRate: initialPrefillRate,
 		loads:       make(map[string]*endpointLoad),
+		sent:        make(map[sentKey]*flow),
 	}
 }
 
@@ -124,6 +126,8 @@
 	Shared        bool            // whether other boxes send requests to these endpoints
 	MovableTokens int             // memory that can be moved off an engine before it terminates; 0 if unknown
 	MaxMemoryUse  float64         // highest fraction of memory in use, including this request; 0 for no limit
+
+	MaxPrefillDelay time.Duration // longest delay by the prompts queued at an engine; only for PickWithRoom
 }
 
 // Pick returns the endpoint with the lowest score, or false if there is none to choose.
@@ -162,19 +166,25 @@
 		}
 	}
 	var chosen []routing.Endpoint
-	limit := maxChoices
-	switch {
-	case req.Shared && now.Sub(b.remotePlacementAt) > blindAfter:
-		limit = blindChoices
-	case req.Memory > 0 && len(outside) == 0:
-		limit = fullViewChoices
-	}
+	limit := b.choiceLimit(now, req, len(outside) > 0)
 	for _, i := range append(b.sample(own, limit), b.sample(outside, outsideGroupChoices)...) {
 		chosen = append(chosen, endpoints[i])
 	}
 	return chosen
 }
 
+// choiceLimit returns how many endpoints are compared. HasOutside is set if some of them are not
+// assigned to the box's group.
+func (b *Balancer) choiceLimit(now time.Time, req Requirements, hasOutside bool) int {
+	switch {
+	case req.Shared && now.Sub(b.remotePlacementAt) > blindAfter:
+		return blindChoices
+	case req.Memory > 0 && !hasOutside:
+		return fullViewChoices
+	}
+	return maxChoices
+}
+
 // sample draws at most limit elements at random; it reorders all.
 func (b *Balancer) sample(all []int, limit int) []int {
 	n := min(len(all), limit)
--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -55,13 +55,15 @@
 }
 
 // AddRemotePrompt counts a prompt that another box sent to an engine, and the memory that
-// its run will hold.
-func (b *Balancer) AddRemotePrompt(now time.Time, id string, prompt int) {
+// its run is expected to hold at its end, which it returns.
+func (b *Balancer) AddRemotePrompt(now time.Time, id string, prompt int) int {
 	b.AddPrompt(now, id, prompt)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.load(id).addChange(now, prompt+int(b.output), prompt)
+	tokens := prompt + int(b.output)
+	b.load(id).addChange(now, tokens, prompt)
 	b.remotePlacementAt = now
+	return tokens
 }
 
 // AddRemoteCopy counts the copy of a run's memory that another box sends to an engine.
--- a/box/box.go
+++ b/box/box.go
@@ -99,7 +99,7 @@
 		Address:    s.Peer,
 		InstanceID: rand.Uint64(),
 		LinkMbps:   s.LinkMbps,
-	}, s.Seeds, b.state, fleet.WithPeersLog(log.Named("peers")), fleet.WithLoadReports(reports), fleet.WithPlacementHandler(b.handlePlacement), fleet.WithEvacuationHandler(b.handleEvacuating), fleet.WithQuarantine(b.quarantine), fleet.WithLimits(b.limits), fleet.WithSuspensionCheck(b.clock.Check))
+	}, s.Seeds, b.state, fleet.WithPeersLog(log.Named("peers")), fleet.WithLoadReports(reports), fleet.WithPlacementHandler(b.handlePlacement), fleet.WithBoxGoneHandler(b.handleBoxGone), fleet.WithEvacuationHandler(b.handleEvacuating), fleet.WithQuarantine(b.quarantine), fleet.WithLimits(b.limits), fleet.WithSuspensionCheck(b.clock.Check))
 	if err != nil {
 		return nil, err
 	}
@@ -122,6 +122,7 @@
 		gateway.WithBudgetShare(b.peers.BudgetShare),
 		gateway.WithRateShare(b.peers.RateShare),
 		gateway.WithOnPlaced(b.peers.BroadcastPlacement),
+		gateway.WithBoxName(s.Box),
 		gateway.WithOnEvacuating(b.peers.BroadcastEvacuating),
 		gateway.WithOnLeaving(b.peers.ReportLeaving),
 		gateway.WithRetryBorrowing(b.peers.BorrowRetries),
@@ -202,6 +203,13 @@
 	}
 }
 
+// handleBoxGone passes the loss of another box to the gateway.
+func (b *Box) handleBoxGone(box string) {
+	if b.gateway != nil {
+		b.gateway.HandleBoxGone(box)
+	}
+}
+
 // handleEvacuating passes another box's evacuation of a leaving engine to the gateway.
 func (b *Box) handleEvacuating(now time.Time, e fleet.Evacuating) {
 	if b.gateway != nil {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -40,6 +40,17 @@
 	p.rateShares.Observe(now, p.roster.All(now))
 	p.logBoxes("boxes joined", joined)
 	p.logBoxes("boxes suspected or leaving", lost)
+	if len(lost) > 0 {
+		// The handler may call back, and mu is held here.
+		go p.handleBoxesGone(lost)
+	}
+}
+
+// handleBoxesGone passes the boxes that were suspected or left to the handler.
+func (p *Peers) handleBoxesGone(boxes []string) {
+	for _, box := range boxes {
+		p.onBoxGone(box)
+	}
 }
 
 // checkDiscovery updates whether this box has discovered most of its peers.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -56,6 +56,7 @@
 	limits            *Limits
 	checkSuspension   func()
 	onPlacement       func(time.Time, Placement)
+	onBoxGone         func(box string)
 	onEvacuating      func(time.Time, Evacuating)
 	pendingPlacements []Placement             // batched for the next message
 	seenUpdates       []updateKey             // most recent updates, oldest first
@@ -88,6 +89,11 @@
 	return func(p *Peers) { p.onPlacement = onPlacement }
 }
 
+// WithBoxGoneHandler sets a function that is called with each box that is suspected or leaves.
+func WithBoxGoneHandler(onBoxGone func(box string)) PeersOption {
+	return func(p *Peers) { p.onBoxGone = onBoxGone }
+}
+
 // WithSuspensionCheck sets a function that checks whether the machine was suspended and, if so,
 // calls HandleSuspension. It is called before ages are sent to other boxes.
 func WithSuspensionCheck(checkSuspension func()) PeersOption {
@@ -107,6 +113,7 @@
 		log:             zap.NewNop(),
 		aliveBoxes:      make(map[string]bool),
 		onPlacement:     func(time.Time, Placement) {},
+		onBoxGone:       func(string) {},
 		onEvacuating:    func(time.Time, Evacuating) {},
 		pushing:         make(map[netip.AddrPort]bool),
 		sources:         core.NewSourceSelector[*wire.Conn](core.DefaultSourceRules()),
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -37,7 +37,7 @@
 // Waiting informs the group of a request that waits at a box until an engine has room.
 type Waiting struct {
 	Request  string           `cbor:"1,keyasint"`
-	Ended    bool             `cbor:"2,keyasint,omitempty"` // the request waits no longer; the fields below are unset
+	Ended    bool             `cbor:"2,keyasint,omitempty"` // the request waits no longer; the fields below but Box are unset
 	Service  string           `cbor:"3,keyasint,omitempty"`
 	Customer string           `cbor:"4,keyasint,omitempty"`
 	Priority routing.Priority `cbor:"5,keyasint,omitempty"`
@@ -128,9 +128,9 @@
 	}
 }
 
-// recordUse has a placement's engine queried as one in use.
+// recordUse has a placement's engine queried as one in use. A message about a wait names none.
 func (p *Peers) recordUse(now time.Time, placement Placement) {
-	if p.reports != nil {
+	if p.reports != nil && placement.Waiting == nil {
 		p.reports.recordUse(now, placement.Endpoint)
 	}
 }
--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -42,11 +42,14 @@
 		return core.CallQuarantined{}
 	}
 	p.view = p.gateway.view()
-	now := time.Now()
-	e, ok := p.pickEndpoint(now)
+	e, ok, ev := p.placeOrWait()
+	if ev != nil {
+		return ev
+	}
 	if !ok {
 		return core.CallUnplaced{}
 	}
+	now := time.Now()
 	p.mu.Lock()
 	p.endpoint = e
 	p.mu.Unlock()
@@ -146,6 +149,10 @@
 // giveUp answers a request whose sends all failed. A request that may have run is not
 // answered with 503, which promises that it has not.
 func (p *proxiedRequest) giveUp(c core.RefuseCall) {
+	if p.refusal != nil {
+		p.refuseWait(p.refusal)
+		return
+	}
 	status := http.StatusServiceUnavailable
 	switch {
 	case c.Outcome == core.NotRun:
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // counters are the gateway's metrics.
@@ -17,6 +19,8 @@
 	leavingNotices    *metrics.Counter // answers that announced that the endpoint leaves
 	backoffs          *metrics.Counter // answers that asked this box to back off
 	crashes           *metrics.Counter // endpoint crashes, counted once for each request that was running
+	waitingOwn        *metrics.Gauge   // requests of this box that wait for room
+	waitingRemote     *metrics.Gauge   // the same of other boxes, as far as known
 }
 
 func newCounters() *counters {
@@ -29,6 +33,8 @@
 		leavingNotices:    metrics.GetOrCreateCounter("dillsaddle_endpoint_leaving_answers_total"),
 		backoffs:          metrics.GetOrCreateCounter("dillsaddle_endpoint_rests_asked_total"),
 		crashes:           metrics.GetOrCreateCounter("dillsaddle_endpoints_ended_under_requests_total"),
+		waitingOwn:        metrics.GetOrCreateGauge(`dillsaddle_waiting_requests{of="own"}`, nil),
+		waitingRemote:     metrics.GetOrCreateGauge(`dillsaddle_waiting_requests{of="other boxes"}`, nil),
 	}
 }
 
@@ -43,3 +49,13 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_longest_pause_seconds{route=%q}", route)).Update(longest.Seconds())
 }
+
+// countWait counts the end of a wait for room, or the refusal of a request that would wait.
+func (c *counters) countWait(route string, outcome waitOutcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_waits_total{route=%q,outcome=%q}", route, outcome)).Inc()
+}
+
+// observeWait records how long a request waited for room.
+func (c *counters) observeWait(route string, priority routing.Priority, took time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_wait_seconds{route=%q,priority=%q}", route, priorityText(priority))).Update(took.Seconds())
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,6 +35,7 @@
 // to its end. A non-empty copyName continues the run from that copy.
 func (p *proxiedRequest) send(copyName string) core.Event {
 	now := time.Now()
+	defer p.endPlacing()
 	p.runFirstEventAt = time.Time{}
 	maxIdle := maxIdleTime
 	if !p.route.MayRepeat() {
@@ -63,6 +64,7 @@
 	}
 	p.announceRun(now, copyName != "")
 	p.gateway.balancer.BeginSend(now, p.endpoint.ID, p.requirements(nil).Tokens, p.announcedTokens)
+	p.endPlacing()
 	p.overdueTimer = p.startOverdueTimer(conn)
 	defer p.overdueTimer.stop()
 	ev := p.exchange(conn, copyName)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	budgetShare        func() core.BudgetShare
 	balancer           *admission.Balancer
 	sendGate           *sendGate
+	waits              *waitQueue
+	box                string // this box's name, for messages about waits
 	pool               *Pool
 	log                *zap.Logger
 	counters           *counters
@@ -130,6 +132,11 @@
 	return func(g *Gateway) { g.checkSuspension = checkSuspension }
 }
 
+// WithBoxName sets this box's name, by which other boxes know whose requests wait for room.
+func WithBoxName(box string) Option {
+	return func(g *Gateway) { g.box = box }
+}
+
 // New returns a gateway for a box in an availability zone.
 func New(zone string, protocol Protocol, view func() *fleet.View, rules Rules, options ...Option) *Gateway {
 	g := &Gateway{
@@ -154,6 +161,7 @@
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
 		checkSuspension: func() {},
 	}
+	g.waits = newWaitQueue(g)
 	g.pool = NewPool(g.counters.openedConnections.Inc)
 	for _, o := range options {
 		o(g)
@@ -196,27 +204,35 @@
 	})
 	g.dropExpiredEvacuations(now)
 	g.sendGate.sweep(now)
+	g.waits.sweep(now)
 }
 
 // SetGroupEngines sets the engines that the box's group prefers.
 func (g *Gateway) SetGroupEngines(engines map[string]bool) { g.balancer.SetGroupEngines(engines) }
 
 // HandleReport handles an engine's load report, made at the given time.
-func (g *Gateway) HandleReport(at time.Time, r routing.Report) { g.balancer.Memory(at, r) }
+func (g *Gateway) HandleReport(at time.Time, r routing.Report) {
+	g.balancer.Memory(at, r)
+	g.waits.notify()
+}
 
 // HandlePlacement handles a placement update from another box.
 func (g *Gateway) HandlePlacement(now time.Time, p fleet.Placement) {
 	switch {
+	case p.Waiting != nil:
+		g.waits.handleRemote(now, p.Waiting)
 	case p.StreamBroken:
 		g.recordUnannouncedBreak(now)
 	case p.AnswerOverdue:
 		g.balancer.Failed(now, p.Endpoint, false)
 	case p.RunEnded:
 		g.balancer.RunEnded(now, p.Endpoint, p.Tokens, p.HeldTokens)
+		g.waits.notify()
 	case p.Copy:
 		g.balancer.AddRemoteCopy(now, p.Endpoint, p.Tokens)
 	default:
-		g.balancer.AddRemotePrompt(now, p.Endpoint, p.Tokens)
+		tokens := g.balancer.AddRemotePrompt(now, p.Endpoint, p.Tokens)
+		g.countRemoteSend(now, p, tokens)
 	}
 }
 
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -22,30 +22,50 @@
 // resolveRoute looks up the request's route, customer and service; if one is missing it
 // answers the caller and returns false.
 func (p *proxiedRequest) resolveRoute() bool {
+	if r := p.lookUpRoute(); r != nil {
+		p.refuse(r.status, r.reason)
+		return false
+	}
+	return true
+}
+
+// lookUpRoute looks up the request's route, customer and service, and returns why the request is
+// refused if one is missing.
+func (p *proxiedRequest) lookUpRoute() *refusal {
 	t := p.view.Table
 	if t == nil {
-		p.refuse(http.StatusServiceUnavailable, "no configuration is known yet")
-		return false
+		return &refusal{
+			status: http.StatusServiceUnavailable,
+			reason: "no configuration is known yet",
+		}
 	}
+	p.resolvedVersion = t.Version()
 	p.route = t.Match(p.request.Host, rawPath(p.request))
 	if p.route == nil {
-		p.refuse(http.StatusNotFound, "no route leads there")
-		return false
+		return &refusal{
+			status: http.StatusNotFound,
+			reason: "no route leads there",
+		}
 	}
+	p.customer = nil
 	if t.RequiresKey() && !p.route.Anonymous {
 		p.customer = t.Customer(p.inbound.Key)
 		if p.customer == nil {
-			p.refuse(http.StatusUnauthorized, "the key is not known")
-			return false
+			return &refusal{
+				status: http.StatusUnauthorized,
+				reason: "the key is not known",
+			}
 		}
 	}
 	p.allowedRegions = routing.NewAllowedRegions(p.gateway.rules.Regions, p.route, p.customer)
 	p.service = t.Service(p.route.PickService(p.inbound.ID))
 	if p.service == nil {
-		p.refuse(http.StatusServiceUnavailable, "the route's service is not known")
-		return false
+		return &refusal{
+			status: http.StatusServiceUnavailable,
+			reason: "the route's service is not known",
+		}
 	}
-	return true
+	return nil
 }
 
 // rawPath returns the path as the caller sent it, without the query.
@@ -65,14 +85,15 @@
 	return t
 }
 
-// rank returns the request's priority: the customer's if it has one, otherwise the route's.
-func (p *proxiedRequest) rank() int {
-	if p.customer != nil && p.customer.Rank != nil {
-		return *p.customer.Rank
-	}
-	return p.route.Rank
+// priority returns the request's priority.
+func (p *proxiedRequest) priority() routing.Priority {
+	return routing.NewPriority(p.route, p.customer)
 }
 
+// rank returns the priority that engines are told: the customer's rank if it has one, otherwise
+// the route's.
+func (p *proxiedRequest) rank() int { return p.priority().Customer }
+
 // readBody reads the whole body, within the configured size limit and the box's memory for
 // bodies; on failure it answers the caller and returns false.
 func (p *proxiedRequest) readBody() bool {
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -19,11 +19,16 @@
 	} else {
 		p.queuedTokens = p.gateway.balancer.AddPrompt(now, p.endpoint.ID, p.announcedTokens)
 	}
-	p.gateway.onPlaced(fleet.Placement{
+	announced := fleet.Placement{
 		Endpoint: p.endpoint.ID,
 		Tokens:   p.announcedTokens,
 		Copy:     copied,
-	})
+	}
+	if !copied && p.gateway.waitsForRoom(p.service.Name) {
+		announced.Priority = p.priority()
+		p.gateway.balancer.CountSent(now, p.service.Name, announced.Priority, p.expectedTokens())
+	}
+	p.gateway.onPlaced(announced)
 }
 
 // announceRunEnd notifies the group that the run at an engine ended and frees its memory.
@@ -32,6 +37,7 @@
 		return
 	}
 	p.gateway.balancer.RunEnded(time.Now(), endpoint, p.announcedTokens, p.heldTokens())
+	p.gateway.waits.notify()
 	p.gateway.onPlaced(fleet.Placement{
 		Endpoint:   endpoint,
 		Tokens:     p.announcedTokens,
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -19,29 +19,30 @@
 
 // proxiedRequest is the state of one request on its way through the gateway.
 type proxiedRequest struct {
-	gateway        *Gateway
-	writer         http.ResponseWriter
-	request        *http.Request
-	start          time.Time
-	deadline       time.Time // not corrected for suspensions since start; see currentDeadline
-	inbound        Inbound
-	view           *fleet.View
-	route          *routing.Route
-	service        *routing.Service
-	customer       *routing.Customer
-	allowedRegions routing.AllowedRegions
-	body           []byte
-	contentDigest  core.Digest // identifies the request and its repeats; see computeDigest
-	reservedBytes  int64       // memory reserved for body
-	call           *core.Call
-	endpoint       routing.Endpoint // the endpoint of the current send
-	backup         routing.Endpoint // the engine that gets a backup copy of the run; zero if none does
-	tried          map[string]bool  // IDs of endpoints that it was placed at
-	answer         *answer
-	lastEventID    string // ID of the last event passed to the caller
-	eventOrder     eventOrder
-	events         int          // number of events passed to the caller
-	sharedEvents   atomic.Int64 // the same, for use by other goroutines
+	gateway         *Gateway
+	writer          http.ResponseWriter
+	request         *http.Request
+	start           time.Time
+	deadline        time.Time // not corrected for suspensions since start; see currentDeadline
+	inbound         Inbound
+	view            *fleet.View
+	route           *routing.Route
+	service         *routing.Service
+	customer        *routing.Customer
+	resolvedVersion uint64 // version of the configuration in which route, service and customer were looked up
+	allowedRegions  routing.AllowedRegions
+	body            []byte
+	contentDigest   core.Digest // identifies the request and its repeats; see computeDigest
+	reservedBytes   int64       // memory reserved for body
+	call            *core.Call
+	endpoint        routing.Endpoint // the endpoint of the current send
+	backup          routing.Endpoint // the engine that gets a backup copy of the run; zero if none does
+	tried           map[string]bool  // IDs of endpoints that it was placed at
+	answer          *answer
+	lastEventID     string // ID of the last event passed to the caller
+	eventOrder      eventOrder
+	events          int          // number of events passed to the caller
+	sharedEvents    atomic.Int64 // the same, for use by other goroutines
 
 	queuedTokens      float64       // prompt tokens queued at the engine before the first event, own ones included
 	announcedTokens   int           // the current run's tokens as announced to other boxes; 0 for calls
@@ -56,6 +57,10 @@
 	placedAt          time.Time
 	resumeFrom        *handover     // where the stream continues after a break
 	overdueTimer      *overdueTimer // for the current send
+	refusal           *refusal      // why it is not sent, if that has a status of its own
+	hasWaited         bool          // it waits or has waited for room
+	isPlacing         bool          // an engine with room was chosen, and its memory isn't counted there yet
+	announcedWait     string        // ID of its wait that the group was notified of; empty if none
 
 	mu         sync.Mutex // guards endpoint and backup against moves, and the fields below
 	handover   *handover
@@ -85,14 +90,20 @@
 	}
 	name := p.service.Name
 	p.gateway.withBudget(name, p.start, func(b *core.SharedBudget) { b.CountRequest(p.start) })
-	p.call = core.NewCall(core.CallRules{
+	p.call = p.newCall()
+	defer p.finish()
+	p.runCall()
+}
+
+// newCall returns the state of a request that was not sent yet.
+func (p *proxiedRequest) newCall() *core.Call {
+	name := p.service.Name
+	return core.NewCall(core.CallRules{
 		Repeatable:   p.route.MayRepeat(),
 		Resumable:    p.route.Resumable,
 		MaxEndpoints: max(p.route.MaxEndpoints, 1),
 		MaxSends:     maxSends,
 	}, func() bool { return p.takeRetry(name) })
-	defer p.finish()
-	p.runCall()
 }
 
 // takeRetry spends one send of the retry budget, and reports whether there was one. If this box's
@@ -108,6 +119,7 @@
 
 // finish marks the request as finished, for moves that are in progress.
 func (p *proxiedRequest) finish() {
+	p.endPlacing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isFinished = true
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,7 +8,12 @@
 
 // Stop begins a planned stop that lasts until end. Answers from now on ask callers to close
 // their connections, and streams that would be cut at the end are refused.
-func (g *Gateway) Stop(end time.Time) { g.stopAt.Store(&end) }
+//
+// Requests that wait for room are sent at once, since little time is left for them.
+func (g *Gateway) Stop(end time.Time) {
+	g.stopAt.Store(&end)
+	g.waits.notify()
+}
 
 // outlastsStop reports whether a stream would still be running at the end of a planned stop.
 // Such a stream is refused before anything is sent, so that its caller can try another box.
@@ -18,7 +23,11 @@
 	if stopAt == nil || engine == nil || p.route.Kind != routing.Streaming {
 		return false
 	}
+	return p.start.Add(p.expectedStreamTime(engine)).After(*stopAt)
+}
+
+// expectedStreamTime estimates the time from sending the request to the end of its stream.
+func (p *proxiedRequest) expectedStreamTime(engine *routing.Engine) time.Duration {
 	events := p.expectedOutput() / max(engine.EventTokens, 1)
-	duration := p.gateway.usualAnswerTimes.mean(p.route.Name) + time.Duration(events)*p.gateway.eventIntervals.mean(p.service.Name)
-	return p.start.Add(duration).After(*stopAt)
+	return p.gateway.usualAnswerTimes.mean(p.route.Name) + time.Duration(events)*p.gateway.eventIntervals.mean(p.service.Name)
 }
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -43,4 +43,5 @@
 	case fleet.EndpointRestarted:
 		g.balancer.Forget(c.Endpoint.ID)
 	}
+	g.waits.notify()
 }
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -9,6 +9,7 @@
 func (g *Gateway) HandleSuspension(d time.Duration) {
 	g.suspended.Add(int64(d))
 	g.sendGate.backoffs.suspended(d)
+	g.waits.handleSuspension(d)
 	g.pool.Sweep(time.Now(), func(string) bool { return false })
 	if end := g.stopAt.Load(); end != nil {
 		earlier := end.Add(-d)
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,6 +15,9 @@
 	byHost    map[string][]*Route // longest prefix first
 	services  map[string]*Service
 	customers map[string]*Customer // by key
+
+	streamTargets   map[string]streamTargets // by service
+	waitingServices map[string]bool          // services whose requests wait for room
 }
 
 // NewTable returns the index of a document.
@@ -41,6 +44,8 @@
 			t.customers[key] = &d.Customers[i]
 		}
 	}
+	t.streamTargets = newStreamTargets(d)
+	t.waitingServices = newWaitingServices(t.services, t.streamTargets)
 	return t
 }
 
