--- a/admission/waiting_list.go
+++ b/admission/waiting_list.go
@@ -76,13 +76,17 @@
 
 // Remove removes a request that waits no longer. Box is empty for this box's own.
 func (l *WaitingList) Remove(box, id string) {
-	l.removeIf(func(r WaitingRequest) bool { return r.Box == box && r.ID == id })
-}
-
-// Has reports whether a request of this box waits.
-func (l *WaitingList) Has(id string) bool {
-	_, waits := l.requests[waitingKey{id: id}]
-	return waits
+	key := waitingKey{
+		box: box,
+		id:  id,
+	}
+	if _, known := l.requests[key]; !known {
+		return
+	}
+	delete(l.requests, key)
+	if box != "" {
+		l.remote--
+	}
 }
 
 // DropBox removes the requests of a box that is suspected or gone.
