--- a/admission/waiting_list.go
+++ b/admission/waiting_list.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -46,22 +45,19 @@
 // WaitingList holds the waiting requests of this box and those known of other boxes. It is not
 // safe for concurrent use.
 type WaitingList struct {
-	requests map[waitingKey]WaitingRequest
+	requests map[waitingKey]*WaitingRequest
 	remote   int // number of other boxes' requests
 }
 
 // NewWaitingList returns an empty list.
 func NewWaitingList() *WaitingList {
-	return &WaitingList{requests: make(map[waitingKey]WaitingRequest)}
+	return &WaitingList{requests: make(map[waitingKey]*WaitingRequest)}
 }
 
 // Add adds a request, or replaces it. It drops other boxes' requests beyond maxRemoteRequests,
 // and shortens their waits to maxRemoteWait.
 func (l *WaitingList) Add(now time.Time, r WaitingRequest) {
-	key := waitingKey{
-		box: r.Box,
-		id:  r.ID,
-	}
+	key := keyOf(&r)
 	if _, known := l.requests[key]; !known && r.Box != "" {
 		if l.remote >= maxRemoteRequests {
 			return
@@ -71,7 +67,7 @@
 	if longest := now.Add(maxRemoteWait); r.Box != "" && r.LimitAt.After(longest) {
 		r.LimitAt = longest
 	}
-	l.requests[key] = r
+	l.requests[key] = &r
 }
 
 // Remove removes a request that waits no longer. Box is empty for this box's own.
@@ -91,21 +87,21 @@
 
 // DropBox removes the requests of a box that is suspected or gone.
 func (l *WaitingList) DropBox(box string) {
-	l.removeIf(func(r WaitingRequest) bool { return r.Box != "" && r.Box == box })
+	l.removeIf(func(r *WaitingRequest) bool { return r.Box != "" && r.Box == box })
 }
 
 // DropRemote removes the requests of all other boxes.
 func (l *WaitingList) DropRemote() {
-	l.removeIf(func(r WaitingRequest) bool { return r.Box != "" })
+	l.removeIf(func(r *WaitingRequest) bool { return r.Box != "" })
 }
 
 // Expire removes other boxes' requests whose waits should have ended a while ago: their box was
 // killed, or the message about the end was lost.
 func (l *WaitingList) Expire(now time.Time) {
-	l.removeIf(func(r WaitingRequest) bool { return r.Box != "" && now.After(r.LimitAt.Add(remoteWaitMargin)) })
+	l.removeIf(func(r *WaitingRequest) bool { return r.Box != "" && now.After(r.LimitAt.Add(remoteWaitMargin)) })
 }
 
-func (l *WaitingList) removeIf(matches func(WaitingRequest) bool) {
+func (l *WaitingList) removeIf(matches func(*WaitingRequest) bool) {
 	for key, r := range l.requests {
 		if !matches(r) {
 			continue
@@ -121,20 +117,20 @@
 // count, and removes all others, whose ends it may have missed.
 func (l *WaitingList) HandleSuspension(d time.Duration) {
 	l.DropRemote()
-	for key, r := range l.requests {
+	for _, r := range l.requests {
 		r.DueAt = r.DueAt.Add(-d)
 		r.LimitAt = r.LimitAt.Add(-d)
-		l.requests[key] = r
 	}
 }
 
 // Remote returns the number of other boxes' requests.
 func (l *WaitingList) Remote() int { return l.remote }
 
-// Order returns the requests of a service in the order in which they are sent.
-func (l *WaitingList) Order(now time.Time, service string) []WaitingRequest {
-	all := make([]WaitingRequest, 0, len(l.requests))
-	for r := range maps.Values(l.requests) {
+// Order returns the requests of a service in the order in which they are sent. They must not be
+// modified.
+func (l *WaitingList) Order(now time.Time, service string) []*WaitingRequest {
+	all := make([]*WaitingRequest, 0, len(l.requests))
+	for _, r := range l.requests {
 		if r.Service == service {
 			all = append(all, r)
 		}
@@ -143,24 +139,23 @@
 }
 
 // Ahead returns the requests that are sent before the given one, in order. The given one need not
-// be in the list.
-func (l *WaitingList) Ahead(now time.Time, r WaitingRequest) []WaitingRequest {
-	all := make([]WaitingRequest, 0, len(l.requests)+1)
-	for _, other := range l.requests {
-		if other.Service == r.Service && (other.Box != r.Box || other.ID != r.ID) {
+// be in the list. They must not be modified.
+func (l *WaitingList) Ahead(now time.Time, r WaitingRequest) []*WaitingRequest {
+	all := make([]*WaitingRequest, 0, len(l.requests)+1)
+	for key, other := range l.requests {
+		if other.Service == r.Service && key != keyOf(&r) {
 			all = append(all, other)
 		}
 	}
-	all = sortWaiting(now, append(all, r))
-	at := slices.IndexFunc(all, func(o WaitingRequest) bool { return o.Box == r.Box && o.ID == r.ID })
-	return all[:at]
+	all = sortWaiting(now, append(all, &r))
+	return all[:slices.Index(all, &r)]
 }
 
 // HasUrgent reports whether a request of the given service and priority, or of a higher one, waits
 // besides the given one.
 func (l *WaitingList) HasUrgent(r WaitingRequest) bool {
-	for _, other := range l.requests {
-		if other.Service == r.Service && other.Priority.Compare(r.Priority) <= 0 && (other.Box != r.Box || other.ID != r.ID) {
+	for key, other := range l.requests {
+		if other.Service == r.Service && other.Priority.Compare(r.Priority) <= 0 && key != keyOf(&r) {
 			return true
 		}
 	}
@@ -170,30 +165,32 @@
 // sortWaiting sorts requests by priority. Within a priority, the excess of a customer with more
 // than its share comes last, and requests that can still meet their target precede the others;
 // then they are sorted by the time at which they are due. The order is the same on all boxes.
-func sortWaiting(now time.Time, all []WaitingRequest) []WaitingRequest {
-	slices.SortFunc(all, func(a, b WaitingRequest) int { return compareWaiting(now, a, b) })
-	excess := customerExcess(all)
-	if len(excess) == 0 {
-		return all
-	}
-	slices.SortFunc(all, func(a, b WaitingRequest) int {
-		return cmp.Or(
-			a.Priority.Compare(b.Priority),
-			compareBools(excess[keyOf(a)], excess[keyOf(b)]),
-			compareWaiting(now, a, b),
-		)
-	})
-	return all
-}
-
-func compareWaiting(now time.Time, a, b WaitingRequest) int {
-	return cmp.Or(
-		a.Priority.Compare(b.Priority),
-		compareBools(now.After(a.DueAt), now.After(b.DueAt)),
-		a.DueAt.Compare(b.DueAt),
-		cmp.Compare(a.ID, b.ID),
-		cmp.Compare(a.Box, b.Box),
-	)
+func sortWaiting(now time.Time, all []*WaitingRequest) []*WaitingRequest {
+	slices.SortFunc(all, func(a, b *WaitingRequest) int { return compareWaiting(now, a, b) })
+	sorted := make([]*WaitingRequest, 0, len(all))
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && all[n].Priority == all[0].Priority {
+			n++
+		}
+		sorted = appendExcessLast(sorted, all[:n])
+		all = all[n:]
+	}
+	return sorted
+}
+
+// compareWaiting compares step by step, since cmp.Or would evaluate all comparisons each time.
+func compareWaiting(now time.Time, a, b *WaitingRequest) int {
+	if a.Priority != b.Priority {
+		return a.Priority.Compare(b.Priority)
+	}
+	if c := compareBools(now.After(a.DueAt), now.After(b.DueAt)); c != 0 {
+		return c
+	}
+	if c := a.DueAt.Compare(b.DueAt); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Box, b.Box))
 }
 
 // compareBools orders false before true.
@@ -207,41 +204,31 @@
 	return 1
 }
 
-func keyOf(r WaitingRequest) waitingKey {
+func keyOf(r *WaitingRequest) waitingKey {
 	return waitingKey{
 		box: r.Box,
 		id:  r.ID,
 	}
 }
 
-// priorityShare identifies the requests of a customer at a priority.
-type priorityShare struct {
-	priority routing.Priority
-	customer string
-}
-
-// customerExcess returns the requests, out of sorted ones, that a customer has beyond
-// maxCustomerShare of the waiting tokens of their priority. A customer's first request is never
-// one of them. A customer that waits alone at a priority has no excess.
-func customerExcess(sorted []WaitingRequest) map[waitingKey]bool {
-	total := make(map[routing.Priority]int)
-	for _, r := range sorted {
-		total[r.Priority] += r.Tokens
+// appendExcessLast appends the sorted requests of one priority, those last that a customer has
+// beyond maxCustomerShare of their tokens. A customer's first request is never one of them, and a
+// customer that waits alone is not reordered.
+func appendExcessLast(sorted, all []*WaitingRequest) []*WaitingRequest {
+	total := 0
+	for _, r := range all {
+		total += r.Tokens
 	}
-	var excess map[waitingKey]bool
-	earlier := make(map[priorityShare]int)
-	for _, r := range sorted {
-		share := priorityShare{
-			priority: r.Priority,
-			customer: r.Customer,
-		}
-		if before := earlier[share]; before > 0 && float64(before) >= maxCustomerShare*float64(total[r.Priority]) {
-			if excess == nil {
-				excess = make(map[waitingKey]bool)
-			}
-			excess[keyOf(r)] = true
+	earlier := make(map[string]int) // tokens by customer
+	var excess []*WaitingRequest
+	for _, r := range all {
+		before := earlier[r.Customer]
+		earlier[r.Customer] += r.Tokens
+		if before > 0 && float64(before) >= maxCustomerShare*float64(total) {
+			excess = append(excess, r)
+			continue
 		}
-		earlier[share] += r.Tokens
+		sorted = append(sorted, r)
 	}
-	return excess
+	return append(sorted, excess...)
 }
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -220,7 +220,7 @@
 	}
 	e, hasRoom := p.pickWithRoom(now, ahead)
 	if !hasRoom {
-		return needOf(w.entry), true
+		return needOf(&w.entry), true
 	}
 	q.remove(w)
 	need := q.addPlacing(p, e)
@@ -256,14 +256,14 @@
 	return all
 }
 
-func needOf(r admission.WaitingRequest) admission.Need {
+func needOf(r *admission.WaitingRequest) admission.Need {
 	return admission.Need{
 		Tokens: r.Tokens,
 		Prompt: r.Prompt,
 	}
 }
 
-func needs(all []admission.WaitingRequest) []admission.Need {
+func needs(all []*admission.WaitingRequest) []admission.Need {
 	out := make([]admission.Need, 0, len(all))
 	for _, r := range all {
 		out = append(out, needOf(r))
@@ -271,7 +271,7 @@
 	return out
 }
 
-func totalTokens(all []admission.WaitingRequest) int {
+func totalTokens(all []*admission.WaitingRequest) int {
 	sum := 0
 	for _, r := range all {
 		sum += r.Tokens
