--- a/gateway/waiting_request.go
+++ b/gateway/waiting_request.go
@@ -89,7 +89,9 @@
 		Target:   p.latencyTarget(),
 		Deadline: p.currentDeadline(),
 		Prefill:  p.gateway.balancer.PrefillTime(p.inbound.PromptTokens),
-		Answer:   p.expectedStreamTime(p.service.Engine),
+		// Before a stream's usual time is known, the target is a lower bound that leaves time for
+		// its first event.
+		Answer: max(p.expectedStreamTime(p.service.Engine), p.latencyTarget()),
 	})
 	return admission.WaitingRequest{
 		Service:  p.service.Name,
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -185,4 +185,18 @@
 			Expect((<-done).IsComplete).To(BeTrue())
 		}
 	})
+
+	// Guards against both being sent before the memory of either counts at the engine.
+	It("does not take the same room as another one of its box", func() {
+		b.engine.EventInterval = 100 * time.Millisecond
+		first := b.startWaiting(emulator.StreamPath, "a")
+		second := b.start(context.Background(), emulator.StreamPath, "b")
+		b.expectWaiting("a", "b")
+		b.fill("e-1", 25_000)
+		Eventually(b.engine.Runs).Should(HaveLen(1))
+		b.expectWaiting("b")
+		Expect((<-first).IsComplete).To(BeTrue())
+		Expect((<-second).IsComplete).To(BeTrue())
+		Expect(b.engine.Runs()[1].StartedAt.Sub(b.engine.Runs()[0].StartedAt)).To(BeNumerically(">", 400*time.Millisecond))
+	})
 })
