--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -136,19 +136,6 @@
 	}
 }
 
-// leave removes a waiting request. It returns the result that ended its wait meanwhile, if any.
-func (q *waitQueue) leave(w *wait) (waitResult, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.remove(w)
-	select {
-	case r := <-w.result:
-		return r, true
-	default:
-		return waitResult{}, false
-	}
-}
-
 func (q *waitQueue) remove(w *wait) {
 	q.list.Remove("", w.entry.ID)
 	delete(q.own, w.entry.ID)
--- a/gateway/waiting_request.go
+++ b/gateway/waiting_request.go
@@ -137,16 +137,12 @@
 	return p.gateway.view().ConfigVersion() != p.resolvedVersion
 }
 
-// awaitRoom waits until an engine has room for the request, or something else decides on it.
+// awaitRoom waits until an engine has room for the request, or something else decides on it. The
+// queue also ends the wait, at its next evaluation, if the caller disconnects.
 func (p *proxiedRequest) awaitRoom(now time.Time, in entered) (routing.Endpoint, bool, core.Event) {
 	w := in.wait
 	p.beginWait(now, in)
-	var r waitResult
-	select {
-	case r = <-w.result:
-	case <-p.request.Context().Done():
-		r, _ = p.gateway.waits.leave(w)
-	}
+	r := <-w.result
 	p.isPlacing = r.hasRoom
 	if r.hasRoom && p.terminalEvent() == nil {
 		p.observeWait(w, waitSent)
