admission: an engine that failed repeatedly counts as one without room

An engine that is gone looks empty until its entry is removed, and would get every request while all others are full. Found by reading; the test failed before the change.

--- a/admission/room.go
+++ b/admission/room.go
@@ -12,6 +12,11 @@
 // leave most of the memory of all engines unused for seconds.
 const maxNeededUse = 0.5
 
+// maxRoomFailures is the failure score above which an engine counts as one without room: that of
+// two failures in a row. An engine that is gone looks empty, and would get every request while all
+// others are full.
+const maxRoomFailures = 0.5
+
 // Need is what a request that is sent earlier takes of an engine.
 type Need struct {
 	Tokens   int    // memory of its run at the expected end
@@ -63,7 +68,7 @@
 	for _, i := range b.sample(fitting, b.choiceLimit(now, req, hasOutside)) {
 		e := endpoints[rooms[i].index]
 		// The score doesn't include what is reserved for the requests ahead.
-		reserved := prefillDelayCost * (rooms[i].queued - b.queuedTokens(now, e.ID)) / b.prefillRate
+		reserved := prefillDelayCost * (rooms[i].queued - b.queuedTokens(now, e.ID, b.load(e.ID))) / b.prefillRate
 		if score := b.score(now, e, req) + reserved; score < least {
 			best = rooms[i].index
 			least = score
@@ -98,18 +103,21 @@
 		total = float64(l.report.Total)
 	}
 	used := b.memoryUse(now, l, Requirements{Memory: req.Memory})
-	return engineRoom{
+	r := engineRoom{
 		index:    i,
 		total:    total,
 		free:     (req.MaxMemoryUse - used) * total,
-		queued:   b.queuedTokens(now, id),
+		queued:   b.queuedTokens(now, id, l),
 		excluded: req.Exclude[id],
 	}
+	if now.Before(l.avoidUntil) || l.isSuspect(now, req) || l.failureScore(now) > maxRoomFailures {
+		r.free = math.Inf(-1)
+	}
+	return r
 }
 
 // queuedTokens estimates the prompt tokens that wait for prefill at an engine.
-func (b *Balancer) queuedTokens(now time.Time, id string) float64 {
-	l := b.load(id)
+func (b *Balancer) queuedTokens(now time.Time, id string, l *endpointLoad) float64 {
 	queued := l.backlog(now, b.prefillRate)
 	if b.isOutsideGroup(id) {
 		queued += b.unreportedPromptTokens(now, l)
--- a/admission/room_test.go
+++ b/admission/room_test.go
@@ -33,9 +33,12 @@
 }
 
 var _ = Describe("a pick with room", func() {
-	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	var now time.Time
 	var s *admission.Balancer
-	BeforeEach(func() { s = admission.NewBalancer("z", func() float64 { return 0.5 }) })
+	BeforeEach(func() {
+		now = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		s = admission.NewBalancer("z", func() float64 { return 0.5 })
+	})
 	req := admission.Requirements{
 		Tokens:          1000,
 		Prompt:          800,
@@ -132,6 +135,20 @@
 		Expect(e.ID).To(Equal("e0"))
 	})
 
+	// Guards against sending everything to an engine that is gone, which looks empty while all
+	// others are full.
+	It("finds none at engines that don't respond or failed repeatedly, for a while", func() {
+		all := roomEngines(s, now, 0, 0, 10_000)
+		s.Failed(now, "e0", true)
+		s.Failed(now, "e1", false)
+		Expect(pick(all, req)).To(Equal("e1"))
+		s.Failed(now, "e1", false)
+		Expect(pick(all, req)).To(BeEmpty())
+		Expect(pick(all, req, admission.Need{Tokens: 1000})).To(BeEmpty())
+		now = now.Add(3 * time.Second)
+		Expect(pick(all, req)).NotTo(BeEmpty())
+	})
+
 	It("prefers room in its own zone to room in another one", func() {
 		all := roomEngines(s, now, 5000, 5000)
 		all[0].Zone = "far"
