--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -1,12 +1,14 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -143,11 +145,25 @@
 	It("waits and is sent when an engine has room", func() {
 		done := b.startWaiting(emulator.StreamPath, "a")
 		Expect(b.engine.Runs()).To(BeEmpty())
+		own := b.gateway.Waiting().Own[0]
+		Expect(own.Route).To(Equal("stream"))
+		Expect(own.Priority).To(Equal(routing.Priority{
+			Customer: 1,
+			Route:    3,
+		}))
+		Expect(time.Since(own.Since)).To(BeNumerically("<", time.Second))
 		b.fill("e-1", 0)
 		o := <-done
 		Expect(o.IsComplete).To(BeTrue())
 		Expect(b.outcomes("a")).To(Equal([]string{"sent"}))
 		Expect(b.gateway.Waiting().Own).To(BeEmpty())
+		var shown bytes.Buffer
+		metrics.WritePrometheus(&shown, false)
+		Expect(shown.String()).To(And(
+			ContainSubstring(`dillsaddle_waits_total{route="stream",outcome="sent"}`),
+			ContainSubstring(`dillsaddle_wait_seconds_count{route="stream",priority="1.3"}`),
+			ContainSubstring(`dillsaddle_waiting_requests{of="own"} 0`),
+		))
 		messages := b.waitMessages()
 		Expect(messages).To(HaveLen(2))
 		Expect(messages[0].Box).To(Equal("this"))
