--- a/admission/waiting_list.go
+++ b/admission/waiting_list.go
@@ -42,7 +42,8 @@
 	id  string
 }
 
-// WaitingList holds the waiting requests of this box and those known of other boxes. It is not
+// WaitingList holds the waiting requests of this box and those known of other boxes. It addresses
+// callers that compete for too little capacity: all boxes of a group order them alike. It is not
 // safe for concurrent use.
 type WaitingList struct {
 	requests map[waitingKey]*WaitingRequest
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -15,7 +15,7 @@
 	maxWakeInterval = 25 * time.Millisecond
 	// minWakeInterval is the shortest such time. Other boxes' messages come in batches of 15 ms,
 	// and an evaluation takes CPU time.
-	minWakeInterval = 8 * time.Millisecond
+	minWakeInterval = 10 * time.Millisecond
 )
 
 // wait is a request of this box that waits for room.
