admission, gateway: weigh missed pauses when choosing an engine

Long streams on slow engines missed their pause target when a prompt was prefilled there during a slow period, while fast engines had room. The boxes now learn the pace of engines and how often a prompt breaks a stream there, tell each other, and add the expected misses to the cost of an engine, for services whose endpoints report slowdowns.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -89,6 +89,10 @@
 	remotePlacementAt time.Time                // when another box last reported a placement
 	flow              flow                     // prompt tokens sent by the group's boxes
 	released          flow                     // tokens of memory freed by the group's runs
+	promptFlow        flow                     // prompts sent by the group's boxes
+	paces             map[string]*PaceTable    // by service; only those with pause-sensitive streams
+	streamTime        time.Duration            // average duration of pause-sensitive streams
+	streamSize        float64                  // average tokens owed by pause-sensitive streams
 }
 
 // reportLag is how long a change of an engine's memory may take to show in its reports.
@@ -103,6 +107,8 @@
 		random:      random,
 		prefillRate: initialPrefillRate,
 		loads:       make(map[string]*endpointLoad),
+		paces:       make(map[string]*PaceTable),
+		streamTime:  initialStreamTime,
 	}
 }
 
@@ -124,6 +130,13 @@
 	Shared        bool            // whether other boxes send requests to these endpoints
 	MovableTokens int             // memory that can be moved off an engine before it terminates; 0 if unknown
 	MaxMemoryUse  float64         // highest fraction of memory in use, including this request; 0 for no limit
+
+	// The fields below are used only for services with pause-sensitive streams.
+
+	PauseSensitive bool          // it is a stream with a target for its pauses
+	ExpectedEvents int           // events that it is expected to generate
+	LatencyTarget  time.Duration // time left until its first event is due; 0 without a target
+	Size           int           // tokens that its caller is owed; 0 if unknown
 }
 
 // Pick returns the endpoint with the lowest score, or false if there is none to choose.
@@ -206,6 +219,7 @@
 			ahead += b.unreportedPromptTokens(now, l)
 		}
 		score += prefillDelayCost * ahead / b.prefillRate
+		score += b.expectedMissCost(now, e, l, req)
 	}
 	if e.Zone != req.zone(b) {
 		score += req.crossZoneCost()
--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -28,6 +28,9 @@
 	lastSendAt       time.Time
 	queuedTokens     float64 // prompt tokens waiting for prefill at queuedAt
 	queuedAt         time.Time
+	prompts          int           // sent by the group's boxes since the endpoint became known
+	promptFlow       flow          // the same, as a rate
+	pacedStreams     []pacedStream // of the group's boxes
 }
 
 // memoryChange is memory allocated by a run or a copy, or freed at its end.
@@ -51,6 +54,9 @@
 	l.queuedTokens = l.backlog(now, b.prefillRate) + float64(prompt)
 	l.queuedAt = now
 	b.flow.add(now, float64(prompt))
+	l.prompts++
+	l.promptFlow.add(now, 1)
+	b.promptFlow.add(now, 1)
 	return l.queuedTokens
 }
 
@@ -248,6 +254,9 @@
 func (b *Balancer) Forget(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, t := range b.paces {
+		t.Forget(id)
+	}
 	if l := b.loads[id]; l != nil && l.running <= 0 && l.copyTokens <= 0 {
 		delete(b.loads, id)
 	}
--- /dev/null
+++ b/admission/pace_simulation_run_test.go
@@ -0,0 +1,80 @@
+package admission_test
+
+import (
+	"slices"
+	"time"
+
+	"dillsaddle.example/dillsaddle/admission"
+)
+
+// event records an event of a run, and notifies the boxes as a gateway does.
+func (s *paceSim) event(e *paceEngine, r *paceRun) {
+	if r.lastAt == 0 {
+		target := 1500 * time.Millisecond
+		if r.prompt == 3080 {
+			target = 4 * time.Second
+		}
+		r.late = s.now-r.sentAt > target
+		r.lastAt = s.now
+		r.box.ObservePrefill(r.queued, s.now-r.sentAt)
+		r.exposed = r.box.PromptCount(e.ID)
+		return
+	}
+	gap := s.now - r.lastAt
+	r.lastAt = s.now
+	if r.prompt != 3080 {
+		return
+	}
+	broke := !r.paused && gap > paceTarget
+	r.paused = r.paused || gap > paceTarget
+	if !r.isLong() {
+		return
+	}
+	r.intervals = append(r.intervals, gap)
+	if len(r.intervals) == 15 {
+		pace := slices.Sorted(slices.Values(r.intervals))[3]
+		observe := func(b *admission.Balancer) { b.ObservePace(s.clock(), "", e.ID, pace) }
+		observe(r.box)
+		s.tell(r.box, observe)
+	}
+	if broke {
+		s.result(e, r)
+	}
+}
+
+// result ends the observation of a stream.
+func (s *paceSim) result(e *paceEngine, r *paceRun) {
+	exposures, paused := max(r.box.PromptCount(e.ID)-r.exposed, 0), r.paused
+	r.box.ObserveStream(s.clock(), "", e.ID, exposures, paused)
+	r.box.EndStream(s.clock(), e.ID, r.prompt, false)
+	s.tell(r.box, func(b *admission.Balancer) {
+		b.ObserveStream(s.clock(), "", e.ID, exposures, paused)
+		b.EndStream(s.clock(), e.ID, r.prompt, true)
+	})
+}
+
+func (s *paceSim) end(e *paceEngine, r *paceRun) {
+	if r.isLong() && !r.paused {
+		s.result(e, r)
+	}
+	held := r.prompt + r.output
+	r.box.EndSend(s.clock(), e.ID, simStart.Add(r.sentAt), r.req.Tokens)
+	r.box.Succeeded(s.clock(), e.ID, r.lastAt-r.sentAt)
+	r.box.ObserveLengths(r.prompt, r.output)
+	r.box.RunEnded(s.clock(), e.ID, r.prompt, held)
+	s.tell(r.box, func(b *admission.Balancer) { b.RunEnded(s.clock(), e.ID, r.prompt, held) })
+	if s.now < paceWarmup {
+		return
+	}
+	result := &s.short
+	if r.prompt == 3080 {
+		result = &s.long
+	}
+	result.Streams++
+	switch {
+	case r.late:
+		result.LateFirst++
+	case r.paused:
+		result.Paused++
+	}
+}
--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -99,6 +99,7 @@
 		req.Memory = engine.MemoryTokens
 		req.Shared = p.gateway.budgetShare().Boxes > 1
 		req.MovableTokens = movableTokens(engine)
+		p.addTargets(&req)
 	}
 	return req
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"dillsaddle.example/dillsaddle/admission"
 )
 
 // counters are the gateway's metrics.
@@ -38,6 +40,19 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_request_seconds{route=%q}", route)).Update(took.Seconds())
 }
 
+// observePauses counts the prompts sent to an engine during a stream there, by the engine's
+// pace relative to the service's median, and whether the stream had a pause beyond its target.
+func (c *counters) observePauses(class admission.PaceClass, known bool, exposures int, missed bool) {
+	label := "unknown"
+	if known {
+		label = class.String()
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_pause_exposures_total{relative_pace=%q}", label)).Add(exposures)
+	if missed {
+		metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_pauses_missed_total{relative_pace=%q}", label)).Inc()
+	}
+}
+
 // observeStream records the delay of a complete stream's first event and its longest pause.
 func (c *counters) observeStream(route string, first, longest time.Duration) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -113,6 +113,9 @@
 	}
 	if a.headers.Load != nil {
 		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, a.headers.Load.Running+a.headers.Load.Waiting)
+		if a.headers.Load.HasSlowdown {
+			p.gateway.slowdowns.record(time.Now(), p.service.Name)
+		}
 	}
 	if invalidReason := a.invalidReason(); invalidReason != "" {
 		a.close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,9 +45,10 @@
 	pool               *Pool
 	log                *zap.Logger
 	counters           *counters
-	mu                 sync.Mutex                          // guards budgets, streams and evacuations
-	usualAnswerTimes   durationAverages                    // time to a whole answer or a first event, by route
-	eventIntervals     durationAverages                    // time between events, by service
+	mu                 sync.Mutex       // guards budgets, streams and evacuations
+	usualAnswerTimes   durationAverages // time to a whole answer or a first event, by route
+	eventIntervals     durationAverages // time between events, by service
+	slowdowns          *slowdownReports
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
@@ -146,6 +147,7 @@
 		counters:         newCounters(),
 		usualAnswerTimes: newDurationAverages(),
 		eventIntervals:   newDurationAverages(),
+		slowdowns:        newSlowdownReports(),
 		budgets:          make(map[string]*core.SharedBudget),
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
@@ -206,6 +208,7 @@
 
 // HandlePlacement handles a placement update from another box.
 func (g *Gateway) HandlePlacement(now time.Time, p fleet.Placement) {
+	g.handleRemotePace(now, p)
 	switch {
 	case p.StreamBroken:
 		g.recordUnannouncedBreak(now)
@@ -213,6 +216,7 @@
 		g.balancer.Failed(now, p.Endpoint, false)
 	case p.RunEnded:
 		g.balancer.RunEnded(now, p.Endpoint, p.Tokens, p.HeldTokens)
+	case p.Pace != nil:
 	case p.Copy:
 		g.balancer.AddRemoteCopy(now, p.Endpoint, p.Tokens)
 	default:
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -10,6 +10,7 @@
 // prompt or, if it continues from a copy, of the memory that the engine holds already.
 func (p *proxiedRequest) announceRun(now time.Time, copied bool) {
 	p.announcedTokens = 0
+	p.pace = runPace{}
 	if p.service.Engine == nil {
 		return
 	}
@@ -23,6 +24,8 @@
 		Endpoint: p.endpoint.ID,
 		Tokens:   p.announcedTokens,
 		Copy:     copied,
+
+		Sensitive: p.beginPace(now),
 	})
 }
 
@@ -31,13 +34,14 @@
 	if p.announcedTokens == 0 {
 		return
 	}
-	p.gateway.balancer.RunEnded(time.Now(), endpoint, p.announcedTokens, p.heldTokens())
-	p.gateway.onPlaced(fleet.Placement{
+	now := time.Now()
+	p.gateway.balancer.RunEnded(now, endpoint, p.announcedTokens, p.heldTokens())
+	p.gateway.onPlaced(p.endPace(now, fleet.Placement{
 		Endpoint:   endpoint,
 		Tokens:     p.announcedTokens,
 		RunEnded:   true,
 		HeldTokens: p.heldTokens(),
-	})
+	}))
 }
 
 // heldTokens returns the tokens of memory that the run holds now.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -61,4 +61,6 @@
 	Waiting  int
 	Slots    int
 	Slowdown float64 // factor by which work takes longer than usual; 1 if the endpoint reports none
+
+	HasSlowdown bool // whether the endpoint reports its slowdown
 }
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -51,6 +51,8 @@
 	lastEventAt       time.Time
 	firstEventAt      time.Time
 	runFirstEventAt   time.Time     // first event of the current run; zero before it
+	pace              runPace       // of the current run
+	missedPause       atomic.Bool   // longestPause exceeds the route's target
 	suspendedBefore   time.Duration // the gateway's total suspension at start
 	headSent          bool          // the answer's head was written to the caller
 	placedAt          time.Time
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -142,8 +142,12 @@
 	} else if gap := now.Sub(p.lastEventAt); gap > p.longestPause {
 		p.longestPause = gap
 		p.longestPauseAfter = p.lastEventID
+		if p.route.PauseTarget > 0 && gap > p.route.PauseTarget {
+			p.missedPause.Store(true)
+		}
 	}
 	p.lastEventAt = now
+	p.recordPace(now)
 }
 
 // updateAverages updates the averages of event intervals and output lengths after a complete stream.
