admission, gateway: cheaper pace classes, results of runs, tests

Classes are an array and are derived when a pace arrives, so that a placement does no work per known engine.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -90,9 +90,11 @@
 	flow              flow                     // prompt tokens sent by the group's boxes
 	released          flow                     // tokens of memory freed by the group's runs
 	promptFlow        flow                     // prompts sent by the group's boxes
-	paces             map[string]*PaceTable    // by service; only those with pause-sensitive streams
-	streamTime        time.Duration            // average duration of pause-sensitive streams
-	streamSize        float64                  // average tokens owed by pause-sensitive streams
+	averageRate       float64                  // prompts per second and engine at averageRateAt
+	averageRateAt     time.Time
+	paces             map[string]*PaceTable // by service; only those with pause-sensitive streams
+	streamTime        time.Duration         // average duration of pause-sensitive streams
+	streamSize        float64               // average tokens owed by pause-sensitive streams
 }
 
 // reportLag is how long a change of an engine's memory may take to show in its reports.
@@ -219,7 +221,7 @@
 			ahead += b.unreportedPromptTokens(now, l)
 		}
 		score += prefillDelayCost * ahead / b.prefillRate
-		score += b.expectedMissCost(now, e, l, req)
+		score += missCost * b.expectedMisses(now, &e, l, req, full)
 	}
 	if e.Zone != req.zone(b) {
 		score += req.crossZoneCost()
--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -14,6 +14,7 @@
 	ReportAge          time.Duration // age of the engine's last report; 0 without a current report
 	RemotePlacementAge time.Duration // time since another box last reported a placement; 0 if none did
 	UntilFirstEvent    time.Duration // time until the first event of the response
+	Pace               *PaceEstimate // nil for services without pause-sensitive streams
 }
 
 // Estimate returns the expected state of an endpoint if the request is sent there now.
@@ -29,6 +30,7 @@
 		out.ReportAge = age
 	}
 	out.UntilFirstEvent = b.timeToFirstEvent(now, l, req)
+	out.Pace = b.paceEstimate(now, e, l, req)
 	if !b.remotePlacementAt.IsZero() {
 		out.RemotePlacementAge = now.Sub(b.remotePlacementAt)
 	}
@@ -38,8 +40,13 @@
 // timeToFirstEvent estimates the time until the first event of a response: until enough
 // runs have ended to make room, and until the queued prompts and this one are prefilled.
 func (b *Balancer) timeToFirstEvent(now time.Time, l *endpointLoad, req Requirements) time.Duration {
+	return b.timeToFirstEventAt(now, l, req, b.memoryUse(now, l, req))
+}
+
+// timeToFirstEventAt is timeToFirstEvent for a known use of the engine's memory.
+func (b *Balancer) timeToFirstEventAt(now time.Time, l *endpointLoad, req Requirements, memoryUse float64) time.Duration {
 	seconds := (l.backlog(now, b.prefillRate) + float64(req.Prompt)) / b.prefillRate
-	if over := b.memoryUse(now, l, req) - 1; over > 0 {
+	if over := memoryUse - 1; over > 0 {
 		seconds += over * float64(max(req.Memory, 1)) / b.freedPerSecond(now)
 	}
 	return time.Duration(seconds * float64(time.Second))
--- a/admission/pace_simulation_run_test.go
+++ b/admission/pace_simulation_run_test.go
@@ -66,15 +66,22 @@
 	if s.now < paceWarmup {
 		return
 	}
-	result := &s.short
-	if r.prompt == 3080 {
-		result = &s.long
+	switch {
+	case r.prompt != 3080:
+		s.short.count(r)
+	case s.FreshBoxAt > 0 && r.box == s.boxes[0] && r.sentAt > s.FreshBoxAt+paceLearning:
+		s.fresh.count(r)
+	default:
+		s.long.count(r)
 	}
-	result.Streams++
+}
+
+func (c *paceResult) count(r *paceRun) {
+	c.Streams++
 	switch {
 	case r.late:
-		result.LateFirst++
+		c.LateFirst++
 	case r.paused:
-		result.Paused++
+		c.Paused++
 	}
 }
--- a/admission/pace_simulation_test.go
+++ b/admission/pace_simulation_test.go
@@ -27,24 +27,23 @@
 	paceLife        = 20 * time.Second // mean life of an engine
 	paceTarget      = 180 * time.Millisecond
 	paceWarmup      = 10 * time.Second // not counted: the boxes learn
+	paceLearning    = 4 * time.Second  // the same for a new box among others
 )
 
 // paceLoad is a simulated load of long and short streams on engines of two speeds.
 type paceLoad struct {
-	Boxes, Engines  int
-	Rate            float64 // requests per second
-	LongShare       float64
-	Baseline        bool // without what the boxes learn of pauses
-	LoseMessages    bool // between boxes
-	Duration        time.Duration
-	WithoutSpells   bool
-	JoiningBoxAfter time.Duration // if set, one box learns nothing before
+	Boxes, Engines int
+	Rate           float64 // requests per second
+	LongShare      float64
+	Baseline       bool    // without what the boxes learn of pauses
+	LostShare      float64 // of the messages between boxes
+	Duration       time.Duration
+	FreshBoxAt     time.Duration // if set, when a box is replaced by one that knows nothing
 }
 
 // paceResult counts streams of a kind and how many of them missed a target.
 type paceResult struct{ Streams, LateFirst, Paused int }
 
-
 type paceRun struct {
 	box                  *admission.Balancer
 	req                  admission.Requirements
@@ -79,9 +78,11 @@
 	engines     []*paceEngine
 	created     int
 	long, short paceResult
+	fresh       paceResult // long streams of the box that was replaced, from paceLearning after that
 }
 
-func (c paceLoad) simulate(seed uint64) (long, short paceResult) {
+// simulate runs the simulation with a seed.
+func (c paceLoad) simulate(seed uint64) *paceSim {
 	s := &paceSim{
 		paceLoad: c,
 		random:   rand.New(rand.NewPCG(seed, 3)),
@@ -93,12 +94,21 @@
 		s.join()
 	}
 	s.arrive()
+	if c.FreshBoxAt > 0 {
+		s.after(c.FreshBoxAt, s.replaceBox)
+	}
 	for s.now < c.Duration {
 		next := heap.Pop(&s.events).(simEvent)
 		s.now = next.at
 		next.action()
 	}
-	return s.long, s.short
+	return s
+}
+
+// replaceBox replaces the first box by one that knows the list of engines only.
+func (s *paceSim) replaceBox() {
+	s.boxes[0] = admission.NewBalancer("z", s.random.Float64)
+	s.publish()
 }
 
 func (s *paceSim) after(d time.Duration, action func()) {
@@ -116,14 +126,11 @@
 	return time.Duration(s.random.ExpFloat64() * float64(mean))
 }
 
-// tell applies a message to all other boxes, after the delay of a message.
+// tell applies a message to the other boxes that don't lose it, after the delay of a message.
 func (s *paceSim) tell(from *admission.Balancer, apply func(*admission.Balancer)) {
-	if s.LoseMessages {
-		return
-	}
 	s.after(simNotifyDelay, func() {
 		for _, b := range s.boxes {
-			if b != from {
+			if b != from && s.random.Float64() >= s.LostShare {
 				apply(b)
 			}
 		}
@@ -273,7 +280,7 @@
 		}
 		e.spellEnds = max(e.spellEnds, s.now-time.Minute) + s.exponential(mean)
 	}
-	if e.isSlow && !s.WithoutSpells {
+	if e.isSlow {
 		d *= paceSpellFactor
 	}
 	s.after(time.Duration(d), func() {
--- a/admission/pace_table.go
+++ b/admission/pace_table.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -27,18 +25,19 @@
 	// minPaceWeight is the weight of an engine's observations below which they are dropped,
 	// about two minutes after the last one.
 	minPaceWeight = 0.05
+	// refreshInterval is how long decayed weights are used, which change by 2% in that time.
+	refreshInterval = time.Second
 )
 
 // PaceTable learns how fast each engine of a service generates and how often the streams on
 // engines of about the same pace have a pause beyond their target. It is not safe for
 // concurrent use.
 type PaceTable struct {
-	engines   map[string]*observedPace // by endpoint ID
-	classes   map[PaceClass]*breakCount
-	total     breakCount // including engines without a known pace
-	isCurrent bool       // whether the fields below are derived from the latest observations
-	median    float64    // of the engines' paces, in seconds
-	averageQ  float64    // break probability averaged over the engines
+	engines     map[string]*observedPace // by endpoint ID
+	classes     [2*maxPaceClass + 1]paceClass
+	total       breakCount    // of all classes, and of engines without a known pace
+	median      time.Duration // of the engines' paces
+	refreshedAt time.Time     // when the median and the engines' classes were last derived
 }
 
 // PaceClass is a class of engines of about the same pace, 0 for those near the service's
@@ -70,13 +69,18 @@
 	BreakProbability float64       // per prompt
 }
 
+// paceClass is what is known of a class.
+type paceClass struct {
+	breakCount
+	engines int
+}
+
 // observedPace is the decaying average of the observed paces of an engine.
 type observedPace struct {
 	sum    float64 // weighted seconds
 	weight float64
 	at     time.Time // when sum and weight were last decayed
 	class  PaceClass
-	seen   bool // whether class has been derived
 }
 
 // breakCount is a decaying count of exposures and breaks.
@@ -84,16 +88,10 @@
 	exposures float64
 	breaks    float64
 	at        time.Time
-	q         float64 // derived probability of a break per exposure
 }
 
 // NewPaceTable returns an empty table.
-func NewPaceTable() *PaceTable {
-	return &PaceTable{
-		engines: make(map[string]*observedPace),
-		classes: make(map[PaceClass]*breakCount),
-	}
-}
+func NewPaceTable() *PaceTable { return &PaceTable{engines: make(map[string]*observedPace)} }
 
 // ObservePace records the time between events of a stream at an engine. It reports whether
 // that changed the engine's class, and how.
@@ -102,30 +100,28 @@
 		return PaceChange{}, false
 	}
 	p := t.engines[endpoint]
-	if p == nil {
+	wasKnown := p != nil
+	if !wasKnown {
 		p = &observedPace{at: now}
 		t.engines[endpoint] = p
 	}
-	p.decay(now)
-	p.sum += interval.Seconds()
-	p.weight++
 	change := PaceChange{
 		Before:   p.class,
-		WasKnown: p.seen,
+		WasKnown: wasKnown,
 	}
-	t.isCurrent = false
+	p.decay(now)
+	p.sum += interval.Seconds()
+	p.weight++
 	t.refresh(now)
-	change.Interval, _ = t.Pace(endpoint)
-	change.After = p.class
-	return change, !change.WasKnown || change.Before != change.After
+	change.Interval, change.After = p.mean(), p.class
+	return change, !wasKnown || change.Before != change.After
 }
 
 // ObserveStream records the number of prompts sent to an engine during a stream there, up to
 // its first pause beyond its target if broken is set. It returns the engine's class, or false
 // if its pace is unknown.
 func (t *PaceTable) ObserveStream(now time.Time, endpoint string, exposures int, broken bool) (PaceClass, bool) {
-	t.refresh(now)
-	t.isCurrent = false
+	t.refreshIfOld(now)
 	if broken {
 		// The prompt may have been sent before the stream's first event.
 		exposures = max(exposures, 1)
@@ -135,20 +131,15 @@
 	if p == nil {
 		return 0, false
 	}
-	c := t.classes[p.class]
-	if c == nil {
-		c = &breakCount{at: now}
-		t.classes[p.class] = c
-	}
-	c.add(now, exposures, broken)
+	t.class(p.class).add(now, exposures, broken)
 	return p.class, true
 }
 
 // Forget drops an engine that no longer exists. What its streams met remains in its class.
 func (t *PaceTable) Forget(endpoint string) {
-	if _, known := t.engines[endpoint]; known {
+	if p := t.engines[endpoint]; p != nil {
 		delete(t.engines, endpoint)
-		t.isCurrent = false
+		t.class(p.class).engines--
 	}
 }
 
@@ -158,111 +149,115 @@
 	if p == nil {
 		return 0, false
 	}
-	return time.Duration(p.mean() * float64(time.Second)), true
+	return p.mean(), true
 }
 
 // MedianPace returns the median of the engines' times between events, or 0 if none is known.
-func (t *PaceTable) MedianPace(now time.Time) time.Duration {
-	t.refresh(now)
-	return time.Duration(t.median * float64(time.Second))
-}
+func (t *PaceTable) MedianPace() time.Duration { return t.median }
 
 // BreakProbability returns the probability that a prompt sent to an engine causes a pause
 // beyond the target in a stream there. An engine without a known pace has the average
 // probability of all engines.
 func (t *PaceTable) BreakProbability(now time.Time, endpoint string) float64 {
-	t.refresh(now)
+	t.refreshIfOld(now)
 	if p := t.engines[endpoint]; p != nil {
-		return t.classProbability(p.class)
+		return t.classProbability(t.class(p.class))
+	}
+	if len(t.engines) == 0 {
+		return t.totalProbability()
 	}
-	return t.averageQ
+	sum := 0.0
+	for i := range t.classes {
+		if c := &t.classes[i]; c.engines > 0 {
+			sum += float64(c.engines) * t.classProbability(c)
+		}
+	}
+	return sum / float64(len(t.engines))
 }
 
 // Summaries returns the classes with known engines or streams, fastest first.
 func (t *PaceTable) Summaries(now time.Time) []PaceClassSummary {
-	t.isCurrent = false
 	t.refresh(now)
-	all := make(map[PaceClass]*PaceClassSummary)
-	summary := func(class PaceClass) *PaceClassSummary {
-		if all[class] == nil {
-			all[class] = &PaceClassSummary{
-				Class:            class,
-				BreakProbability: t.classProbability(class),
-			}
-		}
-		return all[class]
-	}
-	for class, c := range t.classes {
-		s := summary(class)
-		s.Exposures, s.Breaks = c.exposures, c.breaks
-	}
-	for id, p := range t.engines {
-		s := summary(p.class)
-		s.Engines++
-		pace, _ := t.Pace(id)
-		s.EventInterval += (pace - s.EventInterval) / time.Duration(s.Engines)
+	var intervals [len(t.classes)]time.Duration
+	for _, p := range t.engines {
+		intervals[p.class+maxPaceClass] += p.mean()
 	}
 	var out []PaceClassSummary
-	for _, class := range slices.Sorted(maps.Keys(all)) {
-		out = append(out, *all[class])
+	for i := range t.classes {
+		c := &t.classes[i]
+		if c.engines == 0 && c.exposures < 1 {
+			continue
+		}
+		out = append(out, PaceClassSummary{
+			Class:            PaceClass(i - maxPaceClass),
+			Engines:          c.engines,
+			EventInterval:    intervals[i] / time.Duration(max(c.engines, 1)),
+			Exposures:        c.exposures,
+			Breaks:           c.breaks,
+			BreakProbability: t.classProbability(c),
+		})
 	}
 	return out
 }
 
-// refresh derives the classes and probabilities from the observations.
+// refreshIfOld decays the observations if that was last done more than refreshInterval ago.
+func (t *PaceTable) refreshIfOld(now time.Time) {
+	if now.Sub(t.refreshedAt) > refreshInterval {
+		t.refresh(now)
+	}
+}
+
+// refresh decays the observations and derives the median and the classes of the engines.
 func (t *PaceTable) refresh(now time.Time) {
-	if t.isCurrent {
-		return
+	t.refreshedAt = now
+	t.total.decay(now)
+	for i := range t.classes {
+		t.classes[i].decay(now)
+		t.classes[i].engines = 0
 	}
-	t.isCurrent = true
-	t.median = 0
-	paces := make([]float64, 0, len(t.engines))
+	paces := make([]time.Duration, 0, len(t.engines))
 	for id, p := range t.engines {
-		if p.weight*halfLives(now.Sub(p.at)) < minPaceWeight {
+		if p.weight*remainingWeight(now.Sub(p.at)) < minPaceWeight {
 			delete(t.engines, id)
 			continue
 		}
 		paces = append(paces, p.mean())
 	}
+	t.median = 0
 	if len(paces) > 0 {
-		slices.SortFunc(paces, cmp.Compare[float64])
+		slices.Sort(paces)
 		t.median = paces[len(paces)/2]
 	}
-	t.total.decay(now)
-	t.total.q = t.total.breaks / (t.total.exposures + tablePrior)
-	for class, c := range t.classes {
-		c.decay(now)
-		if c.exposures < minPaceWeight {
-			delete(t.classes, class)
-			continue
-		}
-		c.q = (c.breaks + classPrior*t.total.q) / (c.exposures + classPrior)
-	}
-	t.averageQ = t.total.q
-	if len(paces) == 0 {
-		return
-	}
-	sum := 0.0
 	for _, p := range t.engines {
-		class := math.Round(math.Log(p.mean()/t.median) / paceClassWidth)
-		p.class = PaceClass(max(-maxPaceClass, min(maxPaceClass, class)))
-		p.seen = true
-		sum += t.classProbability(p.class)
+		p.class = classOf(p.mean(), t.median)
+		t.class(p.class).engines++
 	}
-	t.averageQ = sum / float64(len(paces))
 }
 
-func (t *PaceTable) classProbability(class PaceClass) float64 {
-	if c := t.classes[class]; c != nil {
-		return c.q
-	}
-	return t.total.q
+// classOf returns the class of a pace.
+func classOf(pace, median time.Duration) PaceClass {
+	steps := math.Round(math.Log(float64(pace)/float64(median)) / paceClassWidth)
+	return PaceClass(max(-maxPaceClass, min(maxPaceClass, steps)))
 }
 
-func (p *observedPace) mean() float64 { return p.sum / p.weight }
+func (t *PaceTable) class(c PaceClass) *paceClass { return &t.classes[c+maxPaceClass] }
+
+// classProbability returns the break probability of a class's engines.
+func (t *PaceTable) classProbability(c *paceClass) float64 {
+	return (c.breaks + classPrior*t.totalProbability()) / (c.exposures + classPrior)
+}
+
+func (t *PaceTable) totalProbability() float64 {
+	return t.total.breaks / (t.total.exposures + tablePrior)
+}
+
+// mean returns the average pace; it is positive.
+func (p *observedPace) mean() time.Duration {
+	return max(time.Duration(p.sum/p.weight*float64(time.Second)), 1)
+}
 
 func (p *observedPace) decay(now time.Time) {
-	f := halfLives(now.Sub(p.at))
+	f := remainingWeight(now.Sub(p.at))
 	p.sum *= f
 	p.weight *= f
 	p.at = now
@@ -277,13 +272,13 @@
 }
 
 func (c *breakCount) decay(now time.Time) {
-	f := halfLives(now.Sub(c.at))
+	f := remainingWeight(now.Sub(c.at))
 	c.exposures *= f
 	c.breaks *= f
 	c.at = now
 }
 
-// halfLives returns the remaining weight of an observation of an age.
-func halfLives(age time.Duration) float64 {
+// remainingWeight returns the weight of an observation of an age.
+func remainingWeight(age time.Duration) float64 {
 	return math.Exp2(-float64(max(age, 0)) / float64(paceHalfLife))
 }
--- a/admission/paced_streams.go
+++ b/admission/paced_streams.go
@@ -62,19 +62,22 @@
 
 // dropLostStreams drops other boxes' streams that are likely to have ended.
 func (b *Balancer) dropLostStreams(now time.Time, l *endpointLoad) {
-	l.pacedStreams = slices.DeleteFunc(l.pacedStreams, func(s pacedStream) bool { return b.isLost(now, s) })
+	oldest := b.oldestRemoteStream(now)
+	l.pacedStreams = slices.DeleteFunc(l.pacedStreams, func(s pacedStream) bool { return s.remote && s.since.Before(oldest) })
 }
 
-func (b *Balancer) isLost(now time.Time, s pacedStream) bool {
-	return s.remote && now.Sub(s.since) > remoteStreamLives*b.streamTime
+// oldestRemoteStream returns the earliest begin of another box's stream that still counts.
+func (b *Balancer) oldestRemoteStream(now time.Time) time.Time {
+	return now.Add(-remoteStreamLives * b.streamTime)
 }
 
 // pacedStreamCount returns the number of pause-sensitive streams at an engine that have met
 // their target so far.
 func (b *Balancer) pacedStreamCount(now time.Time, l *endpointLoad) int {
 	n := 0
-	for _, s := range l.pacedStreams {
-		if !b.isLost(now, s) {
+	oldest := b.oldestRemoteStream(now)
+	for i := range l.pacedStreams {
+		if s := &l.pacedStreams[i]; !s.remote || !s.since.Before(oldest) {
 			n++
 		}
 	}
--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -81,13 +81,13 @@
 		return nil
 	}
 	estimate := p.gateway.balancer.Estimate(now, e, p.requirements(nil))
-	return []zap.Field{
+	return append([]zap.Field{
 		zap.Float64("full", math.Round(estimate.MemoryUse*100)/100),
 		zap.Duration("ahead", estimate.PrefillDelay.Round(time.Millisecond)),
 		zap.Duration("report_age", estimate.ReportAge.Round(time.Millisecond)),
 		zap.Duration("heard_age", estimate.RemotePlacementAge.Round(time.Millisecond)),
 		zap.Duration("until_first", estimate.UntilFirstEvent.Round(time.Millisecond)),
-	}
+	}, paceFields(estimate)...)
 }
 
 // requirements returns what the request requires of an endpoint, other than those excluded.
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -36,12 +36,14 @@
 	}
 	now := time.Now()
 	p.gateway.balancer.RunEnded(now, endpoint, p.announcedTokens, p.heldTokens())
-	p.gateway.onPlaced(p.endPace(now, fleet.Placement{
+	placement := fleet.Placement{
 		Endpoint:   endpoint,
 		Tokens:     p.announcedTokens,
 		RunEnded:   true,
 		HeldTokens: p.heldTokens(),
-	}))
+	}
+	p.endPace(now, &placement)
+	p.gateway.onPlaced(placement)
 }
 
 // heldTokens returns the tokens of memory that the run holds now.
