--- a/admission/pace_table_test.go
+++ b/admission/pace_table_test.go
@@ -124,6 +124,12 @@
 		Expect(estimate(now.Add(time.Minute)).Streams).To(Equal(1))
 	})
 
+	It("leave no pace behind when their engine restarts", func() {
+		b.BeginSend(now, e.ID, 3000, 100)
+		b.Forget(e.ID)
+		Expect(estimate(now).EventInterval).To(BeZero())
+	})
+
 	It("are expected to miss more on an engine that gets more prompts", func() {
 		req.PauseSensitive = true
 		req.ExpectedEvents = 1000
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -39,8 +39,12 @@
 }
 
 // learnPace records the time between events of a stream at an engine, and reports whether that
-// changed the engine's class.
+// changed the engine's class. It ignores an engine that is gone: it would count among the others
+// until its pace expires.
 func (g *Gateway) learnPace(now time.Time, service, endpoint string, interval time.Duration) bool {
+	if _, known := g.view().Endpoint(endpoint); !known {
+		return false
+	}
 	change, changed := g.balancer.ObservePace(now, service, endpoint, interval)
 	if !changed {
 		return false
