gateway: no shared variables between the tests of pauses

Under -race 7 of 8 runs of the package reported a race: a gateway of an earlier test read the variable that the next test set.

--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -43,6 +43,24 @@
 	platform.Protocol{}.Outbound(h, o)
 }
 
+// placementLog records the placements that the group was notified of.
+type placementLog struct {
+	mu     sync.Mutex
+	placed []fleet.Placement
+}
+
+func (l *placementLog) add(p fleet.Placement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.placed = append(l.placed, p)
+}
+
+func (l *placementLog) all() []fleet.Placement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.placed)
+}
+
 // pauseTarget is the target for pauses of the streams below, whose engines make an event every
 // 4 ms or every 180 ms.
 const (
@@ -53,13 +71,13 @@
 
 var _ = Describe("a stream with a target for its pauses", func() {
 	var b *testbed
-	var mu sync.Mutex
-	var placed []fleet.Placement
+	var placed *placementLog
 	start := func(protocol gateway.Protocol) {
-		b = newTestbed()
-		placed = nil
+		// A gateway of an earlier test may still end its work, so it has its own variables.
+		bed, own := newTestbed(), &placementLog{}
+		b, placed = bed, own
 		view := func() *fleet.View {
-			v := *b.state.View()
+			v := *bed.state.View()
 			if v.Table != nil {
 				d := *v.Table.Document()
 				d.Routes = slices.Clone(d.Routes)
@@ -81,11 +99,7 @@
 			},
 			MemoryBytes:  64 << 20,
 			FirstProcess: true,
-		}, gateway.WithLog(zap.New(observed)), gateway.WithMover(platform.NewEngineClient()), gateway.WithOnPlaced(func(p fleet.Placement) {
-			mu.Lock()
-			defer mu.Unlock()
-			placed = append(placed, p)
-		}))
+		}, gateway.WithLog(zap.New(observed)), gateway.WithMover(platform.NewEngineClient()), gateway.WithOnPlaced(own.add))
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		server := &http.Server{Handler: b.gateway}
@@ -102,9 +116,7 @@
 	}
 	// stream runs a stream and returns the placements that the group was notified of.
 	stream := func(id string) []fleet.Placement {
-		mu.Lock()
-		placed = nil
-		mu.Unlock()
+		before := len(placed.all())
 		o := b.caller.Do(context.Background(), emulator.Call{
 			ID:       id,
 			Method:   http.MethodPost,
@@ -117,15 +129,11 @@
 			},
 		})
 		Expect(o.IsComplete).To(BeTrue())
-		last := func() fleet.Placement {
-			mu.Lock()
-			defer mu.Unlock()
-			return append(placed, fleet.Placement{})[max(len(placed)-1, 0)]
-		}
-		Eventually(func() bool { return last().RunEnded }).Should(BeTrue())
-		mu.Lock()
-		defer mu.Unlock()
-		return slices.Clone(placed)
+		Eventually(func() bool {
+			all := placed.all()
+			return len(all) > before && all[len(all)-1].RunEnded
+		}).Should(BeTrue())
+		return placed.all()[before:]
 	}
 
 	// Guards against boxes that don't learn of each other's observations, and against a message
