--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -90,6 +90,12 @@
 	flow              flow                     // prompt tokens sent by the group's boxes
 	released          flow                     // tokens of memory freed by the group's runs
 	sent              map[sentKey]*flow        // tokens of the requests that the group's boxes sent
+	promptFlow        flow                     // prompts sent by the group's boxes
+	averageRate       float64                  // prompts per second and engine at averageRateAt
+	averageRateAt     time.Time
+	paces             map[string]*PaceTable // by service; only those with pause-sensitive streams
+	streamTime        time.Duration         // average duration of pause-sensitive streams
+	streamSize        float64               // average tokens owed by pause-sensitive streams
 }
 
 // reportLag is how long a change of an engine's memory may take to show in its reports.
@@ -105,6 +111,8 @@
 		prefillRate: initialPrefillRate,
 		loads:       make(map[string]*endpointLoad),
 		sent:        make(map[sentKey]*flow),
+		paces:       make(map[string]*PaceTable),
+		streamTime:  initialStreamTime,
 	}
 }
 
@@ -128,6 +136,13 @@
 	MaxMemoryUse  float64         // highest fraction of memory in use, including this request; 0 for no limit
 
 	MaxPrefillDelay time.Duration // longest delay by the prompts queued at an engine; only for PickWithRoom
+
+	// The fields below are used only for services with pause-sensitive streams.
+
+	PauseSensitive bool          // it is a stream with a target for its pauses
+	ExpectedEvents int           // events that it is expected to generate
+	LatencyTarget  time.Duration // time left until its first event is due; 0 without a target
+	Size           int           // tokens that its caller is owed; 0 if unknown
 }
 
 // Pick returns the endpoint with the lowest score, or false if there is none to choose.
@@ -216,6 +231,7 @@
 			ahead += b.unreportedPromptTokens(now, l)
 		}
 		score += prefillDelayCost * ahead / b.prefillRate
+		score += missCost * b.expectedMisses(now, &e, l, req, full)
 	}
 	if e.Zone != req.zone(b) {
 		score += req.crossZoneCost()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,9 +47,10 @@
 	pool               *Pool
 	log                *zap.Logger
 	counters           *counters
-	mu                 sync.Mutex                          // guards budgets, streams and evacuations
-	usualAnswerTimes   durationAverages                    // time to a whole answer or a first event, by route
-	eventIntervals     durationAverages                    // time between events, by service
+	mu                 sync.Mutex       // guards budgets, streams and evacuations
+	usualAnswerTimes   durationAverages // time to a whole answer or a first event, by route
+	eventIntervals     durationAverages // time between events, by service
+	slowdowns          *slowdownReports
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
@@ -153,6 +154,7 @@
 		counters:         newCounters(),
 		usualAnswerTimes: newDurationAverages(),
 		eventIntervals:   newDurationAverages(),
+		slowdowns:        newSlowdownReports(),
 		budgets:          make(map[string]*core.SharedBudget),
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
@@ -218,6 +220,7 @@
 
 // HandlePlacement handles a placement update from another box.
 func (g *Gateway) HandlePlacement(now time.Time, p fleet.Placement) {
+	g.handleRemotePace(now, p)
 	switch {
 	case p.Waiting != nil:
 		g.waits.handleRemote(now, p.Waiting)
@@ -228,6 +231,7 @@
 	case p.RunEnded:
 		g.balancer.RunEnded(now, p.Endpoint, p.Tokens, p.HeldTokens)
 		g.waits.notify()
+	case p.Pace != nil:
 	case p.Copy:
 		g.balancer.AddRemoteCopy(now, p.Endpoint, p.Tokens)
 	default:
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -10,6 +10,7 @@
 // prompt or, if it continues from a copy, of the memory that the engine holds already.
 func (p *proxiedRequest) announceRun(now time.Time, copied bool) {
 	p.announcedTokens = 0
+	p.pace = runPace{}
 	if p.service.Engine == nil {
 		return
 	}
@@ -20,9 +21,10 @@
 		p.queuedTokens = p.gateway.balancer.AddPrompt(now, p.endpoint.ID, p.announcedTokens)
 	}
 	announced := fleet.Placement{
-		Endpoint: p.endpoint.ID,
-		Tokens:   p.announcedTokens,
-		Copy:     copied,
+		Endpoint:  p.endpoint.ID,
+		Tokens:    p.announcedTokens,
+		Copy:      copied,
+		Sensitive: p.beginPace(now),
 	}
 	if !copied && p.gateway.waitsForRoom(p.service.Name) {
 		announced.Priority = p.priority()
@@ -36,14 +38,17 @@
 	if p.announcedTokens == 0 {
 		return
 	}
-	p.gateway.balancer.RunEnded(time.Now(), endpoint, p.announcedTokens, p.heldTokens())
+	now := time.Now()
+	p.gateway.balancer.RunEnded(now, endpoint, p.announcedTokens, p.heldTokens())
 	p.gateway.waits.notify()
-	p.gateway.onPlaced(fleet.Placement{
+	placement := fleet.Placement{
 		Endpoint:   endpoint,
 		Tokens:     p.announcedTokens,
 		RunEnded:   true,
 		HeldTokens: p.heldTokens(),
-	})
+	}
+	p.endPace(now, &placement)
+	p.gateway.onPlaced(placement)
 }
 
 // heldTokens returns the tokens of memory that the run holds now.
