gateway: continue from a complete copy when the engine ends in a move

Cause: a stream was cut when its engine ended during the second or the last copy of its memory, although the first copy was complete at the target: the failed copy's empty name replaced that of the earlier one, or the move gave up before it had a handover.

Change: each complete copy of a run is kept until the run breaks off or the target drops the copy, and a stream without a handover continues from it.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -17,6 +17,8 @@
 	target routing.Endpoint
 	done   chan struct{} // closed when the move has ended
 	copy   string        // the copy's name, set before done is closed; empty if the move failed
+
+	copiedAt time.Time // when a copy of a running run was complete
 }
 
 // setHandover registers a handover for the stream's reader to wait for. It returns false if
@@ -31,6 +33,48 @@
 	return true
 }
 
+// recordCopy records a complete copy of the running run. If the run's engine ends before the
+// move does, the stream continues from it. A copy off an engine that the run has left is ignored.
+func (p *proxiedRequest) recordCopy(m Move, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.endpoint.ID != m.Source.ID {
+		return
+	}
+	p.latestCopy = &handover{
+		target:   m.Target,
+		copy:     name,
+		copiedAt: time.Now(),
+	}
+}
+
+// takeLatestCopy returns the latest complete copy of the run and forgets it, since a
+// continuation uses it up. It returns nil if there is none or the target has dropped it.
+func (p *proxiedRequest) takeLatestCopy() *handover {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.latestCopy
+	p.latestCopy = nil
+	if h == nil || p.service.Engine == nil {
+		return nil
+	}
+	if lifetime := p.service.Engine.CopyLifetime; lifetime > 0 && time.Since(h.copiedAt) > lifetime {
+		return nil
+	}
+	return h
+}
+
+// awaitCopy returns the copy from which a run that broke off continues: that of a move in
+// progress, or the latest one of a move that was not finished. It returns nil if there is none.
+func (p *proxiedRequest) awaitCopy() *handover {
+	h := p.awaitHandover()
+	latest := p.takeLatestCopy()
+	if h != nil {
+		return h
+	}
+	return latest
+}
+
 // awaitHandover waits for the copy of a run that broke off, and returns nil if the run is
 // not being moved or the copy failed.
 func (p *proxiedRequest) awaitHandover() *handover {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -173,6 +173,7 @@
 			p.logAsync("copy failed", zap.String("endpoint", m.Source.ID), zap.String("target", m.Target.ID), zap.Error(err))
 			return moved, err
 		}
+		p.recordCopy(m, moved.Copy)
 		if time.Since(startedAt) < expected+copyTimeMargin || time.Now().After(until) {
 			return moved, nil
 		}
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -59,6 +59,7 @@
 
 	mu         sync.Mutex // guards endpoint and backup against moves, and the fields below
 	handover   *handover
+	latestCopy *handover // the latest complete copy of the run; nil if there is none
 	isMoving   bool
 	isFinished bool
 }
