gateway: queue a run for its move at its first event

Cause: an engine refuses to copy a run that has made no event. Such a run took a turn, was refused, and got another one after 80 ms, which costs calls and holds up the other runs of its engine.

Change: a run joins the plan when its engine leaves and it has made an event, whichever comes last.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -222,11 +222,12 @@
 	})
 }
 
-// mustMove reports whether a stream would be lost with its engine. One with a backup copy at
-// a serving engine stays where it is to the end.
+// mustMove reports whether a stream would be lost with its engine and can be moved. One with a
+// backup copy at a serving engine stays where it is to the end. A run without an event has no
+// memory to copy yet; handleFirstEvent queues it.
 func (p *proxiedRequest) mustMove(endpoint string) bool {
 	engine := p.service.Engine
-	return engine != nil && engine.SupportsMoves && p.runsAt(endpoint) && !p.isBackupServing()
+	return engine != nil && engine.SupportsMoves && p.hasRunBegun.Load() && p.runsAt(endpoint) && !p.isBackupServing()
 }
 
 // evacuatedRun describes the run for the plan.
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -73,6 +73,27 @@
 		b.refresh()
 	}
 
+	// Guards against calls that engines refuse while a run has made no event, and against a
+	// delay after its first event.
+	It("of a run without an event begins with its first event and not before", func() {
+		var movedAt []time.Time
+		hook.before = func(gateway.Move) error {
+			movedAt = append(movedAt, time.Now())
+			return nil
+		}
+		source.PrefillTime = 400 * time.Millisecond
+		done := longStream(b, "w1")
+		Eventually(source.Runs).Should(HaveLen(1))
+		startedAt := time.Now()
+		addTarget("e-2")
+		leave()
+		o := <-done
+		Expect(o.Fault).To(BeEmpty())
+		Expect(o.IsComplete).To(BeTrue())
+		Expect(movedAt).To(HaveLen(2), "one copy beside the run, and the last one")
+		Expect(movedAt[0].Sub(startedAt)).To(And(BeNumerically(">", 380*time.Millisecond), BeNumerically("<", 440*time.Millisecond)))
+	})
+
 	// Guards against losing a stream of which a whole copy exists when its engine ends before
 	// the move has finished.
 	DescribeTable("whose engine ends after the first copy continues from that copy,",
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -42,6 +42,7 @@
 	eventOrder     eventOrder
 	events         int          // number of events passed to the caller
 	sharedEvents   atomic.Int64 // the same, for use by other goroutines
+	hasRunBegun    atomic.Bool  // the current run has made its first event
 
 	queuedTokens      float64       // prompt tokens queued at the engine before the first event, own ones included
 	announcedTokens   int           // the current run's tokens as announced to other boxes; 0 for calls
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -133,6 +133,7 @@
 func (p *proxiedRequest) recordPacing(now time.Time) {
 	if p.runFirstEventAt.IsZero() {
 		p.runFirstEventAt = now
+		p.handleFirstEvent()
 	}
 	if p.events == 0 {
 		p.gateway.usualAnswerTimes.updateAverages(p.route.Name, now.Sub(p.placedAt))
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -5,6 +5,7 @@
 // registerStream adds a stream to the streams of the endpoint that runs it.
 func (g *Gateway) registerStream(p *proxiedRequest) {
 	id := p.endpoint.ID
+	p.hasRunBegun.Store(false)
 	g.mu.Lock()
 	all := g.streams[id]
 	if all == nil {
@@ -12,7 +13,16 @@
 		g.streams[id] = all
 	}
 	all[p] = true
-	evacuation := g.evacuations[id]
+	g.mu.Unlock()
+}
+
+// handleFirstEvent handles the first event of the current run, from which on the run has memory
+// that can be copied: if its engine is leaving, the run is queued for its move.
+func (p *proxiedRequest) handleFirstEvent() {
+	p.hasRunBegun.Store(true)
+	g := p.gateway
+	g.mu.Lock()
+	evacuation := g.evacuations[p.endpoint.ID]
 	g.mu.Unlock()
 	if evacuation != nil {
 		go evacuation.addOwnRuns()
