core, fleet, gateway: order moves by the priority of the request

Cause: most customers have the same rank, which replaces the route's, so that moves of urgent and patient routes were in no order.

Change: routing.Priority in core.EvacuatedRun. The message keeps the customer's rank in its field and gains the route's; boxes of the release before ignore it.

Result: a new test of the order; tests of core, gateway and model pass.

--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // EvacuationRules are the time limits of an evacuation plan.
@@ -27,7 +29,7 @@
 // EvacuatedRun is a run that has to be moved off a leaving engine.
 type EvacuatedRun struct {
 	ID       string
-	Rank     int           // lower ranks move first
+	Priority routing.Priority
 	Value    float64       // benefit of the move, in the same unit at all boxes
 	CopyTime time.Duration // copy time of its memory over an idle link
 }
@@ -158,7 +160,7 @@
 	return v.currentSince.Add(2*v.current.CopyTime + v.rules.Slack)
 }
 
-// nextRun returns the run to move next: the one of the lowest rank, and among these the
+// nextRun returns the run to move next: the one of the first priority, and among these the
 // one with the highest value per second of copying.
 func (v *Evacuation) nextRun() *plannedRun {
 	var best *plannedRun
@@ -172,7 +174,7 @@
 
 func (r *plannedRun) before(o *plannedRun) bool {
 	return cmp.Or(
-		cmp.Compare(r.Rank, o.Rank),
+		r.Priority.Compare(o.Priority),
 		cmp.Compare(o.valuePerSecond(), r.valuePerSecond()),
 		cmp.Compare(r.ID, o.ID),
 	) < 0
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 var evacuationStart = time.Unix(1_800_000_000, 0)
@@ -17,7 +18,7 @@
 func newRun(id string, rank int, value float64, copyTime time.Duration) core.EvacuatedRun {
 	return core.EvacuatedRun{
 		ID:       id,
-		Rank:     rank,
+		Priority: routing.Priority{Customer: rank},
 		Value:    value,
 		CopyTime: copyTime,
 	}
@@ -64,6 +65,18 @@
 		Expect(ids).To(Equal([]string{"a1"}))
 	})
 
+	// Guards against a patient run taking the turn of an urgent one whose customer pays for the
+	// same rank.
+	It("orders runs of customers of equal rank by the rank of their route", func() {
+		v := core.NewEvacuation(evacuationStart, rules)
+		patient := newRun("a", 1, 9, 100*time.Millisecond)
+		patient.Priority.Route = 2
+		urgent := newRun("b", 1, 1, 100*time.Millisecond)
+		v.Step(evacuationStart, core.RunsAdded{Runs: []core.EvacuatedRun{patient, urgent}, Own: true})
+		ids, _ := movesAndWake(v.Step(settled, core.WakeTimeReached{}))
+		Expect(ids).To(Equal([]string{"b"}))
+	})
+
 	It("waits for the other boxes' runs first, and for their moves only up to the deadline", func() {
 		v := core.NewEvacuation(evacuationStart, rules)
 		v.Step(evacuationStart, core.RunsAdded{Runs: []core.EvacuatedRun{newRun("x", 1, 9, 100*time.Millisecond)}})
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -24,10 +26,35 @@
 
 // PendingMove is a run that waits to be moved to another engine.
 type PendingMove struct {
-	ID       string        `cbor:"1,keyasint"`
-	Rank     int           `cbor:"2,keyasint,omitempty"` // lower ranks move first
-	Value    float64       `cbor:"3,keyasint"`           // benefit of the move, in the same unit at all boxes
-	CopyTime time.Duration `cbor:"4,keyasint"`           // time to copy the run's memory over an idle link
+	ID        string        `cbor:"1,keyasint"`
+	Rank      int           `cbor:"2,keyasint,omitempty"` // the customer's rank, or the route's if the customer has none
+	Value     float64       `cbor:"3,keyasint"`           // benefit of the move, in the same unit at all boxes
+	CopyTime  time.Duration `cbor:"4,keyasint"`           // time to copy the run's memory over an idle link
+	RouteRank int           `cbor:"5,keyasint,omitempty"`
+}
+
+// NewPendingMove returns the message's form of a run.
+func NewPendingMove(r core.EvacuatedRun) PendingMove {
+	return PendingMove{
+		ID:        r.ID,
+		Rank:      r.Priority.Customer,
+		Value:     r.Value,
+		CopyTime:  r.CopyTime,
+		RouteRank: r.Priority.Route,
+	}
+}
+
+// Run returns the plan's form of a run.
+func (m PendingMove) Run() core.EvacuatedRun {
+	return core.EvacuatedRun{
+		ID: m.ID,
+		Priority: routing.Priority{
+			Customer: m.Rank,
+			Route:    m.RouteRank,
+		},
+		Value:    m.Value,
+		CopyTime: m.CopyTime,
+	}
 }
 
 // WithEvacuationHandler sets a function that is called with each Evacuating message from other
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -94,7 +94,7 @@
 	if len(update.Runs) > 0 {
 		found := core.RunsAdded{Runs: make([]core.EvacuatedRun, 0, len(update.Runs))}
 		for _, r := range update.Runs {
-			found.Runs = append(found.Runs, core.EvacuatedRun(r))
+			found.Runs = append(found.Runs, r.Run())
 		}
 		v.step(now, found)
 	}
@@ -168,7 +168,7 @@
 	g.log.Info("runs queued for their moves off a leaving engine", zap.String("endpoint", v.endpoint), zap.Int("runs", len(runs)))
 	update := fleet.Evacuating{Endpoint: v.endpoint}
 	for _, r := range runs {
-		update.Runs = append(update.Runs, fleet.PendingMove(r))
+		update.Runs = append(update.Runs, fleet.NewPendingMove(r))
 	}
 	g.onEvacuating(update)
 	v.step(time.Now(), core.RunsAdded{
@@ -234,7 +234,7 @@
 func (p *proxiedRequest) evacuatedRun() core.EvacuatedRun {
 	return core.EvacuatedRun{
 		ID:       p.inbound.ID,
-		Rank:     p.rank(),
+		Priority: routing.NewPriority(p.route, p.customer),
 		Value:    float64(p.inbound.PromptTokens + p.inbound.MaxTokens),
 		CopyTime: p.expectedCopyTime(),
 	}
--- a/model/evacuation.go
+++ b/model/evacuation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // EvacuationRules are the bounds of the specification of evacuations: moves of runs
@@ -70,7 +71,7 @@
 		for i := range rules.Runs {
 			runs = append(runs, core.EvacuatedRun{
 				ID:       fmt.Sprintf("%d-%d", box, i),
-				Rank:     i % 2,
+				Priority: routing.Priority{Customer: i % 2},
 				Value:    float64(box + 1),
 				CopyTime: time.Duration(1+(box+i)%2) * copyUnit,
 			})
