core: turns by the engine's notice, passed on when a box is silent

Cause: the turn of a run whose box didn't move it was held for twice its copy time and 60 ms, up to 0.46 s of the 1.5 s that an engine stays; copies were begun that the engine's end broke off while a smaller one could have ended; and runs were copied that would have ended by themselves.

Change: a box announces that a move has started (MoveStarted); without that the turn passes on after 50 ms, and a box that expected another run follows the one that moves. With a known notice, runs whose copy doesn't fit come after those that do, and runs that end by themselves are put off to the last moment. PrepareMove lets the box choose the next run's target before its turn. The test of the present time limit is replaced by one with both limits.

--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -77,19 +77,84 @@
 		Expect(ids).To(Equal([]string{"b"}))
 	})
 
-	It("waits for the other boxes' runs first, and for their moves only up to the deadline", func() {
+	// Guards against an idle link while the turn of a run passes whose box has died, or has
+	// another order because a message was lost.
+	It("waits for the other boxes' runs first, and for their moves only up to a limit", func() {
 		v := core.NewEvacuation(evacuationStart, rules)
-		v.Step(evacuationStart, core.RunsAdded{Runs: []core.EvacuatedRun{newRun("x", 1, 9, 100*time.Millisecond)}})
+		others := []core.EvacuatedRun{newRun("x", 1, 9, 100*time.Millisecond), newRun("y", 1, 8, 100*time.Millisecond)}
+		v.Step(evacuationStart, core.RunsAdded{Runs: others})
 		ids, wake := movesAndWake(v.Step(evacuationStart, core.RunsAdded{Runs: []core.EvacuatedRun{newRun("own", 1, 1, 100*time.Millisecond)}, Own: true}))
 		Expect(ids).To(BeEmpty())
 		Expect(wake).To(Equal(settled))
 		ids, wake = movesAndWake(v.Step(settled, core.WakeTimeReached{}))
 		Expect(ids).To(BeEmpty())
-		Expect(wake).To(Equal(settled.Add(200*time.Millisecond + rules.Slack)))
+		Expect(wake).To(Equal(settled.Add(rules.StartLimit)), "no box has announced that it moves x")
+		ids, wake = movesAndWake(v.Step(wake, core.WakeTimeReached{}))
+		Expect(ids).To(BeEmpty())
+		announced := wake.Add(-10 * time.Millisecond)
+		_, wake = movesAndWake(v.Step(announced, core.MoveStarted{ID: "y"}))
+		Expect(wake).To(Equal(announced.Add(200*time.Millisecond + rules.Slack)))
 		ids, _ = movesAndWake(v.Step(wake, core.WakeTimeReached{}))
 		Expect(ids).To(Equal([]string{"own"}))
 	})
 
+	// Guards against two copies on the engine's link when two boxes have different orders.
+	It("follows a box that moves another run than was expected", func() {
+		v := core.NewEvacuation(evacuationStart, rules)
+		others := []core.EvacuatedRun{newRun("x", 1, 9, 100*time.Millisecond), newRun("y", 1, 8, 100*time.Millisecond)}
+		v.Step(evacuationStart, core.RunsAdded{Runs: others})
+		v.Step(evacuationStart, core.RunsAdded{Runs: []core.EvacuatedRun{newRun("own", 1, 1, 100*time.Millisecond)}, Own: true})
+		v.Step(settled, core.WakeTimeReached{})
+		v.Step(settled, core.MoveStarted{ID: "y"})
+		ids, wake := movesAndWake(v.Step(settled.Add(rules.StartLimit), core.WakeTimeReached{}))
+		Expect(ids).To(BeEmpty())
+		Expect(wake).To(Equal(settled.Add(200*time.Millisecond + rules.Slack)))
+		ids, wake = movesAndWake(v.Step(settled.Add(120*time.Millisecond), core.RunFinished{ID: "y"}))
+		Expect(ids).To(BeEmpty(), "it is the turn of x, which is still to be moved")
+		Expect(wake).To(Equal(settled.Add(120*time.Millisecond + rules.StartLimit)))
+	})
+
+	// Guards against a copy that the engine's end breaks off, while a smaller one could have ended.
+	It("moves a run that doesn't fit into the rest of the notice after those that do", func() {
+		limited := rules
+		limited.Notice = 700 * time.Millisecond
+		v := core.NewEvacuation(evacuationStart, limited)
+		all := []core.EvacuatedRun{newRun("first", 0, 9, 400*time.Millisecond), newRun("large", 0, 1, 400*time.Millisecond), newRun("small", 1, 1, 100*time.Millisecond)}
+		v.Step(evacuationStart, core.RunsAdded{Runs: all, Own: true})
+		ids, _ := movesAndWake(v.Step(settled, core.WakeTimeReached{}))
+		Expect(ids).To(Equal([]string{"first"}))
+		now := settled.Add(410 * time.Millisecond)
+		ids, _ = movesAndWake(v.Step(now, core.RunFinished{ID: "first"}))
+		Expect(ids).To(Equal([]string{"small"}))
+		ids, _ = movesAndWake(v.Step(now.Add(120*time.Millisecond), core.RunFinished{ID: "small"}))
+		Expect(ids).To(Equal([]string{"large"}), "the engine may stay longer than is usual")
+	})
+
+	// Guards against copies, which are charged, of runs that end before their engine does.
+	It("puts off the move of a run that is expected to end by itself in time", func() {
+		limited := rules
+		limited.Notice = 1500 * time.Millisecond
+		v := core.NewEvacuation(evacuationStart, limited)
+		ending := newRun("ending", 0, 9, 200*time.Millisecond)
+		ending.EndsIn = time.Second
+		all := []core.EvacuatedRun{ending, newRun("long", 1, 1, 200*time.Millisecond)}
+		v.Step(evacuationStart, core.RunsAdded{Runs: all, Own: true})
+		ids, _ := movesAndWake(v.Step(settled, core.WakeTimeReached{}))
+		Expect(ids).To(Equal([]string{"long"}))
+		ids, wake := movesAndWake(v.Step(settled.Add(220*time.Millisecond), core.RunFinished{ID: "long"}))
+		Expect(ids).To(BeEmpty())
+		Expect(wake).To(Equal(evacuationStart.Add(limited.Notice - 200*time.Millisecond - limited.Overhead)))
+		ids, _ = movesAndWake(v.Step(wake, core.WakeTimeReached{}))
+		Expect(ids).To(Equal([]string{"ending"}))
+	})
+
+	It("has the target of the next run reserved before its turn", func() {
+		v := core.NewEvacuation(evacuationStart, rules)
+		all := []core.EvacuatedRun{newRun("a", 0, 1, 100*time.Millisecond), newRun("b", 1, 1, 100*time.Millisecond)}
+		Expect(v.Step(evacuationStart, core.RunsAdded{Runs: all, Own: true})).To(ContainElement(core.PrepareMove{ID: "a"}))
+		Expect(v.Step(settled, core.WakeTimeReached{})).To(ContainElements(core.MoveRun{ID: "a"}, core.PrepareMove{ID: "b"}))
+	})
+
 	It("moves a run again if its box retries the move", func() {
 		v := core.NewEvacuation(evacuationStart, rules)
 		own := core.RunsAdded{Runs: []core.EvacuatedRun{newRun("own", 1, 1, 100*time.Millisecond)}, Own: true}
@@ -138,6 +203,7 @@
 				}
 				moved[id]++
 				moveEnds[id] = now.Add(copyTime[id])
+				broadcast(box, core.MoveStarted{ID: id})
 			}
 		}
 		for b := range plans {
@@ -155,7 +221,7 @@
 			step(b, core.RunsAdded{Runs: own, Own: true})
 			broadcast(b, core.RunsAdded{Runs: own})
 		}
-		for range 200 {
+		for range 1000 {
 			var next time.Time
 			for _, at := range wakes {
 				if !at.IsZero() && (next.IsZero() || at.Before(next)) {
--- a/model/evacuation.go
+++ b/model/evacuation.go
@@ -159,6 +159,7 @@
 		switch c := command.(type) {
 		case core.MoveRun:
 			s.startMove(box, c.ID)
+			s.broadcast(box, core.MoveStarted{ID: c.ID})
 		case core.WakeAt:
 			s.wakeTimes[box] = c.At
 		}
