gateway, fleet, admission: reserve the targets of moves in the group

Cause: boxes that moved runs off several engines chose their targets when the copies began, all by the same reports, so that copies queued at one engine or were refused there. What a move will take counted at its own box only, and after a failed copy still counted until the engine's next report. A run for which no engine had room tried all engines in its turn.

Change: the target of the next run is chosen and told to the group, with the memory at the run's expected end, while the move before is under way; of two boxes that reserve the same target, the one with the later run chooses another. A run goes to another zone only if no engine of its own has room at its expected end; engines with room for now come after that. Moves are counted by outcome.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -245,11 +245,12 @@
 // the last report, the changes since, and the further growth of the running generations.
 func (b *Balancer) memoryUse(now time.Time, l *endpointLoad, req Requirements) float64 {
 	total := float64(max(req.Memory, 1))
+	_, reserved := l.reservations(now)
 	if now.Sub(l.reportAt) > memoryReportTTL {
 		// Other boxes' placements count as well: an engine that has just joined looks
 		// empty to all boxes until its first report arrives.
 		used := max(l.tokens+l.copyTokens, l.tokensSince(now.Add(-memoryReportTTL)))
-		return float64(used+req.Tokens) / total
+		return float64(used+reserved+req.Tokens) / total
 	}
 	if l.report.Total > 0 {
 		total = float64(l.report.Total)
@@ -260,6 +261,7 @@
 	for _, c := range l.recentChanges {
 		used += float64(c.tokens)
 	}
+	used += float64(reserved)
 	return (math.Max(used, 0) + float64(req.Tokens)) / total
 }
 
--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -19,6 +19,7 @@
 	recentChanges    []memoryChange // not yet included in the report
 	tokens           int            // memory of this box's runs at their expected ends
 	copyTokens       int            // memory of the copies that this box is sending
+	reserved         []reservation  // memory that moves of all boxes will take
 	failures         float64        // failure score at failedAt
 	failedAt         time.Time
 	avoidUntil       time.Time   // end of the time without requests after a timeout
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -16,9 +16,12 @@
 	Endpoint     string        `cbor:"1,keyasint"`
 	Runs         []PendingMove `cbor:"2,keyasint,omitempty"`
 	FinishedRuns []string      `cbor:"3,keyasint,omitempty"`
-	MovingRunID  string        `cbor:"4,keyasint,omitempty"` // run whose memory is being moved to the target
+	MovingRunID  string        `cbor:"4,keyasint,omitempty"` // run that is moved to the target
 	Target       string        `cbor:"5,keyasint,omitempty"`
 	Relay        bool          `cbor:"6,keyasint,omitempty"` // the receiver forwards it to the boxes of its own zone
+	Tokens       int           `cbor:"7,keyasint,omitempty"` // memory that the moved run will hold at the target at its expected end
+	Reserved     bool          `cbor:"8,keyasint,omitempty"` // the target is only reserved; the move hasn't started
+	Refused      []string      `cbor:"9,keyasint,omitempty"` // engines that refused the moved run
 }
 
 // Kind returns the message's kind.
@@ -31,6 +34,7 @@
 	Value     float64       `cbor:"3,keyasint"`           // benefit of the move, in the same unit at all boxes
 	CopyTime  time.Duration `cbor:"4,keyasint"`           // time to copy the run's memory over an idle link
 	RouteRank int           `cbor:"5,keyasint,omitempty"`
+	EndsIn    time.Duration `cbor:"6,keyasint,omitempty"` // time until the run is expected to end by itself; 0 if unknown
 }
 
 // NewPendingMove returns the message's form of a run.
@@ -41,6 +45,7 @@
 		Value:     r.Value,
 		CopyTime:  r.CopyTime,
 		RouteRank: r.Priority.Route,
+		EndsIn:    r.EndsIn,
 	}
 }
 
@@ -54,6 +59,7 @@
 		},
 		Value:    m.Value,
 		CopyTime: m.CopyTime,
+		EndsIn:   m.EndsIn,
 	}
 }
 
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -38,6 +38,11 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_request_seconds{route=%q}", route)).Update(took.Seconds())
 }
 
+// observeMove counts the outcome of a run's turn to be moved off a leaving engine.
+func (c *counters) observeMove(outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_moves_total{outcome=%q}", outcome)).Inc()
+}
+
 // observeStream records the delay of a complete stream's first event and its longest pause.
 func (c *counters) observeStream(route string, first, longest time.Duration) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -23,8 +23,8 @@
 	endpoint string // ID of the leaving engine
 	mu       sync.Mutex
 	plan     *core.Evacuation
-	ownRuns  map[string]*proxiedRequest // this box's runs waiting for or in their turn, by request ID
-	targets  map[string]string          // the engine that a run's memory is copied to, by request ID
+	ownRuns  map[string]*proxiedRequest  // this box's runs waiting for or in their turn, by request ID
+	targets  map[string]routing.Endpoint // the targets reserved for them, by request ID
 	timer    *time.Timer
 	lastUsed time.Time
 }
@@ -41,7 +41,7 @@
 			endpoint: endpoint,
 			plan:     core.NewEvacuation(now, core.DefaultEvacuationRules()),
 			ownRuns:  make(map[string]*proxiedRequest),
-			targets:  make(map[string]string),
+			targets:  make(map[string]routing.Endpoint),
 		}
 		g.evacuations[endpoint] = v
 	}
@@ -98,52 +98,24 @@
 		}
 		v.step(now, found)
 	}
+	g.moveTargets.refuse(now, update.Refused...)
 	if update.Target != "" {
-		v.recordTarget(update.MovingRunID, update.Target)
+		g.handleReservation(now, core.MoveReservation{
+			Run:     update.MovingRunID,
+			Target:  update.Target,
+			Tokens:  update.Tokens,
+			Started: !update.Reserved,
+		})
+		if !update.Reserved {
+			v.step(now, core.MoveStarted{ID: update.MovingRunID})
+		}
 	}
 	for _, id := range update.FinishedRuns {
-		v.forgetTarget(id)
+		g.releaseTarget(id)
 		v.step(now, core.RunFinished{ID: id})
 	}
 }
 
-// recordTarget records the target of a run's move here and at all boxes.
-func (g *Gateway) recordTarget(source, run, target string) {
-	g.evacuation(source).recordTarget(run, target)
-	g.onEvacuating(fleet.Evacuating{
-		Endpoint:    source,
-		MovingRunID: run,
-		Target:      target,
-	})
-}
-
-// busyTargets returns the engines that receive the memory of a run other than except.
-func (g *Gateway) busyTargets(except string) map[string]bool {
-	busy := make(map[string]bool)
-	for _, v := range g.allEvacuations() {
-		v.mu.Lock()
-		for run, target := range v.targets {
-			if run != except {
-				busy[target] = true
-			}
-		}
-		v.mu.Unlock()
-	}
-	return busy
-}
-
-func (v *evacuation) recordTarget(run, target string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.targets[run] = target
-}
-
-func (v *evacuation) forgetTarget(run string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	delete(v.targets, run)
-}
-
 // addOwnRuns adds this box's streams at the engine to the plan and notifies the other boxes.
 func (v *evacuation) addOwnRuns() {
 	g := v.gateway
@@ -183,9 +155,15 @@
 	defer v.mu.Unlock()
 	for _, command := range v.plan.Step(now, ev) {
 		switch c := command.(type) {
+		case core.PrepareMove:
+			if p := v.ownRuns[c.ID]; p != nil {
+				go v.prepare(p)
+			}
 		case core.MoveRun:
 			if p := v.ownRuns[c.ID]; p != nil {
 				go v.move(p)
+			} else { // it has ended meanwhile
+				go v.step(now, core.RunFinished{ID: c.ID})
 			}
 		case core.WakeAt:
 			if v.timer != nil {
@@ -198,9 +176,10 @@
 
 // move moves a run in its turn; a run that can't be moved yet is queued again.
 func (v *evacuation) move(p *proxiedRequest) {
-	mayRetry := p.move(v.endpoint)
+	outcome := v.moveRun(p)
+	v.gateway.counters.observeMove(string(outcome))
 	v.finishRun(p)
-	if mayRetry && p.runsAt(v.endpoint) {
+	if outcome.mayRetry() && p.runsAt(v.endpoint) {
 		time.AfterFunc(moveRetryDelay, v.addOwnRuns)
 	}
 }
@@ -209,12 +188,15 @@
 func (v *evacuation) finishRun(p *proxiedRequest) {
 	v.mu.Lock()
 	wasOwn := v.ownRuns[p.inbound.ID] == p
-	delete(v.ownRuns, p.inbound.ID)
-	delete(v.targets, p.inbound.ID)
+	if wasOwn {
+		delete(v.ownRuns, p.inbound.ID)
+		delete(v.targets, p.inbound.ID)
+	}
 	v.mu.Unlock()
 	if !wasOwn {
 		return
 	}
+	v.gateway.releaseTarget(p.inbound.ID)
 	v.step(time.Now(), core.RunFinished{ID: p.inbound.ID})
 	v.gateway.onEvacuating(fleet.Evacuating{
 		Endpoint:     v.endpoint,
@@ -227,7 +209,7 @@
 // memory to copy yet; handleFirstEvent queues it.
 func (p *proxiedRequest) mustMove(endpoint string) bool {
 	engine := p.service.Engine
-	return engine != nil && engine.SupportsMoves && p.hasRunBegun.Load() && p.runsAt(endpoint) && !p.isBackupServing()
+	return engine != nil && engine.SupportsMoves && p.runBegin.Load() != nil && p.runsAt(endpoint) && !p.isBackupServing()
 }
 
 // evacuatedRun describes the run for the plan.
@@ -237,7 +219,27 @@
 		Priority: routing.NewPriority(p.route, p.customer),
 		Value:    float64(p.inbound.PromptTokens + p.inbound.MaxTokens),
 		CopyTime: p.expectedCopyTime(),
+		EndsIn:   p.expectedRest(),
+	}
+}
+
+// restMargin is the factor by which the rest of a run may take longer than events usually do.
+const restMargin = 1.25
+
+// expectedRest returns the time until the run is expected to end by itself, or 0 if that is
+// unknown: the service's usual time between events is, or the run is longer than was expected.
+func (p *proxiedRequest) expectedRest() time.Duration {
+	made := p.sharedEvents.Load()
+	left := int64(p.expectedOutput()/max(p.service.Engine.EventTokens, 1)) - made
+	interval := p.gateway.eventIntervals.mean(p.service.Name)
+	begin := p.runBegin.Load()
+	if begin == nil || interval == 0 || left <= 0 {
+		return 0
+	}
+	if n := made - begin.events; n > 1 {
+		interval = max(interval, time.Since(begin.at)/time.Duration(n-1))
 	}
+	return time.Duration(restMargin * float64(left) * float64(interval))
 }
 
 // expectedCopyTime returns how long a copy of the run's memory takes on an idle link, or 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
+	moveTargets        *moveTargets
 	crashProber        *engine.CrashProber
 	quarantine         *fleet.Quarantine
 	checkSuspension    func()
@@ -154,6 +155,7 @@
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
 		checkSuspension: func() {},
 	}
+	g.moveTargets = newMoveTargets(g.balancer)
 	g.pool = NewPool(g.counters.openedConnections.Inc)
 	for _, o := range options {
 		o(g)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,60 +22,88 @@
 	// lastCopyTimeout is how long a stopped run waits for its last copy; the caller notices
 	// a longer wait.
 	lastCopyTimeout = 40 * time.Millisecond
-	// maxMoveFill is the highest fill of an engine's memory after a move to it, unless all
-	// engines are fuller; engines without room refuse moves.
-	maxMoveFill = 0.95
-	// moveRetryDelay is the delay before a move is tried again whose run was still waiting
-	// at its engine, or for which no engine had room.
+	// moveRetryDelay is the delay before a move is tried again that the run's engine refused,
+	// or for which no engine had room.
 	moveRetryDelay = 80 * time.Millisecond
+	// maxMoveTargets is how many engines may refuse a run in one turn.
+	maxMoveTargets = 3
 )
 
-// move copies the run while it continues, stops it, copies the rest, and sets the copy's
+// moveOutcome is the result of a run's turn.
+type moveOutcome string
+
+// The outcomes of a turn. After those of mayRetry, a later turn may succeed.
+const (
+	moveDone        moveOutcome = "moved"
+	moveEnded       moveOutcome = "ended" // the run ended or was stopped by something else
+	moveNoBudget    moveOutcome = "no send left"
+	moveNoTarget    moveOutcome = "no target"
+	moveRefused     moveOutcome = "no room"
+	moveThrottled   moveOutcome = "source throttled"
+	moveNotYet      moveOutcome = "source refused"
+	moveUnreachable moveOutcome = "source unreachable"
+)
+
+func (o moveOutcome) mayRetry() bool {
+	return o == moveNoBudget || o == moveRefused || o == moveThrottled || o == moveNotYet
+}
+
+// moveRun copies the run while it continues, stops it, copies the rest, and sets the copy's
 // name in the handover that the stream's reader waits for. A failed move is tried again with
-// another target. It returns whether another turn later may succeed.
-func (p *proxiedRequest) move(source string) bool {
+// another target, maxMoveTargets in all, so that a run for which no engine has room doesn't
+// hold up the others.
+func (v *evacuation) moveRun(p *proxiedRequest) moveOutcome {
 	if !p.beginMove() {
-		return false
+		return moveEnded
 	}
 	defer p.endMove()
 	// A stopped run needs a send to continue; without one its stream would be cut.
 	if !p.ensureRetryBudget(p.service.Name) {
-		return true
+		return moveNoBudget
 	}
 	ctx, cancel := context.WithTimeout(p.request.Context(), moveTimeout)
 	defer cancel()
 	withoutRoom := make(map[string]bool) // IDs of targets that refused or have no send left
-	for ctx.Err() == nil && p.runsAt(source) {
+	var refused []string
+	for ctx.Err() == nil && p.runsAt(v.endpoint) {
 		from := p.currentEndpoint()
-		target, ok := p.chooseMoveTarget(from, withoutRoom)
+		target, ok := v.takeTarget(p, from, withoutRoom)
 		if !ok {
-			p.logAsync("no target to move to", zap.String("endpoint", source), zap.Int("without_room", len(withoutRoom)))
-			return len(withoutRoom) > 0
+			p.logAsync("no target to move to", zap.String("endpoint", v.endpoint), zap.Int("without_room", len(withoutRoom)))
+			if len(p.candidates(time.Now())) == 0 {
+				return moveNoTarget
+			}
+			return moveRefused
 		}
 		if !p.gateway.sendGate.reserve(time.Now(), p.service, target) {
 			withoutRoom[target.ID] = true
 			continue
 		}
-		err := p.moveTo(ctx, from, target)
+		err := v.moveTo(ctx, p, from, target, refused)
 		if err != nil {
 			p.gateway.sendGate.release(target)
 		}
 		var refusal *EngineError
 		switch {
 		case err == nil:
-			return false
+			return moveDone
 		case errors.Is(err, errSourceThrottled):
-			return true
+			return moveThrottled
 		case !errors.As(err, &refusal):
-			p.logAsync("move failed: engine unreachable", zap.String("endpoint", source), zap.Error(err))
-			return false
+			p.logAsync("move failed: engine unreachable", zap.String("endpoint", v.endpoint), zap.Error(err))
+			return moveUnreachable
 		case refusal.Reason == RunUnknown, refusal.Reason == MoveInProgress:
-			return true
-		default:
-			withoutRoom[target.ID] = true
+			return moveNotYet
+		}
+		withoutRoom[target.ID] = true
+		refused = append(refused, target.ID)
+		p.gateway.moveTargets.refuse(time.Now(), target.ID)
+		if len(refused) >= maxMoveTargets {
+			v.announceRefusals(refused)
+			return moveRefused
 		}
 	}
-	return false
+	return moveEnded
 }
 
 // currentEndpoint returns the endpoint that runs the request; it is safe for concurrent use.
@@ -98,6 +125,13 @@
 	return true
 }
 
+// isBeingMoved reports whether a move of the run is in progress.
+func (p *proxiedRequest) isBeingMoved() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isMoving
+}
+
 func (p *proxiedRequest) endMove() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,31 +145,6 @@
 	return !p.isFinished && p.handover == nil && p.endpoint.ID == endpoint
 }
 
-// chooseMoveTarget chooses the engine that a run is moved to. It prefers the run's zone,
-// since copies between zones are slower, and engines that receive no other copy, which the
-// run would have to wait for.
-func (p *proxiedRequest) chooseMoveTarget(source routing.Endpoint, withoutRoom map[string]bool) (routing.Endpoint, bool) {
-	g := p.gateway
-	busy := g.busyTargets(p.inbound.ID)
-	all := slices.DeleteFunc(slices.Clone(p.candidates(time.Now())), func(e routing.Endpoint) bool {
-		return e.ID == source.ID || withoutRoom[e.ID]
-	})
-	req := p.requirements(nil)
-	req.Zone = source.Zone
-	req.MaxMemoryUse = maxMoveFill
-	for _, fits := range []func(routing.Endpoint) bool{
-		func(e routing.Endpoint) bool { return e.Zone == source.Zone && !busy[e.ID] },
-		func(e routing.Endpoint) bool { return !busy[e.ID] },
-		func(e routing.Endpoint) bool { return e.Zone == source.Zone },
-	} {
-		if e, ok := g.balancer.Pick(time.Now(), filterEndpoints(all, fits), req); ok {
-			return e, true
-		}
-	}
-	req.MaxMemoryUse = 0
-	return g.balancer.Pick(time.Now(), all, req)
-}
-
 func filterEndpoints(all []routing.Endpoint, fits func(routing.Endpoint) bool) []routing.Endpoint {
 	var some []routing.Endpoint
 	for _, e := range all {
@@ -182,18 +191,16 @@
 	}
 }
 
-// moveTo moves the run to one target. After an error the run continues where it is.
-func (p *proxiedRequest) moveTo(ctx context.Context, source, target routing.Endpoint) error {
-	tokens := p.requirements(nil).Tokens
-	p.gateway.balancer.Copy(time.Now(), target.ID, tokens)
-	defer p.gateway.balancer.Copy(time.Now(), target.ID, -tokens)
+// moveTo moves a run to one target, and tells the group of it and of the engines that refused
+// the run before. After an error the run continues where it is.
+func (v *evacuation) moveTo(ctx context.Context, p *proxiedRequest, source, target routing.Endpoint, refused []string) error {
 	m := Move{
 		Request: p.inbound.ID,
 		Source:  source,
 		Target:  target,
 	}
 	startedAt := time.Now()
-	p.gateway.recordTarget(source.ID, p.inbound.ID, target.ID)
+	v.reserveTarget(p, target, true, refused)
 	earlier, err := p.copyWhileRunning(ctx, m)
 	if err != nil {
 		return err
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/gateway"
 	"dillsaddle.example/dillsaddle/platform"
 	"dillsaddle.example/dillsaddle/platform/emulator"
@@ -28,6 +33,25 @@
 	return h.Mover.Move(ctx, m)
 }
 
+// messages records a box's messages about leaving engines.
+type messages struct {
+	mu  sync.Mutex
+	all []fleet.Evacuating
+}
+
+func (m *messages) add(e fleet.Evacuating) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.all = append(m.all, e)
+}
+
+// reservations returns the messages that name a target.
+func (m *messages) reservations() []fleet.Evacuating {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(m.all), func(e fleet.Evacuating) bool { return e.Target == "" })
+}
+
 // longStream starts a stream of a testbed and returns the channel for its outcome.
 func longStream(b *testbed, id string) chan emulator.Outcome {
 	done := make(chan emulator.Outcome, 1)
@@ -52,10 +76,15 @@
 		b      *testbed
 		hook   *moveHook
 		source *emulator.Server
+		sent   *messages
 	)
 	BeforeEach(func() {
-		hook = &moveHook{Mover: platform.NewEngineClient()}
-		b = newTestbedWith(true, gateway.WithMover(hook))
+		hook = &moveHook{
+			Mover:  platform.NewEngineClient(),
+			before: func(gateway.Move) error { return nil },
+		}
+		sent = &messages{}
+		b = newTestbedWith(true, gateway.WithMover(hook), gateway.WithOnEvacuating(sent.add))
 		source = b.add("e-1", emulator.ModelService)
 		source.Events, source.EventInterval = 30, eventGap
 	})
@@ -73,6 +102,112 @@
 		b.refresh()
 	}
 
+	// hear passes another box's reservation of a target to the gateway.
+	hear := func(run, target string) {
+		b.gateway.Evacuating(time.Now(), fleet.Evacuating{
+			Endpoint:    "e-9",
+			MovingRunID: run,
+			Target:      target,
+			Tokens:      1000,
+			Reserved:    true,
+		})
+	}
+
+	// Guards against moves of several engines that leave at once, by several boxes, to the same
+	// target, where their copies queue.
+	It("goes to a target that no other box has reserved, and reserves it before the first copy", func() {
+		var announced []fleet.Evacuating
+		hook.before = func(m gateway.Move) error {
+			if !m.Last {
+				announced = sent.reservations()
+			}
+			return nil
+		}
+		done := longStream(b, "r1")
+		Eventually(source.Runs).Should(HaveLen(1))
+		addTarget("e-2")
+		addTarget("e-3")
+		hear("other", "e-2")
+		leave()
+		Expect((<-done).IsComplete).To(BeTrue())
+		Expect(announced).To(HaveLen(2))
+		Expect(announced[0]).To(And(HaveField("Target", "e-3"), HaveField("Tokens", 150), HaveField("Reserved", true)))
+		Expect(announced[1]).To(And(HaveField("Target", "e-3"), HaveField("Reserved", false)))
+	})
+
+	DescribeTable("whose reserved target another box reserves, too,",
+		func(other, expected string) {
+			done := longStream(b, "y1")
+			Eventually(source.Runs).Should(HaveLen(1))
+			addTarget("e-2")
+			hear("z", "e-2")
+			hear("z", "e-4") // given back
+			leave()
+			Eventually(sent.reservations).Should(HaveLen(1))
+			addTarget("e-3")
+			hear(other, "e-2")
+			Expect((<-done).IsComplete).To(BeTrue())
+			all := sent.reservations()
+			Expect(all[len(all)-1].Target).To(Equal(expected))
+		},
+		Entry("keeps it if its run comes first", "z2", "e-2"),
+		Entry("goes to another one if its run comes second", "a2", "e-3"),
+	)
+
+	// Guards against a second box's copy to an engine that has just refused one.
+	It("that its target refuses tries the next one, and tells the group", func() {
+		source.FailMoves(http.StatusServiceUnavailable)
+		done := longStream(b, "n1")
+		Eventually(source.Runs).Should(HaveLen(1))
+		addTarget("e-2")
+		addTarget("e-3")
+		leave()
+		Expect((<-done).IsComplete).To(BeTrue())
+		all := sent.reservations()
+		first, last := all[0], all[len(all)-1]
+		Expect(last.Target).NotTo(Equal(first.Target))
+		Expect(last.Refused).To(Equal([]string{first.Target}))
+	})
+
+	// Guards against a turn, or a reservation, that outlasts its move because the other box's
+	// messages about its end were lost.
+	It("isn't held up by a run of another box of which nothing more is heard", func() {
+		done := longStream(b, "l1")
+		Eventually(source.Runs).Should(HaveLen(1))
+		addTarget("e-2")
+		b.gateway.Evacuating(time.Now(), fleet.Evacuating{
+			Endpoint: "e-1",
+			Runs: []fleet.PendingMove{{
+				ID:       "lost",
+				Value:    1e9,
+				CopyTime: 300 * time.Millisecond,
+			}},
+		})
+		startedAt := time.Now()
+		leave()
+		Eventually(sent.reservations).Should(ContainElement(HaveField("Reserved", false)))
+		Expect(time.Since(startedAt)).To(BeNumerically("<", 200*time.Millisecond))
+		Expect((<-done).IsComplete).To(BeTrue())
+	})
+
+	// Guards against a stream that looks complete, or is run again, when its engine is gone
+	// before its copy.
+	It("that has no copy when its engine ends is cut, with its cause", func() {
+		hook.before = func(gateway.Move) error {
+			time.Sleep(50 * time.Millisecond)
+			source.Crash()
+			return errors.New("connection reset")
+		}
+		done := longStream(b, "g1")
+		Eventually(source.Runs).Should(HaveLen(1))
+		target := addTarget("e-2")
+		leave()
+		o := <-done
+		Expect(o.IsComplete).To(BeFalse())
+		Expect(target.Runs()).To(BeEmpty())
+		Expect(b.log.FilterMessage("cut").FilterField(zap.String("why", string(core.ReasonBroken))).Len()).To(Equal(1))
+	})
+
 	// Guards against calls that engines refuse while a run has made no event, and against a
 	// delay after its first event.
 	It("of a run without an event begins with its first event and not before", func() {
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -40,9 +40,9 @@
 	answer         *answer
 	lastEventID    string // ID of the last event passed to the caller
 	eventOrder     eventOrder
-	events         int          // number of events passed to the caller
-	sharedEvents   atomic.Int64 // the same, for use by other goroutines
-	hasRunBegun    atomic.Bool  // the current run has made its first event
+	events         int                      // number of events passed to the caller
+	sharedEvents   atomic.Int64             // the same, for use by other goroutines
+	runBegin       atomic.Pointer[runBegin] // the current run's first event; nil before it
 
 	queuedTokens      float64       // prompt tokens queued at the engine before the first event, own ones included
 	announcedTokens   int           // the current run's tokens as announced to other boxes; 0 for calls
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -1,11 +1,15 @@
 package gateway
 
-import "dillsaddle.example/dillsaddle/fleet"
+import (
+	"time"
+
+	"dillsaddle.example/dillsaddle/fleet"
+)
 
 // registerStream adds a stream to the streams of the endpoint that runs it.
 func (g *Gateway) registerStream(p *proxiedRequest) {
 	id := p.endpoint.ID
-	p.hasRunBegun.Store(false)
+	p.runBegin.Store(nil)
 	g.mu.Lock()
 	all := g.streams[id]
 	if all == nil {
@@ -16,10 +20,19 @@
 	g.mu.Unlock()
 }
 
+// runBegin is the first event of a run.
+type runBegin struct {
+	at     time.Time
+	events int64 // events passed to the caller before it, by earlier runs of the request
+}
+
 // handleFirstEvent handles the first event of the current run, from which on the run has memory
 // that can be copied: if its engine is leaving, the run is queued for its move.
 func (p *proxiedRequest) handleFirstEvent() {
-	p.hasRunBegun.Store(true)
+	p.runBegin.Store(&runBegin{
+		at:     time.Now(),
+		events: p.sharedEvents.Load(),
+	})
 	g := p.gateway
 	g.mu.Lock()
 	evacuation := g.evacuations[p.endpoint.ID]
