gateway, core: learn the notice of leaving engines and plan by it

Cause: copies were begun that the engine's end broke off, since the plan didn't know when that would be; and runs were copied that would have ended before.

--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -18,10 +18,11 @@
 	FinishedRuns []string      `cbor:"3,keyasint,omitempty"`
 	MovingRunID  string        `cbor:"4,keyasint,omitempty"` // run that is moved to the target
 	Target       string        `cbor:"5,keyasint,omitempty"`
-	Relay        bool          `cbor:"6,keyasint,omitempty"` // the receiver forwards it to the boxes of its own zone
-	Tokens       int           `cbor:"7,keyasint,omitempty"` // memory that the moved run will hold at the target at its expected end
-	Reserved     bool          `cbor:"8,keyasint,omitempty"` // the target is only reserved; the move hasn't started
-	Refused      []string      `cbor:"9,keyasint,omitempty"` // engines that refused the moved run
+	Relay        bool          `cbor:"6,keyasint,omitempty"`  // the receiver forwards it to the boxes of its own zone
+	Tokens       int           `cbor:"7,keyasint,omitempty"`  // memory that the moved run will hold at the target at its expected end
+	Reserved     bool          `cbor:"8,keyasint,omitempty"`  // the target is only reserved; the move hasn't started
+	Refused      []string      `cbor:"9,keyasint,omitempty"`  // engines that refused the moved run
+	Notice       time.Duration `cbor:"10,keyasint,omitempty"` // how long the engine ran after it was found to be leaving; it has ended
 }
 
 // Kind returns the message's kind.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -43,6 +43,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_moves_total{outcome=%q}", outcome)).Inc()
 }
 
+// observeNotice records how long an engine ran after it was found to be leaving.
+func (c *counters) observeNotice(service string, period time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_leaving_notice_seconds{service=%q}", service)).Update(period.Seconds())
+}
+
 // observeStream records the delay of a complete stream's first event and its longest pause.
 func (c *counters) observeStream(route string, first, longest time.Duration) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -19,29 +19,37 @@
 // group take turns with their moves: if all copies shared the engine's link at once, none
 // would finish within its notice.
 type evacuation struct {
-	gateway  *Gateway
-	endpoint string // ID of the leaving engine
-	mu       sync.Mutex
-	plan     *core.Evacuation
-	ownRuns  map[string]*proxiedRequest  // this box's runs waiting for or in their turn, by request ID
-	targets  map[string]routing.Endpoint // the targets reserved for them, by request ID
-	timer    *time.Timer
-	lastUsed time.Time
+	gateway   *Gateway
+	endpoint  string // ID of the leaving engine
+	service   string // the engine's service; empty if the engine was unknown
+	startedAt time.Time
+	mu        sync.Mutex
+	plan      *core.Evacuation
+	ownRuns   map[string]*proxiedRequest  // this box's runs waiting for or in their turn, by request ID
+	targets   map[string]routing.Endpoint // the targets reserved for them, by request ID
+	timer     *time.Timer
+	lost      bool // the engine has broken off a connection and is probably gone
+	lastUsed  time.Time
 }
 
 // evacuation returns the evacuation of an engine, creating it if needed.
 func (g *Gateway) evacuation(endpoint string) *evacuation {
 	now := time.Now()
+	e, _ := g.view().Endpoint(endpoint)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := g.evacuations[endpoint]
 	if v == nil {
+		rules := core.DefaultEvacuationRules()
+		rules.Notice = g.notices.estimate(e.Service)
 		v = &evacuation{
-			gateway:  g,
-			endpoint: endpoint,
-			plan:     core.NewEvacuation(now, core.DefaultEvacuationRules()),
-			ownRuns:  make(map[string]*proxiedRequest),
-			targets:  make(map[string]routing.Endpoint),
+			gateway:   g,
+			endpoint:  endpoint,
+			service:   e.Service,
+			startedAt: now,
+			plan:      core.NewEvacuation(now, rules),
+			ownRuns:   make(map[string]*proxiedRequest),
+			targets:   make(map[string]routing.Endpoint),
 		}
 		g.evacuations[endpoint] = v
 	}
@@ -114,6 +122,9 @@
 		g.releaseTarget(id)
 		v.step(now, core.RunFinished{ID: id})
 	}
+	if update.Notice > 0 && v.markLost() {
+		v.observeNotice(update.Notice)
+	}
 }
 
 // addOwnRuns adds this box's streams at the engine to the plan and notifies the other boxes.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
 	moveTargets        *moveTargets
+	notices            *notices
 	crashProber        *engine.CrashProber
 	quarantine         *fleet.Quarantine
 	checkSuspension    func()
@@ -151,6 +152,7 @@
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
 		evacuations:     make(map[string]*evacuation),
+		notices:         newNotices(),
 		crashProber:     engine.NewCrashProber(),
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
 		checkSuspension: func() {},
