core, gateway: stay in the zone for a busy target; a run yields once

Cause: a run went to another zone, where a copy takes twice as long, when an engine of its zone had room but was the target of another move.

Change: engines of the zone with room for both runs come before other zones. A run yields its reservation once.

--- a/core/move_reservations.go
+++ b/core/move_reservations.go
@@ -31,7 +31,8 @@
 
 type timedReservation struct {
 	MoveReservation
-	at time.Time
+	at      time.Time
+	yielded bool // its run was asked to choose another target
 }
 
 // NewMoveReservations returns an empty set of reservations.
@@ -48,9 +49,16 @@
 	m.byRun[r.Run] = timedReservation{
 		MoveReservation: r,
 		at:              now,
+		yielded:         m.byRun[r.Run].yielded,
 	}
 }
 
+// Get returns the reservation of a run, if there is one.
+func (m *MoveReservations) Get(run string) (MoveReservation, bool) {
+	r, ok := m.byRun[run]
+	return r.MoveReservation, ok
+}
+
 // Release drops the reservation of a run and returns it, if there is one.
 func (m *MoveReservations) Release(run string) (MoveReservation, bool) {
 	r, ok := m.byRun[run]
@@ -79,14 +87,17 @@
 
 // Yields returns the runs with a reservation that must choose another target, since the given
 // reservation has the same one and comes first: all boxes decide the same whatever the order
-// in which their messages arrive. A move that has started doesn't yield.
+// in which their messages arrive. A move that has started doesn't yield. Each run yields once, or
+// the boxes would announce one target after the other where there are fewer targets than moves.
 func (m *MoveReservations) Yields(now time.Time, to MoveReservation) []string {
 	var runs []string
 	for _, r := range m.byRun {
-		if r.Target != to.Target || r.Run == to.Run || r.Started || r.expired(now) {
+		if r.Target != to.Target || r.Run == to.Run || r.Started || r.yielded || r.expired(now) {
 			continue
 		}
 		if to.Started || to.Run < r.Run {
+			r.yielded = true
+			m.byRun[r.Run] = r
 			runs = append(runs, r.Run)
 		}
 	}
@@ -111,12 +122,13 @@
 // TargetClass is the order in which engines are chosen as targets; lower ones come first.
 type TargetClass int
 
-// The classes of targets. A run goes to another zone only if no engine of its own has room, and
-// to an engine without room for its end only if there is no other.
+// The classes of targets. A run goes to another zone only if no engine of its own has room: that
+// takes twice as long, while waiting for another copy takes less than that. It goes to an engine
+// without room for its end only if there is no other.
 const (
 	RoomInZone TargetClass = iota
-	RoomElsewhere
 	BusyInZone
+	RoomElsewhere
 	TightInZone
 	TightElsewhere
 	NoRoomKnown
--- a/core/move_reservations_test.go
+++ b/core/move_reservations_test.go
@@ -44,6 +44,15 @@
 		Expect(m.Yields(now, reserve("a", "x", true))).To(BeEmpty())
 	})
 
+	// Guards against messages that double with each box where there are fewer targets than moves.
+	It("yield once for each run", func() {
+		m := core.NewMoveReservations()
+		m.Reserve(now, reserve("b", "x", false))
+		Expect(m.Yields(now, reserve("a", "x", false))).To(Equal([]string{"b"}))
+		m.Reserve(now, reserve("b", "x", false))
+		Expect(m.Yields(now, reserve("a", "x", false))).To(BeEmpty())
+	})
+
 	It("leave out engines that refused a copy, for a while", func() {
 		m := core.NewMoveReservations()
 		m.Refuse(now, "x")
@@ -55,8 +64,9 @@
 		func(better, worse core.TargetState) {
 			Expect(better.Class()).To(BeNumerically("<", worse.Class()))
 		},
-		Entry("in the zone", core.TargetState{SameZone: true, RoomAtEnd: true}, core.TargetState{RoomAtEnd: true}),
-		Entry("without another copy", core.TargetState{RoomAtEnd: true}, core.TargetState{SameZone: true, RoomAtEnd: true, Busy: true}),
+		Entry("without another copy", core.TargetState{SameZone: true, RoomAtEnd: true}, core.TargetState{SameZone: true, RoomAtEnd: true, Busy: true}),
+		Entry("in the zone", core.TargetState{SameZone: true, RoomAtEnd: true, Busy: true}, core.TargetState{RoomAtEnd: true}),
+		Entry("without another copy in other zones", core.TargetState{RoomAtEnd: true}, core.TargetState{RoomAtEnd: true, Busy: true}),
 		Entry("rather than with room for now", core.TargetState{RoomAtEnd: true}, core.TargetState{SameZone: true, RoomNow: true}),
 		Entry("rather than none", core.TargetState{RoomNow: true}, core.TargetState{SameZone: true}),
 	)
--- a/gateway/move_targets.go
+++ b/gateway/move_targets.go
@@ -33,7 +33,7 @@
 func (t *moveTargets) reserve(now time.Time, r core.MoveReservation) (yielding []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if former, ok := t.reservations.Release(r.Run); ok && former.Target != r.Target {
+	if former, ok := t.reservations.Get(r.Run); ok && former.Target != r.Target {
 		t.balancer.Release(now, former.Target, r.Run)
 	}
 	yielding = t.reservations.Yields(now, r)
@@ -51,6 +51,15 @@
 	}
 }
 
+// releaseMemory gives back a run's reserved memory only, so that the run can choose again.
+func (t *moveTargets) releaseMemory(now time.Time, run string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.reservations.Get(run); ok {
+		t.balancer.Release(now, r.Target, run)
+	}
+}
+
 // refuse records that engines refused a copy.
 func (t *moveTargets) refuse(now time.Time, targets ...string) {
 	t.mu.Lock()
@@ -87,7 +96,7 @@
 	req := p.requirements(nil)
 	req.Zone = source.Zone
 	// The run's own reservation counts in the estimates of the engine that it was made for.
-	g.moveTargets.release(now, p.inbound.ID)
+	g.moveTargets.releaseMemory(now, p.inbound.ID)
 	byClass := make(map[core.TargetClass][]routing.Endpoint)
 	for _, e := range all {
 		if e.ID == source.ID || withoutRoom[e.ID] || refused[e.ID] {
