gateway: send prompts elsewhere whose engine leaves before their event

Cause: a run without an event can't be moved, and a prompt that may run again was left at its leaving engine until that broke off.

Change: when an engine leaves, sends to it without an event are ended if the request may run again and the retry budget has more sends than the streams of leaving engines need; others stay. Connections that this box closes don't count for the engines' notice.

Result: new tests for both kinds of prompt; the first fails without the change, and when own closes count as the engine's end.

--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -69,7 +69,6 @@
 // reportBreak checks whether a break was unannounced, and if so notifies the group.
 func (p *proxiedRequest) reportBreak(now time.Time) {
 	g := p.gateway
-	p.reportLoss(now, p.endpoint.ID)
 	view := g.view()
 	e, known := view.Endpoint(p.endpoint.ID)
 	if p.service.Engine == nil || !known || e.Leaving || now.Sub(view.ConfirmedAt) > maxListAge || p.terminalEvent() != nil {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -64,6 +64,7 @@
 		return
 	}
 	g.evacuation(e.ID).addOwnRuns()
+	g.leaveUnanswered(e.ID)
 	for _, v := range g.allEvacuations() {
 		if v.endpoint != e.ID {
 			v.addOwnRuns()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
+	unanswered         *unanswered
 	moveTargets        *moveTargets
 	notices            *notices
 	crashProber        *engine.CrashProber
@@ -152,6 +153,7 @@
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
 		evacuations:     make(map[string]*evacuation),
+		unanswered:      newUnanswered(),
 		notices:         newNotices(),
 		crashProber:     engine.NewCrashProber(),
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -91,7 +91,7 @@
 			return moveThrottled
 		case !errors.As(err, &refusal):
 			p.logAsync("move failed: engine unreachable", zap.String("endpoint", v.endpoint), zap.Error(err))
-			p.reportLoss(time.Now(), v.endpoint)
+			p.reportLoss(time.Now(), v.endpoint, err)
 			return moveUnreachable
 		case refusal.Reason == RunUnknown, refusal.Reason == MoveInProgress:
 			return moveNotYet
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -67,12 +67,16 @@
 
 // longStream starts a stream of a testbed and returns the channel for its outcome.
 func longStream(b *testbed, id string) chan emulator.Outcome {
+	return startStream(b, emulator.StreamPath, id)
+}
+
+func startStream(b *testbed, path, id string) chan emulator.Outcome {
 	done := make(chan emulator.Outcome, 1)
 	go func() {
 		done <- b.caller.Do(context.Background(), emulator.Call{
 			ID:       id,
 			Method:   http.MethodPost,
-			Path:     emulator.StreamPath,
+			Path:     path,
 			Body:     "prompt",
 			Deadline: 20 * time.Second,
 			Tokens: emulator.Tokens{
@@ -243,6 +247,30 @@
 		Expect(movedAt[0].Sub(startedAt)).To(And(BeNumerically(">", 380*time.Millisecond), BeNumerically("<", 440*time.Millisecond)))
 	})
 
+	// Guards against losing a prompt with its engine that another engine could run, and against
+	// running one twice that must run once.
+	DescribeTable("isn't made for a prompt without an event, which",
+		func(path string, expected int) {
+			source.PrefillTime = 300 * time.Millisecond
+			source.Events = 5
+			done := startStream(b, path, "u1")
+			Eventually(source.Runs).Should(HaveLen(1))
+			target := addTarget("e-2")
+			leave()
+			runsAnew := func() int {
+				return len(slices.DeleteFunc(target.Runs(), func(r emulator.Run) bool { return r.ResumedFrom != "" }))
+			}
+			Eventually(runsAnew, "200ms").Should(Equal(expected))
+			o := <-done
+			Expect(runsAnew()).To(Equal(expected))
+			Expect(o.Fault).To(BeEmpty())
+			Expect(o.IsComplete).To(BeTrue())
+			Consistently(sent.notices, "500ms").Should(BeEmpty(), "the engine is still there")
+		},
+		Entry("is sent elsewhere at once if it may run again", emulator.ResumePath, 1),
+		Entry("is left at its engine if it must run once", emulator.StreamPath, 0),
+	)
+
 	// Guards against losing a stream of which a whole copy exists when its engine ends before
 	// the move has finished.
 	DescribeTable("whose engine ends after the first copy continues from that copy,",
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
@@ -44,8 +47,12 @@
 }
 
 // reportLoss handles a connection that the request's engine broke off. If the engine is leaving
-// and sends nothing afterwards, it has ended, and its notice period is known.
-func (p *proxiedRequest) reportLoss(now time.Time, endpoint string) {
+// and sends nothing afterwards, it has ended, and its notice period is known. Connections that
+// this box closed itself don't count.
+func (p *proxiedRequest) reportLoss(now time.Time, endpoint string, err error) {
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
 	g := p.gateway
 	g.mu.Lock()
 	v := g.evacuations[endpoint]
--- a/gateway/overdue_timer.go
+++ b/gateway/overdue_timer.go
@@ -59,6 +59,7 @@
 	endpointConn      *endpointConn
 	mayRetryElsewhere bool // the request may be sent to another endpoint
 	timer             *time.Timer
+	stopped           bool // used by the request's goroutine only
 }
 
 // startOverdueTimer starts the timer for a send. It never fires if the route's usual time is
@@ -70,6 +71,7 @@
 		endpointConn:      conn,
 		mayRetryElsewhere: !p.headSent && p.call.MayRunAgain(),
 	}
+	p.gateway.unanswered.add(o)
 	usualAnswerTimes := p.gateway.usualAnswerTimes.mean(p.route.Name)
 	after := max(time.Duration(overdueFactor*float64(usualAnswerTimes)), time.Duration(minOverdueFraction*float64(p.route.LatencyTarget)))
 	if usualAnswerTimes > 0 && time.Until(p.currentDeadline()) > after+usualAnswerTimes {
@@ -79,6 +81,11 @@
 }
 
 func (o *overdueTimer) stop() {
+	if o.stopped {
+		return
+	}
+	o.stopped = true
+	o.proxiedRequest.gateway.unanswered.remove(o)
 	if o.timer != nil {
 		o.timer.Stop()
 	}
@@ -108,10 +115,13 @@
 }
 
 // hasRetryBudget reports whether the service's retry budget allows one more send.
-func (g *Gateway) hasRetryBudget(service string) bool {
+func (g *Gateway) hasRetryBudget(service string) bool { return g.availableRetries(service) > 0 }
+
+// availableRetries returns the number of sends that the service's retry budget allows now.
+func (g *Gateway) availableRetries(service string) int {
 	now := time.Now()
 	available := 0
 	share := g.budgetShare()
 	g.withBudget(service, now, func(b *core.SharedBudget) { available = b.Available(now, share) })
-	return available > 0
+	return available
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -181,6 +181,7 @@
 // a move in progress, or the backup.
 func (p *proxiedRequest) handleBreak(err error) core.Event {
 	p.reportBreak(time.Now())
+	p.reportLoss(time.Now(), p.endpoint.ID, err)
 	if h := p.awaitCopy(); h != nil && p.headSent {
 		p.resumeFrom = h
 		return p.failWithBreak(err, true)
