--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -44,7 +44,7 @@
 		fleet.Update{ListRevision: 9, Updated: []routing.Endpoint{{ID: "e"}}},
 		fleet.CrashRecords{All: []core.CrashRecord{{Cleared: true, Age: 1 << 62}}},
 		fleet.Placements{All: []fleet.Placement{{Endpoint: "e", Tokens: -1}}},
-		fleet.Evacuating{Endpoint: "e", Runs: []fleet.PendingMove{{ID: "r", CopyTime: -1}}},
+		fleet.Evacuating{Endpoint: "e", Runs: []fleet.PendingMove{{ID: "r", CopyTime: -1, EndsIn: 1 << 62}}, Target: "e", Tokens: -1, Notice: -1},
 		fleet.StateRequest{ConfigVersion: 1 << 63},
 		fleet.BorrowRequest{Service: "s", Sends: -1},
 	} {
