--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 	"dillsaddle.example/dillsaddle/wire"
 )
 
@@ -14,9 +16,13 @@
 	Endpoint     string        `cbor:"1,keyasint"`
 	Runs         []PendingMove `cbor:"2,keyasint,omitempty"`
 	FinishedRuns []string      `cbor:"3,keyasint,omitempty"`
-	MovingRunID  string        `cbor:"4,keyasint,omitempty"` // run whose memory is being moved to the target
+	MovingRunID  string        `cbor:"4,keyasint,omitempty"` // run that is moved to the target
 	Target       string        `cbor:"5,keyasint,omitempty"`
-	Relay        bool          `cbor:"6,keyasint,omitempty"` // the receiver forwards it to the boxes of its own zone
+	Relay        bool          `cbor:"6,keyasint,omitempty"`  // the receiver forwards it to the boxes of its own zone
+	Tokens       int           `cbor:"7,keyasint,omitempty"`  // memory that the moved run will hold at the target at its expected end
+	Reserved     bool          `cbor:"8,keyasint,omitempty"`  // the target is only reserved; the move hasn't started
+	Refused      []string      `cbor:"9,keyasint,omitempty"`  // engines that refused the moved run
+	Notice       time.Duration `cbor:"10,keyasint,omitempty"` // how long the engine ran after it was found to be leaving; it has ended
 }
 
 // Kind returns the message's kind.
@@ -24,10 +30,38 @@
 
 // PendingMove is a run that waits to be moved to another engine.
 type PendingMove struct {
-	ID       string        `cbor:"1,keyasint"`
-	Rank     int           `cbor:"2,keyasint,omitempty"` // lower ranks move first
-	Value    float64       `cbor:"3,keyasint"`           // benefit of the move, in the same unit at all boxes
-	CopyTime time.Duration `cbor:"4,keyasint"`           // time to copy the run's memory over an idle link
+	ID        string        `cbor:"1,keyasint"`
+	Rank      int           `cbor:"2,keyasint,omitempty"` // the customer's rank, or the route's if the customer has none
+	Value     float64       `cbor:"3,keyasint"`           // benefit of the move, in the same unit at all boxes
+	CopyTime  time.Duration `cbor:"4,keyasint"`           // time to copy the run's memory over an idle link
+	RouteRank int           `cbor:"5,keyasint,omitempty"`
+	EndsIn    time.Duration `cbor:"6,keyasint,omitempty"` // time until the run is expected to end by itself; 0 if unknown
+}
+
+// NewPendingMove returns the message's form of a run.
+func NewPendingMove(r core.EvacuatedRun) PendingMove {
+	return PendingMove{
+		ID:        r.ID,
+		Rank:      r.Priority.Customer,
+		Value:     r.Value,
+		CopyTime:  r.CopyTime,
+		RouteRank: r.Priority.Route,
+		EndsIn:    r.EndsIn,
+	}
+}
+
+// Run returns the plan's form of a run.
+func (m PendingMove) Run() core.EvacuatedRun {
+	return core.EvacuatedRun{
+		ID: m.ID,
+		Priority: routing.Priority{
+			Customer: m.Rank,
+			Route:    m.RouteRank,
+		},
+		Value:    m.Value,
+		CopyTime: m.CopyTime,
+		EndsIn:   m.EndsIn,
+	}
 }
 
 // WithEvacuationHandler sets a function that is called with each Evacuating message from other
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -19,29 +19,37 @@
 // group take turns with their moves: if all copies shared the engine's link at once, none
 // would finish within its notice.
 type evacuation struct {
-	gateway  *Gateway
-	endpoint string // ID of the leaving engine
-	mu       sync.Mutex
-	plan     *core.Evacuation
-	ownRuns  map[string]*proxiedRequest // this box's runs waiting for or in their turn, by request ID
-	targets  map[string]string          // the engine that a run's memory is copied to, by request ID
-	timer    *time.Timer
-	lastUsed time.Time
+	gateway   *Gateway
+	endpoint  string // ID of the leaving engine
+	service   string // the engine's service; empty if the engine was unknown
+	startedAt time.Time
+	mu        sync.Mutex
+	plan      *core.Evacuation
+	ownRuns   map[string]*proxiedRequest  // this box's runs waiting for or in their turn, by request ID
+	targets   map[string]routing.Endpoint // the targets reserved for them, by request ID
+	timer     *time.Timer
+	lost      bool // the engine has broken off a connection and is probably gone
+	lastUsed  time.Time
 }
 
 // evacuation returns the evacuation of an engine, creating it if needed.
 func (g *Gateway) evacuation(endpoint string) *evacuation {
 	now := time.Now()
+	e, _ := g.view().Endpoint(endpoint)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := g.evacuations[endpoint]
 	if v == nil {
+		rules := core.DefaultEvacuationRules()
+		rules.Notice = g.notices.estimate(e.Service)
 		v = &evacuation{
-			gateway:  g,
-			endpoint: endpoint,
-			plan:     core.NewEvacuation(now, core.DefaultEvacuationRules()),
-			ownRuns:  make(map[string]*proxiedRequest),
-			targets:  make(map[string]string),
+			gateway:   g,
+			endpoint:  endpoint,
+			service:   e.Service,
+			startedAt: now,
+			plan:      core.NewEvacuation(now, rules),
+			ownRuns:   make(map[string]*proxiedRequest),
+			targets:   make(map[string]routing.Endpoint),
 		}
 		g.evacuations[endpoint] = v
 	}
@@ -56,6 +64,7 @@
 		return
 	}
 	g.evacuation(e.ID).addOwnRuns()
+	g.leaveUnanswered(e.ID)
 	for _, v := range g.allEvacuations() {
 		if v.endpoint != e.ID {
 			v.addOwnRuns()
@@ -94,54 +103,29 @@
 	if len(update.Runs) > 0 {
 		found := core.RunsAdded{Runs: make([]core.EvacuatedRun, 0, len(update.Runs))}
 		for _, r := range update.Runs {
-			found.Runs = append(found.Runs, core.EvacuatedRun(r))
+			found.Runs = append(found.Runs, r.Run())
 		}
 		v.step(now, found)
 	}
+	g.moveTargets.refuse(now, update.Refused...)
 	if update.Target != "" {
-		v.recordTarget(update.MovingRunID, update.Target)
+		g.handleReservation(now, core.MoveReservation{
+			Run:     update.MovingRunID,
+			Target:  update.Target,
+			Tokens:  update.Tokens,
+			Started: !update.Reserved,
+		})
+		if !update.Reserved {
+			v.step(now, core.MoveStarted{ID: update.MovingRunID})
+		}
 	}
 	for _, id := range update.FinishedRuns {
-		v.forgetTarget(id)
+		g.releaseTarget(id)
 		v.step(now, core.RunFinished{ID: id})
 	}
-}
-
-// recordTarget records the target of a run's move here and at all boxes.
-func (g *Gateway) recordTarget(source, run, target string) {
-	g.evacuation(source).recordTarget(run, target)
-	g.onEvacuating(fleet.Evacuating{
-		Endpoint:    source,
-		MovingRunID: run,
-		Target:      target,
-	})
-}
-
-// busyTargets returns the engines that receive the memory of a run other than except.
-func (g *Gateway) busyTargets(except string) map[string]bool {
-	busy := make(map[string]bool)
-	for _, v := range g.allEvacuations() {
-		v.mu.Lock()
-		for run, target := range v.targets {
-			if run != except {
-				busy[target] = true
-			}
-		}
-		v.mu.Unlock()
+	if update.Notice > 0 && v.markLost() {
+		v.observeNotice(update.Notice)
 	}
-	return busy
-}
-
-func (v *evacuation) recordTarget(run, target string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.targets[run] = target
-}
-
-func (v *evacuation) forgetTarget(run string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	delete(v.targets, run)
 }
 
 // addOwnRuns adds this box's streams at the engine to the plan and notifies the other boxes.
@@ -168,7 +152,7 @@
 	g.log.Info("runs queued for their moves off a leaving engine", zap.String("endpoint", v.endpoint), zap.Int("runs", len(runs)))
 	update := fleet.Evacuating{Endpoint: v.endpoint}
 	for _, r := range runs {
-		update.Runs = append(update.Runs, fleet.PendingMove(r))
+		update.Runs = append(update.Runs, fleet.NewPendingMove(r))
 	}
 	g.onEvacuating(update)
 	v.step(time.Now(), core.RunsAdded{
@@ -183,9 +167,15 @@
 	defer v.mu.Unlock()
 	for _, command := range v.plan.Step(now, ev) {
 		switch c := command.(type) {
+		case core.PrepareMove:
+			if p := v.ownRuns[c.ID]; p != nil {
+				go v.prepare(p)
+			}
 		case core.MoveRun:
 			if p := v.ownRuns[c.ID]; p != nil {
 				go v.move(p)
+			} else { // it has ended meanwhile
+				go v.step(now, core.RunFinished{ID: c.ID})
 			}
 		case core.WakeAt:
 			if v.timer != nil {
@@ -198,9 +188,10 @@
 
 // move moves a run in its turn; a run that can't be moved yet is queued again.
 func (v *evacuation) move(p *proxiedRequest) {
-	mayRetry := p.move(v.endpoint)
+	outcome := v.moveRun(p)
+	v.gateway.counters.observeMove(string(outcome))
 	v.finishRun(p)
-	if mayRetry && p.runsAt(v.endpoint) {
+	if outcome.mayRetry() && p.runsAt(v.endpoint) {
 		time.AfterFunc(moveRetryDelay, v.addOwnRuns)
 	}
 }
@@ -209,12 +200,15 @@
 func (v *evacuation) finishRun(p *proxiedRequest) {
 	v.mu.Lock()
 	wasOwn := v.ownRuns[p.inbound.ID] == p
-	delete(v.ownRuns, p.inbound.ID)
-	delete(v.targets, p.inbound.ID)
+	if wasOwn {
+		delete(v.ownRuns, p.inbound.ID)
+		delete(v.targets, p.inbound.ID)
+	}
 	v.mu.Unlock()
 	if !wasOwn {
 		return
 	}
+	v.gateway.releaseTarget(p.inbound.ID)
 	v.step(time.Now(), core.RunFinished{ID: p.inbound.ID})
 	v.gateway.onEvacuating(fleet.Evacuating{
 		Endpoint:     v.endpoint,
@@ -222,21 +216,42 @@
 	})
 }
 
-// mustMove reports whether a stream would be lost with its engine. One with a backup copy at
-// a serving engine stays where it is to the end.
+// mustMove reports whether a stream would be lost with its engine and can be moved. One with a
+// backup copy at a serving engine stays where it is to the end. A run without an event has no
+// memory to copy yet; handleFirstEvent queues it.
 func (p *proxiedRequest) mustMove(endpoint string) bool {
 	engine := p.service.Engine
-	return engine != nil && engine.SupportsMoves && p.runsAt(endpoint) && !p.isBackupServing()
+	return engine != nil && engine.SupportsMoves && p.runBegin.Load() != nil && p.runsAt(endpoint) && !p.isBackupServing()
 }
 
 // evacuatedRun describes the run for the plan.
 func (p *proxiedRequest) evacuatedRun() core.EvacuatedRun {
 	return core.EvacuatedRun{
 		ID:       p.inbound.ID,
-		Rank:     p.rank(),
+		Priority: routing.NewPriority(p.route, p.customer),
 		Value:    float64(p.inbound.PromptTokens + p.inbound.MaxTokens),
 		CopyTime: p.expectedCopyTime(),
+		EndsIn:   p.expectedRest(),
+	}
+}
+
+// restMargin is the factor by which the rest of a run may take longer than events usually do.
+const restMargin = 1.25
+
+// expectedRest returns the time until the run is expected to end by itself, or 0 if that is
+// unknown: the service's usual time between events is, or the run is longer than was expected.
+func (p *proxiedRequest) expectedRest() time.Duration {
+	made := p.sharedEvents.Load()
+	left := int64(p.expectedOutput()/max(p.service.Engine.EventTokens, 1)) - made
+	interval := p.gateway.eventIntervals.mean(p.service.Name)
+	begin := p.runBegin.Load()
+	if begin == nil || interval == 0 || left <= 0 {
+		return 0
+	}
+	if n := made - begin.events; n > 1 {
+		interval = max(interval, time.Since(begin.at)/time.Duration(n-1))
 	}
+	return time.Duration(restMargin * float64(left) * float64(interval))
 }
 
 // expectedCopyTime returns how long a copy of the run's memory takes on an idle link, or 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
+	unanswered         *unanswered
+	moveTargets        *moveTargets
+	notices            *notices
 	crashProber        *engine.CrashProber
 	quarantine         *fleet.Quarantine
 	checkSuspension    func()
@@ -159,11 +162,14 @@
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
 		evacuations:     make(map[string]*evacuation),
+		unanswered:      newUnanswered(),
+		notices:         newNotices(),
 		crashProber:     engine.NewCrashProber(),
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
 		checkSuspension: func() {},
 	}
 	g.waits = newWaitQueue(g)
+	g.moveTargets = newMoveTargets(g.balancer)
 	g.pool = NewPool(g.counters.openedConnections.Inc)
 	for _, o := range options {
 		o(g)
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -41,8 +41,9 @@
 	answer          *answer
 	lastEventID     string // ID of the last event passed to the caller
 	eventOrder      eventOrder
-	events          int          // number of events passed to the caller
-	sharedEvents    atomic.Int64 // the same, for use by other goroutines
+	events          int                      // number of events passed to the caller
+	sharedEvents    atomic.Int64             // the same, for use by other goroutines
+	runBegin        atomic.Pointer[runBegin] // the current run's first event; nil before it
 
 	queuedTokens      float64       // prompt tokens queued at the engine before the first event, own ones included
 	announcedTokens   int           // the current run's tokens as announced to other boxes; 0 for calls
@@ -66,6 +67,7 @@
 
 	mu         sync.Mutex // guards endpoint and backup against moves, and the fields below
 	handover   *handover
+	latestCopy *handover // the latest complete copy of the run; nil if there is none
 	isMoving   bool
 	isFinished bool
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -133,6 +133,7 @@
 func (p *proxiedRequest) recordPacing(now time.Time) {
 	if p.runFirstEventAt.IsZero() {
 		p.runFirstEventAt = now
+		p.handleFirstEvent()
 	}
 	if p.events == 0 {
 		p.gateway.usualAnswerTimes.updateAverages(p.route.Name, now.Sub(p.placedAt))
@@ -184,7 +185,8 @@
 // a move in progress, or the backup.
 func (p *proxiedRequest) handleBreak(err error) core.Event {
 	p.reportBreak(time.Now())
-	if h := p.awaitHandover(); h != nil && p.headSent {
+	p.reportLoss(time.Now(), p.endpoint.ID, err)
+	if h := p.awaitCopy(); h != nil && p.headSent {
 		p.resumeFrom = h
 		return p.failWithBreak(err, true)
 	}
