box: show waiting requests, engines' loads and pace classes

The status had the sections, but the gateway provided nothing for them: an operator saw no waiting request and no engine.

Balancer.EngineLoads returns pace, reported and estimated memory use and pause-sensitive streams of a service's engines, Gateway.EngineLoads those of all engines that may get new requests. The status also has the pace classes of each service. Gateway.Waiting lists this box's requests in the order in which they are sent, as documented; it was by age.

--- a/admission/room.go
+++ b/admission/room.go
@@ -99,7 +99,7 @@
 	id := endpoints[i].ID
 	l := b.load(id)
 	total := float64(max(req.Memory, 1))
-	if now.Sub(l.reportAt) <= memoryReportTTL && l.report.Total > 0 {
+	if l.hasReport(now) {
 		total = float64(l.report.Total)
 	}
 	used := b.memoryUse(now, l, Requirements{Memory: req.Memory})
--- a/box/status.go
+++ b/box/status.go
@@ -36,6 +36,7 @@
 	Waiting        WaitingRequests `json:"waiting"`
 	Engines        []EngineLoad    `json:"engines,omitempty"`
 	OmittedEngines int             `json:"engines_left_out,omitempty"`
+	PaceClasses    []PaceClass     `json:"pace_classes,omitempty"`
 }
 
 // Limits on the length of the lists in a status.
--- a/box/status_load.go
+++ b/box/status_load.go
@@ -2,16 +2,22 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
-// Limits on the length of the lists of waiting requests and of engines in a status.
+// Limits on the length of the lists of waiting requests, engines and classes in a status.
 const (
-	maxWaiting = 32
-	maxEngines = 72 // all engines of a group whose boxes use all engines
+	maxWaiting     = 32
+	maxEngines     = 72 // all engines of a group whose boxes use all engines
+	maxPaceClasses = 72 // those of eight services
 )
 
+// paceUnit is the unit to which times between events are rounded in a status.
+const paceUnit = 100 * time.Microsecond
+
 // WaitingRequests are the requests that wait until an engine has room, in a status.
 type WaitingRequests struct {
 	Own      int              `json:"own"`                // requests that wait at this box
@@ -37,6 +43,17 @@
 	Sensitive int      `json:"pause_sensitive"`    // streams there that have a target for their pauses
 }
 
+// PaceClass is a class of engines of about the same pace, in a status. Exposures and breaks are
+// decaying counts, whose weight halves every 30 s.
+type PaceClass struct {
+	Service      string  `json:"service"`
+	RelativePace string  `json:"relative_pace"`  // time between events as a multiple of the service's median; lower is faster
+	Engines      int     `json:"engines"`        // whose pace is known
+	Pace         string  `json:"pace,omitempty"` // average time between events; empty without engines
+	Exposures    float64 `json:"exposures"`      // prompts sent to the engines during pause-sensitive streams there
+	Breaks       float64 `json:"breaks"`         // streams with a pause beyond their target
+}
+
 // SetWaiting sets the requests that wait, of which the first maxWaiting own ones are listed.
 func (s *Status) SetWaiting(own []WaitingRequest, remote int) {
 	s.Waiting = WaitingRequests{
@@ -62,12 +79,61 @@
 	own, remote := b.waitingRequests(now)
 	s.SetWaiting(own, remote)
 	s.SetEngines(b.engineLoads(now))
+	s.PaceClasses = b.paceClasses()
 }
 
 // waitingRequests returns the requests that wait at this box, in the order in which they are sent,
-// and the number of those known from other boxes. The gateway doesn't provide them yet.
-func (b *Box) waitingRequests(time.Time) (own []WaitingRequest, remote int) { return nil, 0 }
+// and the number of those known from other boxes.
+func (b *Box) waitingRequests(now time.Time) (own []WaitingRequest, remote int) {
+	waiting := b.gateway.Waiting()
+	for _, w := range waiting.Own {
+		own = append(own, WaitingRequest{
+			Request:      w.ID,
+			Route:        w.Route,
+			CustomerRank: w.Priority.Customer,
+			RouteRank:    w.Priority.Route,
+			Wait:         now.Sub(w.Since).Round(time.Millisecond).String(),
+		})
+	}
+	return own, waiting.Remote
+}
 
-// engineLoads returns the load and pace of the engines that the box knows. The gateway doesn't
-// provide them yet.
-func (b *Box) engineLoads(time.Time) []EngineLoad { return nil }
+// engineLoads returns the load and pace of the engines that may get new requests.
+func (b *Box) engineLoads(now time.Time) []EngineLoad {
+	var out []EngineLoad
+	for _, e := range b.gateway.EngineLoads(now) {
+		shown := EngineLoad{
+			Endpoint:  e.Endpoint,
+			Reported:  e.Reported,
+			Estimated: e.Estimated,
+			Sensitive: e.PacedStreams,
+		}
+		if e.EventInterval > 0 {
+			shown.Pace = e.EventInterval.Round(paceUnit).String()
+		}
+		out = append(out, shown)
+	}
+	return out
+}
+
+// paceClasses returns the classes of pace of the engines of each service, fastest first.
+func (b *Box) paceClasses() []PaceClass {
+	all := b.gateway.EnginePaces()
+	var out []PaceClass
+	for _, service := range slices.Sorted(maps.Keys(all)) {
+		for _, c := range all[service] {
+			shown := PaceClass{
+				Service:      service,
+				RelativePace: c.Class.String(),
+				Engines:      c.Engines,
+				Exposures:    math.Round(c.Exposures),
+				Breaks:       math.Round(c.Breaks),
+			}
+			if c.Engines > 0 {
+				shown.Pace = c.EventInterval.Round(paceUnit).String()
+			}
+			out = append(out, shown)
+		}
+	}
+	return out[:min(len(out), maxPaceClasses)]
+}
--- a/commands/status_load.go
+++ b/commands/status_load.go
@@ -28,6 +28,12 @@
 	if s.OmittedEngines > 0 {
 		fmt.Fprintf(w, "%d more, which are less full\n", s.OmittedEngines)
 	}
+	if len(s.PaceClasses) > 0 {
+		fmt.Fprintln(w, "\nSERVICE\tRELATIVE PACE\tENGINES\tPACE\tEXPOSURES\tBREAKS")
+	}
+	for _, c := range s.PaceClasses {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%.0f\t%.0f\n", c.Service, c.RelativePace, c.Engines, cmp.Or(c.Pace, "-"), c.Exposures, c.Breaks)
+	}
 }
 
 // formatUse formats a fraction of an engine's memory; nil is unknown.
--- a/commands/status_test.go
+++ b/commands/status_test.go
@@ -47,11 +47,27 @@
 			},
 			{Endpoint: "e-2"},
 		})
+		s.PaceClasses = []box.PaceClass{
+			{
+				Service:      "engines",
+				RelativePace: "0.47",
+				Engines:      2,
+				Pace:         "21ms",
+				Exposures:    40,
+				Breaks:       3,
+			},
+			{
+				Service:      "engines",
+				RelativePace: "1.00",
+			},
+		}
 		out := show(s)
 		Expect(out).To(MatchRegexp(`waiting +1 requests here, 7 known from other boxes`))
 		Expect(out).To(MatchRegexp(`R +long +1 +3 +120ms`))
 		Expect(out).To(MatchRegexp(`e-1 +21ms +0.50 +0.75 +4`))
 		Expect(out).To(MatchRegexp(`e-2 +- +- +0.00 +0`))
+		Expect(out).To(MatchRegexp(`engines +0.47 +2 +21ms +40 +3`))
+		Expect(out).To(MatchRegexp(`engines +1.00 +0 +- +0 +0`))
 	})
 
 	// An overload with thousands of waiting requests must not make the status large when it is
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -89,6 +89,21 @@
 	return g.balancer.PaceSummaries(time.Now())
 }
 
+// EngineLoads returns the load and pace of the engines that may get new requests of this box.
+func (g *Gateway) EngineLoads(now time.Time) []admission.EngineLoad {
+	v := g.view()
+	if v.Table == nil {
+		return nil
+	}
+	var out []admission.EngineLoad
+	for _, s := range v.Table.Document().Services {
+		if s.Engine != nil {
+			out = append(out, g.balancer.EngineLoads(now, s.Name, v.Serving(s.Name), s.Engine.MemoryTokens)...)
+		}
+	}
+	return out
+}
+
 // paceFields returns log fields with the pace and the cost of misses that the choice of an
 // engine used, or none for services without pause-sensitive streams.
 func paceFields(estimate admission.Estimate) []zap.Field {
--- a/gateway/waiting_messages.go
+++ b/gateway/waiting_messages.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -155,7 +155,7 @@
 
 // WaitingRequests are the requests that wait for room.
 type WaitingRequests struct {
-	Own    []OwnWait // of this box, the oldest first
+	Own    []OwnWait // of this box, by service and in the order in which they are sent
 	Remote int       // number of those known of other boxes
 }
 
@@ -173,15 +173,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := WaitingRequests{Remote: q.list.Remote()}
+	services := make(map[string]bool)
 	for _, w := range q.own {
-		out.Own = append(out.Own, OwnWait{
-			ID:       w.entry.ID,
-			Route:    w.routeName,
-			Priority: w.entry.Priority,
-			Since:    w.since,
-		})
+		services[w.entry.Service] = true
+	}
+	for _, service := range slices.Sorted(maps.Keys(services)) {
+		for _, r := range q.list.Order(time.Now(), service) {
+			if r.Box != "" {
+				continue
+			}
+			w := q.own[r.ID]
+			out.Own = append(out.Own, OwnWait{
+				ID:       r.ID,
+				Route:    w.routeName,
+				Priority: r.Priority,
+				Since:    w.since,
+			})
+		}
 	}
-	slices.SortFunc(out.Own, func(a, b OwnWait) int { return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID)) })
 	return out
 }
 
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -191,6 +191,7 @@
 		b.expectWaiting("patient-0", "patient-1", "patient-2")
 		all = append(all, b.start(context.Background(), emulator.ResumePath, "urgent"))
 		b.expectWaiting("patient-0", "patient-1", "patient-2", "urgent")
+		Expect(b.gateway.Waiting().Own[0].ID).To(Equal("urgent"), "listed in the order in which they are sent")
 		// There is room for one request, and for requests with time none beyond 0.9.
 		b.fill("e-1", 28_400)
 		Eventually(b.engine.Runs).Should(HaveLen(1))
