--- a/losses/request.go
+++ b/losses/request.go
@@ -127,7 +127,7 @@
 	switch {
 	case r.outcome == nil && !r.placed && !r.hasWaited:
 		return l, false
-	case r.outcome == nil && !r.placed:
+	case r.outcome == nil && r.endedWaiting():
 		l.Moment, l.Cause = WhileWaiting, BoxCrashed
 	case r.outcome == nil:
 		l.Moment, l.Cause = InProgress, BoxCrashed
@@ -151,7 +151,7 @@
 // lossMoment returns the phase that the request was in when it ended.
 func (r *request) lossMoment() Moment {
 	switch {
-	case !r.placed && r.hasWaited:
+	case r.endedWaiting():
 		return WhileWaiting
 	case !r.placed:
 		return BeforeSend
--- a/losses/waits.go
+++ b/losses/waits.go
@@ -40,6 +40,7 @@
 	r.hasWaited = true
 	if l.Event == "waiting for room" {
 		r.waitingSince = l.At
+		r.waitOutcome = "" // a request may wait again after a refused send
 		return
 	}
 	r.waitOutcome = cmp.Or(l.Outcome, unknownOutcome)
@@ -51,6 +52,19 @@
 	}
 }
 
+// endedWaiting reports whether the request's last wait is the last that is known of it: the wait
+// ended with the request, or its end is not in the logs.
+func (r *request) endedWaiting() bool {
+	if !r.hasWaited {
+		return false
+	}
+	switch r.waitOutcome {
+	case "", "left", "expired", "withdrawn":
+		return true
+	}
+	return !r.placed
+}
+
 // isMostlyWait reports whether the request spent most of the time until its first event waiting
 // for room.
 func (r *request) isMostlyWait() bool { return r.waited > r.outcome.FirstEvent/2 }
--- a/losses/waits_test.go
+++ b/losses/waits_test.go
@@ -14,7 +14,7 @@
 
 // Log lines about waits, shortened.
 const (
-	waiting     = `{"at":"2026-07-19T05:50:09Z","event":"waiting for room","request":"R","route":"long","ahead":3,"priority":"1/3"}`
+	waiting     = `{"at":"2026-07-19T05:50:09Z","event":"waiting for room","request":"R","route":"long","why":"memory","requests_ahead":3,"estimate":"0s","priority":"1.3"}`
 	waitedLong  = `{"at":"2026-07-19T05:50:11Z","event":"waited for room","request":"R","route":"long","for":"2s","outcome":"sent"}`
 	waitedShort = `{"at":"2026-07-19T05:50:10Z","event":"waited for room","request":"R","route":"long","for":"100ms","outcome":"sent"}`
 	leftWaiting = `{"at":"2026-07-19T05:50:11Z","event":"waited for room","request":"R","route":"long","for":"2s","outcome":"left"}`
@@ -55,6 +55,9 @@
 		},
 		Entry("a box that ended", losses.WhileWaiting, losses.BoxCrashed, waiting),
 		Entry("a caller that left", losses.WhileWaiting, losses.CallerDisconnected, waiting, leftWaiting, callerLeft),
+		Entry("a box that ended while the request waited again after an engine's refusal", losses.WhileWaiting, losses.BoxCrashed, waiting, waitedShort, placed, waiting),
+		Entry("a caller that left while the request waited again", losses.WhileWaiting, losses.CallerDisconnected, waiting, waitedShort, placed, waiting, leftWaiting, callerLeft),
+		Entry("a caller that left an engine after a wait", losses.AwaitingFirst, losses.CallerDisconnected, waiting, waitedLong, placed, callerLeft),
 		Entry("a refusal for the estimated wait", losses.BeforeSend, losses.EstimateTooLong, tooLong),
 	)
 
@@ -93,7 +96,7 @@
 
 	It("counts lines whose fields are missing or have another type", func() {
 		r := report(
-			`{"at":"2026-07-19T05:50:09Z","event":"waiting for room","request":"R","route":"long","ahead":{"requests":2}}`,
+			`{"at":"2026-07-19T05:50:09Z","event":"waiting for room","request":"R","route":"long","why":"memory","requests_ahead":{"requests":2}}`,
 			`{"at":"2026-07-19T05:50:10Z","event":"waited for room","request":"R","route":"long","for":0.5,"outcome":7}`,
 			`{"at":"2026-07-19T05:50:10Z","event":"refused","request":"S","route":"long","status":503,"estimate":"unknown"}`,
 		)
