gateway: announce waiting requests again after a suspension

A box that was suspended drops the waiting requests of other boxes, but the others may have suspected it and dropped its own; they then sent later requests first. Its waits are announced again, in the order in which they are sent, with the times that are left, except those whose wait is over.

The time of a suspension is added under the same lock, so that it isn't deducted twice from a request that begins to wait at that moment; no test shows this one.

--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -7,9 +7,8 @@
 // are closed: their endpoints may have closed them, and a request that must run only once
 // would be lost there.
 func (g *Gateway) HandleSuspension(d time.Duration) {
-	g.suspended.Add(int64(d))
-	g.sendGate.backoffs.suspended(d)
 	g.waits.handleSuspension(d)
+	g.sendGate.backoffs.suspended(d)
 	g.pool.Sweep(time.Now(), func(string) bool { return false })
 	if end := g.stopAt.Load(); end != nil {
 		earlier := end.Add(-d)
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -82,8 +82,9 @@
 // entered is the decision on a request that is about to be sent.
 type entered struct {
 	admission.WaitDecision
-	endpoint routing.Endpoint // for SendToRoom
-	wait     *wait            // for Wait
+	endpoint routing.Endpoint         // for SendToRoom
+	wait     *wait                    // for Wait
+	entry    admission.WaitingRequest // that of the wait at its begin
 }
 
 // enter decides on a request that is about to be sent, and adds it to the queue if it has to wait.
@@ -97,6 +98,7 @@
 	e, hasRoom := p.pickWithRoom(now, append(q.placingNeeds(entry.Service), needs(ahead)...))
 	out := entered{
 		endpoint: e,
+		entry:    entry,
 		WaitDecision: q.rules.Decide(now, admission.WaitState{
 			Request:       entry,
 			Target:        p.latencyTarget(),
@@ -125,10 +127,13 @@
 	return out
 }
 
-// add adds a waiting request and starts the goroutine that evaluates it.
+// add adds a waiting request, notifies the group and starts the goroutine that evaluates it.
 func (q *waitQueue) add(now time.Time, w *wait) {
 	q.list.Add(now, w.entry)
 	q.own[w.entry.ID] = w
+	w.request.hasWaited = true
+	w.request.announcedWait = w.entry.ID
+	q.announce(now, &w.entry)
 	q.countWaiting()
 	if !q.isRunning {
 		q.isRunning = true
--- a/gateway/waiting_messages.go
+++ b/gateway/waiting_messages.go
@@ -17,13 +17,10 @@
 // deducted from the times in the message, so that all boxes order the requests alike.
 const waitMessageDelay = 15 * time.Millisecond
 
-// beginWait logs the begin of a wait and notifies the group.
-func (p *proxiedRequest) beginWait(now time.Time, in entered) {
-	g := p.gateway
-	entry := in.wait.entry
-	p.hasWaited = true
-	p.announcedWait = entry.ID
-	g.onPlaced(fleet.Placement{
+// announce notifies the group of a waiting request. The queue's lock is held, so that the message
+// precedes the one about the end of the wait.
+func (q *waitQueue) announce(now time.Time, entry *admission.WaitingRequest) {
+	q.gateway.onPlaced(fleet.Placement{
 		Waiting: &fleet.Waiting{
 			Request:  entry.ID,
 			Service:  entry.Service,
@@ -33,16 +30,21 @@
 			Limit:    entry.LimitAt.Sub(now) - waitMessageDelay,
 			Tokens:   entry.Tokens,
 			Prompt:   entry.Prompt,
-			Box:      g.box,
+			Box:      q.gateway.box,
 		},
 	})
+}
+
+// logWaitBegin logs the begin of a wait.
+func (p *proxiedRequest) logWaitBegin(now time.Time, in entered) {
+	g := p.gateway
 	p.logDecision("waiting for room",
 		zap.String("why", g.balancer.WhyNoRoom(now, p.candidates(now), p.roomRequirements())),
 		zap.Int("requests_ahead", in.wait.ahead),
 		zap.Duration("estimate", in.Estimate.Round(time.Millisecond)),
-		zap.String("priority", priorityText(entry.Priority)),
-		zap.Duration("due_in", entry.DueAt.Sub(now).Round(time.Millisecond)),
-		zap.Duration("limit", entry.LimitAt.Sub(now).Round(time.Millisecond)),
+		zap.String("priority", priorityText(in.entry.Priority)),
+		zap.Duration("due_in", in.entry.DueAt.Sub(now).Round(time.Millisecond)),
+		zap.Duration("limit", in.entry.LimitAt.Sub(now).Round(time.Millisecond)),
 		zap.Duration("heard_age", g.waits.heardAge(now).Round(time.Millisecond)),
 	)
 }
@@ -120,15 +122,27 @@
 	q.notify()
 }
 
-// handleSuspension corrects the times of the waiting requests after the machine was suspended.
+// handleSuspension records a suspension of the machine and corrects the times of the waiting
+// requests. Both happen under the lock, so that a request that begins to wait meanwhile has the
+// suspension deducted once.
+//
+// This box's waiting requests are announced again: other boxes may have suspected this one, and
+// dropped them. Those whose wait is over are about to end it.
 func (q *waitQueue) handleSuspension(d time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.gateway.suspended.Add(int64(d))
 	q.list.HandleSuspension(d)
 	for _, w := range q.own {
 		w.entry.DueAt = w.entry.DueAt.Add(-d)
 		w.entry.LimitAt = w.entry.LimitAt.Add(-d)
 	}
+	now := time.Now()
+	for _, w := range q.ownInOrder(now) {
+		if now.Before(w.entry.LimitAt) {
+			q.announce(now, &w.entry)
+		}
+	}
 	q.countWaiting()
 	q.notify()
 }
@@ -173,25 +187,32 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := WaitingRequests{Remote: q.list.Remote()}
+	for _, w := range q.ownInOrder(time.Now()) {
+		out.Own = append(out.Own, OwnWait{
+			ID:       w.entry.ID,
+			Route:    w.routeName,
+			Priority: w.entry.Priority,
+			Since:    w.since,
+		})
+	}
+	return out
+}
+
+// ownInOrder returns this box's waits by service and in the order in which they are sent.
+func (q *waitQueue) ownInOrder(now time.Time) []*wait {
 	services := make(map[string]bool)
 	for _, w := range q.own {
 		services[w.entry.Service] = true
 	}
+	all := make([]*wait, 0, len(q.own))
 	for _, service := range slices.Sorted(maps.Keys(services)) {
-		for _, r := range q.list.Order(time.Now(), service) {
-			if r.Box != "" {
-				continue
+		for _, r := range q.list.Order(now, service) {
+			if r.Box == "" {
+				all = append(all, q.own[r.ID])
 			}
-			w := q.own[r.ID]
-			out.Own = append(out.Own, OwnWait{
-				ID:       r.ID,
-				Route:    w.routeName,
-				Priority: r.Priority,
-				Since:    w.since,
-			})
 		}
 	}
-	return out
+	return all
 }
 
 // uniqueID returns an ID for a request in the queue: the caller's, which may be missing or used
--- a/gateway/waiting_request.go
+++ b/gateway/waiting_request.go
@@ -141,7 +141,7 @@
 // queue also ends the wait, at its next evaluation, if the caller disconnects.
 func (p *proxiedRequest) awaitRoom(now time.Time, in entered) (routing.Endpoint, bool, core.Event) {
 	w := in.wait
-	p.beginWait(now, in)
+	p.logWaitBegin(now, in)
 	r := <-w.result
 	p.isPlacing = r.hasRoom
 	if r.hasRoom && p.terminalEvent() == nil {
