--- a/soak/crash.go
+++ b/soak/crash.go
@@ -91,7 +91,7 @@
 
 // checkCrashingRequest checks that the crashing request is quarantined after crashThreshold
 // crashes, and that a request reported as not run reached no engine. Crashes before a time at which
-// all boxes were killed together are known to no box any more and don't count.
+// the last boxes that ran were killed are known to no box any more and don't count.
 func (r *Report) checkCrashingRequest(f *fleet, outcomes []emulator.Outcome, memoryLostTimes []time.Time) {
 	runs := f.deployment.Runs()
 	var crashTimes []time.Time
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -23,7 +23,7 @@
 	keyRevokedAt    time.Time
 	revokedVersion  uint64      // of the first configuration without the key; 0 before it
 	unexpectedExits []string    // violations: boxes that exited without being signalled
-	memoryLostTimes []time.Time // when all boxes that ran were killed together
+	memoryLostTimes []time.Time // when all boxes that ran were killed
 }
 
 func newInjector(f *fleet, seed uint64, plannedOnly bool) *injector {
@@ -120,6 +120,7 @@
 func (i *injector) killBox() {
 	b := i.randomBox()
 	i.recordFault("SIGKILL to %s", b.settings.Name)
+	i.recordMemoryLoss(b)
 	b.signal(syscall.SIGKILL)
 	i.restartAfterExit(b, time.Second)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -47,6 +47,7 @@
 	exitedAt     time.Time
 	restarting   bool        // a restart is queued
 	paused       bool        // it got a SIGSTOP, and no SIGCONT since
+	killed       bool        // it got a SIGKILL
 	stopTimes    []time.Time // when SIGTERM was sent
 	disturbances []time.Time // when it was killed, paused or resumed
 }
@@ -212,7 +213,7 @@
 	b.exited = exited
 	b.startedAt = time.Now()
 	b.restarting = false
-	b.paused = false
+	b.paused, b.killed = false, false
 	return nil
 }
 
@@ -226,6 +227,7 @@
 	case syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGCONT:
 		b.disturbances = append(b.disturbances, time.Now())
 		b.paused = s == syscall.SIGSTOP
+		b.killed = b.killed || s == syscall.SIGKILL
 	}
 	// Fails if the process has already exited.
 	_ = b.process.Process.Signal(s)
@@ -246,10 +248,17 @@
 	}
 }
 
-func (b *boxProcess) isPaused() bool {
+// isRunning reports whether the process runs, so that other boxes hear from it: it has not exited
+// and is neither killed nor paused.
+func (b *boxProcess) isRunning() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.paused
+	select {
+	case <-b.exited:
+		return false
+	default:
+		return !b.paused && !b.killed
+	}
 }
 
 func (b *boxProcess) markRestarting() {
--- a/soak/mass_faults.go
+++ b/soak/mass_faults.go
@@ -66,9 +66,7 @@
 func (m *massFaults) kill(boxes []*boxProcess) {
 	i := m.injector
 	i.recordFault("SIGKILL to %d boxes at once", len(boxes))
-	if m.killsAllRunning(boxes) {
-		i.memoryLostTimes = append(i.memoryLostTimes, time.Now())
-	}
+	i.recordMemoryLoss(boxes...)
 	for _, b := range boxes {
 		b.markRestarting()
 		b.signal(syscall.SIGKILL)
@@ -83,15 +81,15 @@
 	}
 }
 
-// killsAllRunning reports whether no other box runs, so that what the boxes told each other is lost,
-// or is known only to a paused one.
-func (m *massFaults) killsAllRunning(boxes []*boxProcess) bool {
-	for _, b := range m.injector.fleet.boxes {
-		if !slices.Contains(boxes, b) && !b.isPaused() {
-			return false
+// recordMemoryLoss records that boxes are about to be killed, if no other one runs: what the boxes
+// told each other is lost then, or is known only to a paused one.
+func (i *injector) recordMemoryLoss(killed ...*boxProcess) {
+	for _, b := range i.fleet.boxes {
+		if !slices.Contains(killed, b) && b.isRunning() {
+			return
 		}
 	}
-	return true
+	i.memoryLostTimes = append(i.memoryLostTimes, time.Now())
 }
 
 // restartServer crashes a server and starts it again with the same ID and address.
