admission: drop the loads of endpoints that are gone

Forget drops an endpoint's load when it is removed, but the ends of its runs, at this box or others, and a choice from a list read just before created it again; it was kept for ever, or was kept by Forget since a run was still counted. Where engines leave every few seconds, that grows without bound. A test with 1,000 such endpoints shows it; the growth in a running fleet was not measured.

--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -252,6 +252,45 @@
 	}
 }
 
+// loadRetention is how long the load of an endpoint that isn't listed is kept after it was last
+// used. Other boxes may know the endpoint some seconds earlier, and report their placements there.
+const loadRetention = time.Minute
+
+// DropUnlisted drops the loads of endpoints that aren't listed and were not used for a while. The
+// ends of runs at an endpoint that is gone arrive after Forget, and would be kept for ever.
+func (b *Balancer) DropUnlisted(now time.Time, isListed func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.loads {
+		if !l.isUsed(now) && !isListed(id) {
+			delete(b.loads, id)
+		}
+	}
+}
+
+// isUsed reports whether the endpoint has requests of this box, or anything was heard of it within
+// loadRetention.
+func (l *endpointLoad) isUsed(now time.Time) bool {
+	oldest := now.Add(-loadRetention)
+	l.dropBefore(oldest)
+	if l.running > 0 || l.copyTokens > 0 || len(l.recentChanges) > 0 {
+		return true
+	}
+	for _, at := range []time.Time{l.reportAt, l.loadReportedAt, l.activeAt, l.lastSendAt, l.queuedAt, l.failedAt} {
+		if at.After(oldest) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(l.pacedStreams, func(s pacedStream) bool { return s.since.After(oldest) })
+}
+
+// LoadCount returns the number of endpoints whose load is kept.
+func (b *Balancer) LoadCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.loads)
+}
+
 // Forget drops the load of an endpoint that no longer exists.
 func (b *Balancer) Forget(id string) {
 	b.mu.Lock()
--- a/admission/engine_load_test.go
+++ b/admission/engine_load_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,6 +55,28 @@
 		Expect(old.Estimated).To(BeZero())
 	})
 
+	// Guards against memory that grows with each engine that leaves: ends of runs and failures there
+	// arrive when the engine is forgotten already.
+	It("are dropped a while after an engine is gone, though its last runs end later", func() {
+		b := newBalancer()
+		for i := range 1000 {
+			id := fmt.Sprintf("gone-%d", i)
+			b.Forget(id)
+			b.RunEnded(now, id, 100, 200)
+			b.Failed(now, id, true)
+		}
+		b.BeginSend(now, "running", 200, 100)
+		b.RunEnded(now, "e-1", 100, 200)
+		isListed := func(id string) bool { return id == "e-1" }
+		b.DropUnlisted(now.Add(time.Second), isListed)
+		Expect(b.LoadCount()).To(Equal(1002), "another box's news of an engine may precede the list")
+		b.DropUnlisted(now.Add(2*time.Minute), isListed)
+		Expect(b.LoadCount()).To(Equal(2))
+		b.EndSend(now.Add(2*time.Minute), "running", now, 200)
+		b.DropUnlisted(now.Add(2*time.Minute), isListed)
+		Expect(b.LoadCount()).To(Equal(1))
+	})
+
 	// Guards against an estimate of many times the memory where its size isn't configured.
 	It("have no estimate for an engine of unknown memory", func() {
 		b := newBalancer()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -204,6 +204,10 @@
 		e, ok := v.Endpoint(id)
 		return ok && !e.Leaving
 	})
+	g.balancer.DropUnlisted(now, func(id string) bool {
+		_, listed := v.Endpoint(id)
+		return listed
+	})
 	g.dropExpiredEvacuations(now)
 	g.sendGate.sweep(now)
 	g.waits.sweep(now)
