--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -82,8 +82,9 @@
 // entered is the decision on a request that is about to be sent.
 type entered struct {
 	admission.WaitDecision
-	endpoint routing.Endpoint // for SendToRoom
-	wait     *wait            // for Wait
+	endpoint routing.Endpoint         // for SendToRoom
+	wait     *wait                    // for Wait
+	entry    admission.WaitingRequest // that of the wait at its begin
 }
 
 // enter decides on a request that is about to be sent, and adds it to the queue if it has to wait.
@@ -94,9 +95,10 @@
 	entry := p.waitingEntry()
 	entry.ID = q.uniqueID(p.inbound.ID)
 	ahead := q.list.Ahead(now, entry)
-	e, hasRoom := p.pickWithRoom(now, append(q.placingNeeds(entry.Service), needs(ahead)...))
+	e, hasRoom, _ := p.pickWithRoom(now, append(q.placingNeeds(entry.Service), needs(ahead)...))
 	out := entered{
 		endpoint: e,
+		entry:    entry,
 		WaitDecision: q.rules.Decide(now, admission.WaitState{
 			Request:       entry,
 			Target:        p.latencyTarget(),
@@ -125,10 +127,13 @@
 	return out
 }
 
-// add adds a waiting request and starts the goroutine that evaluates it.
+// add adds a waiting request, notifies the group and starts the goroutine that evaluates it.
 func (q *waitQueue) add(now time.Time, w *wait) {
 	q.list.Add(now, w.entry)
 	q.own[w.entry.ID] = w
+	w.request.hasWaited = true
+	w.request.announcedWait = w.entry.ID
+	q.announce(now, &w.entry)
 	q.countWaiting()
 	if !q.isRunning {
 		q.isRunning = true
@@ -178,9 +183,20 @@
 	return q.isRunning
 }
 
+// waitClass identifies the requests with the same limits of room and the same engines to choose
+// from, within a service and a configuration.
+type waitClass struct {
+	route    *routing.Route
+	customer *routing.Customer
+}
+
 // evaluate evaluates the waiting requests of a service. Waiting is the number of this box's.
+//
+// Once a request finds all engines full, so would the later ones of its class, for which its room is
+// reserved. They aren't tried: with 44 full engines and 300 requests that took 20% of a core.
 func (q *waitQueue) evaluate(now time.Time, service string, waiting int) {
 	ahead := q.placingNeeds(service)
+	full := make(map[waitClass]bool)
 	for _, r := range q.list.Order(now, service) {
 		if waiting == 0 {
 			return
@@ -190,23 +206,32 @@
 			continue
 		}
 		waiting--
-		if need, waits := q.evaluateOne(now, q.own[r.ID], ahead); waits || need.Endpoint != "" {
+		if need, waits := q.evaluateOne(now, q.own[r.ID], ahead, full); waits || need.Endpoint != "" {
 			ahead = append(ahead, need)
 		}
 	}
 }
 
 // evaluateOne ends a wait if the request has to be checked or finds room besides what the requests
-// ahead take. It returns what the request takes, and whether it still waits.
-func (q *waitQueue) evaluateOne(now time.Time, w *wait, ahead []admission.Need) (admission.Need, bool) {
+// ahead take. It returns what the request takes, and whether it still waits. Full holds the classes
+// for which all engines are full.
+func (q *waitQueue) evaluateOne(now time.Time, w *wait, ahead []admission.Need, full map[waitClass]bool) (admission.Need, bool) {
 	p := w.request
 	if !now.Before(w.entry.LimitAt) || p.mustBeChecked() {
 		q.remove(w)
 		w.result <- waitResult{}
 		return admission.Need{}, false
 	}
-	e, hasRoom := p.pickWithRoom(now, ahead)
+	class := waitClass{
+		route:    p.route,
+		customer: p.customer,
+	}
+	if full[class] {
+		return needOf(&w.entry), true
+	}
+	e, hasRoom, isFull := p.pickWithRoom(now, ahead)
 	if !hasRoom {
+		full[class] = isFull
 		return needOf(&w.entry), true
 	}
 	q.remove(w)
