gateway: keep slow callers out of engines' pace; drop unused loads

A caller that read slowly held up the box's next read, and the interval counted as a pause of the engine: its pace and its class got worse in all boxes of the group. Times are now those of the receipt, and a run whose caller takes more than 10 ms to accept an event is observed no longer.

The balancer kept the load of each engine that left while a run was there, or of which a message arrived after its removal, for the life of the process. Looking up a stream's end or an engine's prompt count no longer creates a load.

Messages without a pace no longer look up their engine.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -96,6 +96,7 @@
 	paces             map[string]*PaceTable // by service; only those with pause-sensitive streams
 	streamTime        time.Duration         // average duration of pause-sensitive streams
 	streamSize        float64               // average tokens owed by pause-sensitive streams
+	droppedUnusedAt   time.Time
 }
 
 // reportLag is how long a change of an engine's memory may take to show in its reports.
--- a/admission/pace_table.go
+++ b/admission/pace_table.go
@@ -112,7 +112,11 @@
 	p.decay(now)
 	p.sum += interval.Seconds()
 	p.weight++
-	t.refresh(now)
+	if !wasKnown || now.Sub(t.refreshedAt) > refreshInterval {
+		t.refresh(now)
+	} else {
+		t.reclassify(p)
+	}
 	change.Interval, change.After = p.mean(), p.class
 	return change, !wasKnown || change.Before != change.After
 }
@@ -234,6 +238,14 @@
 	}
 }
 
+// reclassify derives the class of one engine after an observation. Deriving all of them takes
+// 25 microseconds for 110 engines, too long for each message of another box.
+func (t *PaceTable) reclassify(p *observedPace) {
+	t.class(p.class).engines--
+	p.class = classOf(p.mean(), t.median)
+	t.class(p.class).engines++
+}
+
 // classOf returns the class of a pace.
 func classOf(pace, median time.Duration) PaceClass {
 	steps := math.Round(math.Log(float64(pace)/float64(median)) / paceClassWidth)
--- a/admission/pace_table_test.go
+++ b/admission/pace_table_test.go
@@ -130,6 +130,32 @@
 		Expect(estimate(now).EventInterval).To(BeZero())
 	})
 
+	// Guards against state that grows with every engine that ever was: messages about an engine
+	// arrive also after it is gone, and its own runs end after that.
+	It("leave nothing behind after their engine is gone", func() {
+		b.AddRemotePrompt(now, "gone", 10)
+		b.AddRemotePrompt(now, e.ID, 10)
+		b.BeginSend(now, "busy", 3000, 100)
+		b.AddPrompt(now, "busy", 100)
+		for _, id := range []string{"gone", "busy"} {
+			b.Forget(id)
+			b.BeginStream(now, id, 100, 0, true)
+			b.EndStream(now, id, 100, true)
+			b.AddRemotePrompt(now, id, 10)
+		}
+		known := func(id string) bool { return id == e.ID }
+		b.DropUnused(now, known)
+		Expect(b.PromptCount("gone")).To(Equal(1)) // it may be one that this box doesn't know yet
+		later := now.Add(time.Minute)
+		b.DropUnused(later, known)
+		Expect(b.PromptCount("gone")).To(BeZero())
+		Expect(b.PromptCount("busy")).To(Equal(2))
+		b.EndSend(later, "busy", now, 3000)
+		b.DropUnused(later.Add(time.Minute), known)
+		Expect(b.PromptCount("busy")).To(BeZero())
+		Expect(b.PromptCount(e.ID)).To(Equal(1))
+	})
+
 	It("are expected to miss more on an engine that gets more prompts", func() {
 		req.PauseSensitive = true
 		req.ExpectedEvents = 1000
@@ -151,6 +177,17 @@
 	})
 })
 
+// BenchmarkObservePace measures what each message about a pace costs.
+func BenchmarkObservePace(b *testing.B) {
+	t := admission.NewPaceTable()
+	for i := range 110 {
+		t.ObservePace(simStart, fmt.Sprintf("e%d", i), time.Duration(17+i%20)*time.Millisecond)
+	}
+	for b.Loop() {
+		t.ObservePace(simStart, "e7", 20*time.Millisecond)
+	}
+}
+
 // BenchmarkPick measures a placement after a change of an engine's pace; it must take less than
 // 50 microseconds at 44 and at 110 engines.
 func BenchmarkPick(b *testing.B) {
--- a/admission/paced_streams.go
+++ b/admission/paced_streams.go
@@ -49,7 +49,10 @@
 func (b *Balancer) EndStream(now time.Time, endpoint string, announced int, remote bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(endpoint)
+	l := b.loads[endpoint]
+	if l == nil {
+		return
+	}
 	b.dropLostStreams(now, l)
 	i := slices.IndexFunc(l.pacedStreams, func(s pacedStream) bool { return s.announced == announced && s.remote == remote })
 	if i < 0 {
@@ -89,7 +92,10 @@
 func (b *Balancer) PromptCount(endpoint string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.load(endpoint).prompts
+	if l := b.loads[endpoint]; l != nil {
+		return l.prompts
+	}
+	return 0
 }
 
 // ObservePace records the time between events of a stream at an engine of a service; see
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,6 +207,10 @@
 	g.dropExpiredEvacuations(now)
 	g.sendGate.sweep(now)
 	g.waits.sweep(now)
+	g.balancer.DropUnused(now, func(id string) bool {
+		_, known := v.Endpoint(id)
+		return known
+	})
 }
 
 // SetGroupEngines sets the engines that the box's group prefers.
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -65,14 +65,8 @@
 
 // handleRemotePace applies the parts of another box's placement that concern pauses.
 func (g *Gateway) handleRemotePace(now time.Time, p fleet.Placement) {
-	// The pace of an engine that this box doesn't know is of no use to it.
-	if e, known := g.view().Endpoint(p.Endpoint); known && p.Pace != nil {
-		if p.Pace.EventInterval > 0 {
-			g.learnPace(now, e.Service, e.ID, p.Pace.EventInterval)
-		}
-		if p.Pace.Ended {
-			g.balancer.ObserveStream(now, e.Service, e.ID, p.Pace.Exposures, p.Pace.Broken)
-		}
+	if p.Pace != nil {
+		g.learnRemotePace(now, p.Endpoint, p.Pace)
 	}
 	switch {
 	case !p.Sensitive:
@@ -83,6 +77,21 @@
 	}
 }
 
+// learnRemotePace learns from what another box observed of an engine. The pace of an engine that
+// this box doesn't know is of no use to it.
+func (g *Gateway) learnRemotePace(now time.Time, endpoint string, pace *fleet.EnginePace) {
+	e, known := g.view().Endpoint(endpoint)
+	if !known {
+		return
+	}
+	if pace.EventInterval > 0 {
+		g.learnPace(now, e.Service, e.ID, pace.EventInterval)
+	}
+	if pace.Ended {
+		g.balancer.ObserveStream(now, e.Service, e.ID, pace.Exposures, pace.Broken)
+	}
+}
+
 // EnginePaces returns the pace classes of the engines of each service with pause-sensitive
 // streams, by the service's name.
 func (g *Gateway) EnginePaces() map[string][]admission.PaceClassSummary {
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -61,6 +62,20 @@
 	return slices.Clone(l.placed)
 }
 
+// stoppingWriter is the connection of a caller that stops reading for a while.
+type stoppingWriter struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+func (w *stoppingWriter) Write(b []byte) (int, error) {
+	w.writes++
+	if w.writes == 8 {
+		time.Sleep(2 * pauseTarget)
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
 // pauseTarget is the target for pauses of the streams below, whose engines make an event every
 // 4 ms or every 180 ms.
 const (
@@ -218,6 +233,26 @@
 		Expect(b.gateway.EnginePaces()[emulator.ModelService][0].Breaks).To(BeZero())
 	})
 
+	// Guards against blaming an engine for a caller that reads its stream slowly.
+	It("whose caller stops reading for a while is no observation of its engine", func() {
+		start(slowdownProtocol{})
+		add("e-1", 30, fastInterval)
+		stream("f0")
+		before := len(placed.all())
+		r := httptest.NewRequest(http.MethodPost, emulator.StreamPath, strings.NewReader("prompt"))
+		r.Host = emulator.Host
+		r.Header.Set("X-Request-Id", "f1")
+		r.Header.Set("X-Deadline-Ms", "20000")
+		r.Header.Set("Api-Key", emulator.Key)
+		r.Header.Set("X-Token-Usage", "100,400")
+		b.gateway.ServeHTTP(&stoppingWriter{ResponseRecorder: httptest.NewRecorder()}, r)
+		all := placed.all()[before:]
+		Expect(all).To(HaveLen(2))
+		Expect(all[1].RunEnded).To(BeTrue())
+		Expect(all[1].Sensitive).To(BeTrue())
+		Expect(all[1].Pace).To(BeNil())
+	})
+
 	// Guards against changes for deployments whose endpoints report no slowdowns.
 	It("is served as one without where endpoints report no slowdowns", func() {
 		start(platform.Protocol{})
--- a/gateway/run_pace.go
+++ b/gateway/run_pace.go
@@ -14,6 +14,9 @@
 	paceIntervals = 15
 	// minPaceIntervals is the number of intervals that a shorter run must have.
 	minPaceIntervals = 4
+	// maxPassTime is how long passing an event to the caller may take in a run that is observed.
+	// It takes longer if the caller reads slowly, and then the next intervals aren't the engine's.
+	maxPassTime = 10 * time.Millisecond
 )
 
 // runPace observes how fast and steadily the engine of the current run generates.
@@ -60,7 +63,16 @@
 	return p.pace.isCounted
 }
 
-// recordPace records an event of the run.
+// recordPassTime records how long an event of the run took from its receipt until it was passed
+// to the caller. It ends the observation of the run if the caller reads slowly.
+func (p *proxiedRequest) recordPassTime(took time.Duration) {
+	if took > maxPassTime {
+		p.pace.isObserved = false
+		p.pace.isExposed = false
+	}
+}
+
+// recordPace records an event of the run, which was received at a time.
 func (p *proxiedRequest) recordPace(now time.Time) {
 	r := &p.pace
 	gap := now.Sub(r.lastEventAt)
@@ -73,7 +85,7 @@
 		r.prompts = p.gateway.balancer.PromptCount(p.endpoint.ID)
 		if r.isCounted && p.missedPause.Load() {
 			// The pause was between two runs, so it says nothing about an engine.
-			p.placePace(now, fleet.EnginePace{Broken: true})
+			p.announcePause(now, fleet.EnginePace{Broken: true})
 		}
 	case r.isObserved:
 		if len(r.intervals) < paceIntervals {
@@ -83,7 +95,7 @@
 			}
 		}
 		if r.isExposed && gap > p.route.PauseTarget {
-			p.placePace(now, p.endExposure(now, p.endpoint.ID, true))
+			p.announcePause(now, p.endExposure(now, p.endpoint.ID, true))
 		}
 	}
 }
@@ -103,9 +115,9 @@
 	p.pace.unsent = interval
 }
 
-// placePace notifies the group at once of a stream's first pause beyond the target, since
+// announcePause notifies the group at once of a stream's first pause beyond the target, since
 // further prompts at its engine do it no harm.
-func (p *proxiedRequest) placePace(now time.Time, pace fleet.EnginePace) {
+func (p *proxiedRequest) announcePause(now time.Time, pace fleet.EnginePace) {
 	p.gateway.onPlaced(fleet.Placement{
 		Endpoint:  p.endpoint.ID,
 		Tokens:    p.announcedTokens,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -109,23 +109,30 @@
 	}
 }
 
+// passEvent passes an event to the caller and records its times.
 func (p *proxiedRequest) passEvent(a *answer, e event) error {
 	if !p.headSent {
 		p.headSent = true
 		p.copyHeaders(a.head)
 		p.writer.WriteHeader(a.head.StatusCode)
 	}
-	p.call.Step(time.Now(), core.CallProgressed{})
+	received := time.Now()
+	p.call.Step(received, core.CallProgressed{})
 	if _, err := p.writer.Write(e.raw); err != nil {
 		return err
 	}
 	now := time.Now()
 	p.recordPacing(now)
+	p.recordPace(received)
 	p.gateway.balancer.RecordActivity(now, p.endpoint.ID)
 	p.lastEventID = e.id
 	p.events++
 	p.sharedEvents.Store(int64(p.events))
-	return http.NewResponseController(p.writer).Flush()
+	if err := http.NewResponseController(p.writer).Flush(); err != nil {
+		return err
+	}
+	p.recordPassTime(time.Since(received))
+	return nil
 }
 
 // recordPacing records the time of an event: the first event's delay and the longest pause
@@ -147,7 +154,6 @@
 		}
 	}
 	p.lastEventAt = now
-	p.recordPace(now)
 }
 
 // updateAverages updates the averages of event intervals and output lengths after a complete stream.
