admission: keep prompts off engines in a slow spell

Endpoints' reported slowdown was only used to enable the learning of pauses. An answer whose slowdown is 1.6 times the engine's usual one, or an interval of 1.8 times its pace (3.6 times while a prompt is prefilled) now shows a slow spell. The box that sees it first tells the group in fleet.Placement.SlowFor (cbor 12), logs it and counts it. Until an answer or an interval shows its end, or three times its usual length has passed, a prompt there is expected to break streams with eight times the average probability of the engine's class. The usual length is learned from the box's own observations; it is 0.3 s before.

--- a/admission/balancer.go
+++ b/admission/balancer.go
@@ -96,6 +96,7 @@
 	paces             map[string]*PaceTable // by service; only those with pause-sensitive streams
 	streamTime        time.Duration         // average duration of pause-sensitive streams
 	streamSize        float64               // average tokens owed by pause-sensitive streams
+	spells            *SlowSpells           // of engines whose service reports slowdowns
 	droppedUnusedAt   time.Time
 }
 
@@ -113,6 +114,7 @@
 		loads:       make(map[string]*endpointLoad),
 		sent:        make(map[sentKey]*flow),
 		paces:       make(map[string]*PaceTable),
+		spells:      NewSlowSpells(),
 		streamTime:  initialStreamTime,
 	}
 }
--- a/admission/endpoint_load.go
+++ b/admission/endpoint_load.go
@@ -259,6 +259,7 @@
 	for _, t := range b.paces {
 		t.Forget(id)
 	}
+	b.spells.Forget(id)
 	if l := b.loads[id]; l != nil && l.running <= 0 && l.copyTokens <= 0 {
 		delete(b.loads, id)
 	}
--- a/admission/miss_cost.go
+++ b/admission/miss_cost.go
@@ -52,7 +52,7 @@
 	}
 	misses := b.sizeWeight(float64(req.Size)) * (1 - meets)
 	if n := b.pacedStreamCount(now, l); n > 0 {
-		misses += b.sizeWeight(b.streamSize) * q * float64(n)
+		misses += b.sizeWeight(b.streamSize) * b.promptHarm(now, e.ID, q) * float64(n)
 	}
 	return misses
 }
@@ -63,6 +63,7 @@
 	Age              time.Duration // time since that was last observed
 	BreakProbability float64       // per prompt
 	Streams          int           // pause-sensitive ones there that have met their target so far
+	SlowFor          time.Duration // expected rest of the engine's slow spell; 0 if it is in none
 	ExpectedMisses   float64       // of the request and of those streams, weighted by size
 }
 
@@ -76,6 +77,7 @@
 	out := &PaceEstimate{
 		BreakProbability: t.BreakProbability(now, e.ID),
 		Streams:          b.pacedStreamCount(now, l),
+		SlowFor:          b.spells.Rest(now, e.ID),
 		ExpectedMisses:   b.expectedMisses(now, &e, l, req, b.memoryUse(now, l, req)),
 	}
 	if p := t.engines[e.ID]; p != nil {
--- a/admission/pace_simulation_events_test.go
+++ b/admission/pace_simulation_events_test.go
@@ -18,6 +18,7 @@
 		r.lastAt = s.now
 		r.box.ObservePrefill(r.queued, s.now-r.sentAt)
 		r.exposed = r.box.PromptCount(e.ID)
+		s.observeAnswer(e, r)
 		return
 	}
 	gap := s.now - r.lastAt
@@ -30,6 +31,7 @@
 	if !r.isLong() {
 		return
 	}
+	s.observeInterval(e, r, gap)
 	r.intervals = append(r.intervals, gap)
 	if len(r.intervals) == 15 {
 		pace := slices.Sorted(slices.Values(r.intervals))[3]
@@ -42,6 +44,35 @@
 	}
 }
 
+// observeAnswer has the box see the slowdown in the head of an answer, which comes with the first
+// event.
+func (s *paceSim) observeAnswer(e *paceEngine, r *paceRun) {
+	if !s.Spells {
+		return
+	}
+	slowdown := 1.0
+	if e.isSlow {
+		slowdown = paceSpellFactor
+	}
+	if spell, began := r.box.ObserveSlowdown(s.clock(), e.ID, slowdown); began {
+		s.tellSpell(e, r, spell)
+	}
+}
+
+func (s *paceSim) observeInterval(e *paceEngine, r *paceRun, interval time.Duration) {
+	if !s.Spells {
+		return
+	}
+	if spell, began := r.box.ObserveInterval(s.clock(), "", e.ID, interval); began {
+		s.tellSpell(e, r, spell)
+	}
+}
+
+func (s *paceSim) tellSpell(e *paceEngine, r *paceRun, spell admission.SlowSpell) {
+	s.spellsSeen++
+	s.tell(r.box, func(b *admission.Balancer) { b.RecordSlowSpell(s.clock(), e.ID, spell.Rest) })
+}
+
 // result ends the observation of a stream.
 func (s *paceSim) result(e *paceEngine, r *paceRun) {
 	exposures, paused := max(r.box.PromptCount(e.ID)-r.exposed, 0), r.paused
--- a/admission/pace_simulation_test.go
+++ b/admission/pace_simulation_test.go
@@ -18,7 +18,7 @@
 	paceStep        = 7830 * time.Microsecond
 	paceFastFactor  = 0.55
 	paceSlowFactor  = 1.2
-	paceFastShare   = 0.25
+	paceFastShare   = 0.25 // of the engines, by default
 	paceSpellFactor = 2.5
 	paceSpell       = 600 * time.Millisecond // mean length of a slow spell
 	paceUsual       = paceSpell * 85 / 15    // mean time between slow spells
@@ -36,6 +36,8 @@
 	Rate           float64 // requests per second
 	LongShare      float64
 	Baseline       bool    // without what the boxes learn of pauses
+	Spells         bool    // with what the boxes see of slow spells
+	FastShare      float64 // of the engines; paceFastShare if 0, none if negative
 	LostShare      float64 // of the messages between boxes
 	Duration       time.Duration
 	FreshBoxAt     time.Duration // if set, when a box is replaced by one that knows nothing
@@ -78,6 +80,7 @@
 	engines     []*paceEngine
 	created     int
 	long, short paceResult
+	spellsSeen  int        // messages about slow spells
 	fresh       paceResult // long streams of the box that was replaced, from paceLearning after that
 }
 
@@ -147,7 +150,11 @@
 		},
 		factor: paceSlowFactor,
 	}
-	if s.random.Float64() < paceFastShare {
+	fast := s.FastShare
+	if fast == 0 {
+		fast = paceFastShare
+	}
+	if s.random.Float64() < fast {
 		e.factor = paceFastFactor
 	}
 	s.engines = append(s.engines, e)
--- a/admission/unused.go
+++ b/admission/unused.go
@@ -24,6 +24,7 @@
 			delete(b.loads, id)
 		}
 	}
+	b.spells.dropUnused(now, isKnown)
 }
 
 // usedAt returns when this box or another one last used the endpoint, as far as known, or when it
--- a/fleet/placements.go
+++ b/fleet/placements.go
@@ -32,6 +32,7 @@
 	Pace      *EnginePace      `cbor:"9,keyasint,omitempty"`  // how fast and steadily the engine served a stream
 	Sensitive bool             `cbor:"10,keyasint,omitempty"` // the run has a target for its pauses
 	Priority  routing.Priority `cbor:"11,keyasint,omitempty"` // of the prompt that was sent
+	SlowFor   time.Duration    `cbor:"12,keyasint,omitempty"` // expected rest of the engine's slow spell, which was just seen
 }
 
 // Waiting informs the group of a request that waits at a box until an engine has room.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// countSpell counts an engine's slow spell that this box is the first to see.
+func (c *counters) countSpell(source spellSource) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_slow_spells_total{seen_by=%q}", source)).Inc()
+}
+
 // observeStream records the delay of a complete stream's first event and its longest pause.
 func (c *counters) observeStream(route string, first, longest time.Duration) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_first_event_seconds{route=%q}", route)).Update(first.Seconds())
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -113,12 +113,7 @@
 	if a.headers.NotRun {
 		return p.handleNotRun(a)
 	}
-	if a.headers.Load != nil {
-		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, a.headers.Load.Running+a.headers.Load.Waiting)
-		if a.headers.Load.HasSlowdown {
-			p.gateway.slowdowns.record(time.Now(), p.service.Name)
-		}
-	}
+	p.observeLoad(a.headers.Load)
 	if invalidReason := a.invalidReason(); invalidReason != "" {
 		a.close()
 		return p.failed(invalidReason, nil, core.CallBroken{})
@@ -234,9 +229,7 @@
 	status := a.head.StatusCode
 	_, err := io.Copy(io.Discard, io.LimitReader(a.head.Body, maxBufferedAnswer))
 	a.release(p, err == nil)
-	if a.headers.Load != nil {
-		p.gateway.balancer.ObserveLoad(time.Now(), p.endpoint.ID, a.headers.Load.Running+a.headers.Load.Waiting)
-	}
+	p.observeLoad(a.headers.Load)
 	p.gateway.balancer.Failed(time.Now(), p.endpoint.ID, status == http.StatusMisdirectedRequest)
 	p.logDecision("endpoint refused", zap.String("endpoint", p.endpoint.ID), zap.Int("status", status))
 	return core.CallRefused{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -236,6 +236,8 @@
 		g.balancer.RunEnded(now, p.Endpoint, p.Tokens, p.HeldTokens)
 		g.waits.notify()
 	case p.Pace != nil:
+	case p.SlowFor > 0:
+		g.handleRemoteSpell(now, p)
 	case p.Copy:
 		g.balancer.AddRemoteCopy(now, p.Endpoint, p.Tokens)
 	default:
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -109,6 +109,7 @@
 		zap.Float64("break_probability", math.Round(estimate.Pace.BreakProbability*1000)/1000),
 		zap.Int("paced_streams", estimate.Pace.Streams),
 		zap.Float64("expected_misses", math.Round(estimate.Pace.ExpectedMisses*1000)/1000),
+		zap.Duration("slow_for", estimate.Pace.SlowFor.Round(time.Millisecond)),
 		zap.Duration("pace_age", estimate.Pace.Age.Round(time.Millisecond)),
 	}
 }
--- a/gateway/run_pace.go
+++ b/gateway/run_pace.go
@@ -88,6 +88,7 @@
 			p.announcePause(now, fleet.EnginePace{Broken: true})
 		}
 	case r.isObserved:
+		p.observeInterval(now, gap)
 		if len(r.intervals) < paceIntervals {
 			r.intervals = append(r.intervals, gap)
 			if len(r.intervals) == paceIntervals {
