--- a/admission/slow_spells.go
+++ b/admission/slow_spells.go
@@ -23,11 +23,11 @@
 	slowAnswerFactor = 1.6
 	calmAnswerFactor = 1.2
 	// slowIntervalFactor and calmIntervalFactor are the same as multiples of an engine's time
-	// between events.
-	slowIntervalFactor = 1.8
+	// between events. A prompt about doubles that time; with 1.8, prompts of which this box lost
+	// the messages were taken for spells.
+	slowIntervalFactor = 2.1
 	calmIntervalFactor = 1.4
-	// promptedFactor is slowIntervalFactor while a prompt is prefilled, whose pieces about double
-	// the time of each step.
+	// promptedFactor is slowIntervalFactor while a prompt is prefilled.
 	promptedFactor = 2 * slowIntervalFactor
 	// usualRise is the weight of an answer's slowdown above the usual one in it. It is small, since
 	// slow spells must not raise the usual slowdown.
@@ -171,9 +171,10 @@
 }
 
 // learn adds the time since this box's latest observation of a spell to the time of all, and
-// reports whether it is known for that time.
+// reports whether the spell is known to have lasted until now. One of more than maxSpell is
+// ignored: its engine stays slow, which its pace will show.
 func (s *SlowSpells) learn(now time.Time, e *engineSpell) bool {
-	if e.slowAt.IsZero() || now.Sub(e.slowAt) > maxSpellGap {
+	if e.slowAt.IsZero() || now.Sub(e.slowAt) > maxSpellGap || now.Sub(e.since) > maxSpell {
 		return false
 	}
 	s.slowTime += now.Sub(e.slowAt)
--- a/admission/slow_spells_test.go
+++ b/admission/slow_spells_test.go
@@ -38,6 +38,7 @@
 	// Guards against engines that are avoided because they prefill a prompt.
 	It("are told from the effects of a prompt", func() {
 		Expect(observe(0, slowPace, true)).To(BeFalse())
+		Expect(observe(0, 2*pace, false)).To(BeFalse()) // the message about the prompt was lost
 		Expect(observe(time.Second, 2*slowPace, true)).To(BeTrue())
 	})
 
@@ -80,6 +81,14 @@
 		Expect(s.UsualLength()).To(BeNumerically("~", 13*slowPace, 50*time.Millisecond))
 	})
 
+	// Guards against an engine that stays slow, whose time would make all spells look long.
+	It("of a length beyond the bound raise the usual length by the bound only", func() {
+		for i := range 1200 {
+			observe(time.Duration(i)*slowPace, slowPace, false)
+		}
+		Expect(s.UsualLength()).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("are forgotten with their engine", func() {
 		observe(0, slowPace, false)
 		s.Forget("e1")
