--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,10 +210,6 @@
 		e, ok := v.Endpoint(id)
 		return ok && !e.Leaving
 	})
-	g.balancer.DropUnlisted(now, func(id string) bool {
-		_, listed := v.Endpoint(id)
-		return listed
-	})
 	g.dropExpiredEvacuations(now)
 	g.sendGate.sweep(now)
 	g.waits.sweep(now)
@@ -246,6 +242,8 @@
 		g.balancer.RunEnded(now, p.Endpoint, p.Tokens, p.HeldTokens)
 		g.waits.notify()
 	case p.Pace != nil:
+	case p.SlowFor > 0:
+		g.handleRemoteSpell(now, p)
 	case p.Copy:
 		g.balancer.AddRemoteCopy(now, p.Endpoint, p.Tokens)
 	default:
