gateway: record and show services whose endpoints can't be reached

Nothing told whether a box knew that it had lost its endpoints, since when, or why: "endpoint unreachable" lines name single requests. A box now logs when connections to several endpoints of a service fail without an answer in between and when one succeeds again, counts failed attempts by service and cause, and lists such services in its status. No decision uses it yet.

--- a/box/status.go
+++ b/box/status.go
@@ -33,6 +33,8 @@
 
 	Throttled []Throttled `json:"restrained,omitempty"`
 
+	Unreachable []UnreachableService `json:"unreachable,omitempty"`
+
 	Waiting        WaitingRequests `json:"waiting"`
 	Engines        []EngineLoad    `json:"engines,omitempty"`
 	OmittedEngines int             `json:"engines_left_out,omitempty"`
@@ -43,6 +45,7 @@
 const (
 	maxQuarantined = 32
 	maxThrottled   = 64
+	maxUnreachable = 8 // endpoints of an unreachable service
 )
 
 // Throttled is an endpoint that asked for a lower request rate or a pause.
@@ -52,6 +55,13 @@
 	Backoff   string   `json:"rest,omitempty"`       // time until this box may send to the endpoint again
 }
 
+// UnreachableService is a service whose endpoints accept no connections from this box.
+type UnreachableService struct {
+	Service   string   `json:"service"`
+	For       string   `json:"for"`       // time since it became unreachable
+	Endpoints []string `json:"endpoints"` // those whose last connection attempt failed
+}
+
 // Quarantined is a request that is refused because several endpoints crashed running it.
 type Quarantined struct {
 	Content   string   `json:"content"` // digest of the request, as in log lines of placements
@@ -122,6 +132,13 @@
 		})
 	}
 	s.Throttled = b.throttledEndpoints()
+	for _, u := range b.gateway.Unreachable() {
+		s.Unreachable = append(s.Unreachable, UnreachableService{
+			Service:   u.Service,
+			For:       time.Since(u.Since).Round(time.Millisecond).String(),
+			Endpoints: u.Endpoints[:min(len(u.Endpoints), maxUnreachable)],
+		})
+	}
 	b.addLoad(time.Now(), &s)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
--- a/commands/status.go
+++ b/commands/status.go
@@ -125,6 +125,12 @@
 	for _, r := range s.Throttled {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", r.Endpoint, formatRate(r.PerSecond), cmp.Or(r.Backoff, "-"))
 	}
+	if len(s.Unreachable) > 0 {
+		fmt.Fprintln(w, "\nUNREACHABLE SERVICE\tFOR\tENDPOINTS THAT ACCEPT NO CONNECTION")
+	}
+	for _, u := range s.Unreachable {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", u.Service, u.For, joinOrNone(u.Endpoints))
+	}
 	printLoad(w, s)
 	fmt.Fprintln(w, "\nBOX\tZONE\tSILENCE\tLEAVING")
 	for _, b := range s.Boxes {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,6 +45,7 @@
 	defer cancel()
 	conn, err := p.gateway.pool.get(ctx, now, p.endpoint, maxIdle, p.chooseConnectTimeout(copyName))
 	if err != nil {
+		p.recordConnectFailure(err)
 		p.gateway.sendGate.release(p.endpoint)
 		p.gateway.balancer.Failed(time.Now(), p.endpoint.ID, true)
 		p.gateway.onPlaced(fleet.Placement{
@@ -57,6 +58,9 @@
 		}
 		return core.CallUnsent{}
 	}
+	if conn.isNew {
+		p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
+	}
 	if !p.gateway.sendGate.send(time.Now(), p.service, p.endpoint) {
 		_ = conn.Close()
 		p.logDecision("send limit of the endpoint reached; request not sent", zap.String("endpoint", p.endpoint.ID))
@@ -77,6 +81,15 @@
 	return ev
 }
 
+// recordConnectFailure records that no connection to the request's endpoint could be opened. One
+// that was given up with the request says nothing about the endpoint.
+func (p *proxiedRequest) recordConnectFailure(err error) {
+	if p.request.Context().Err() != nil {
+		return
+	}
+	p.gateway.reachability.recordFailure(time.Now(), p.endpoint, len(p.gateway.view().Serving(p.endpoint.Service)), err)
+}
+
 // chooseConnectTimeout returns the timeout of a new connection, which is short if another
 // endpoint can take the request instead. A continuation needs the endpoint with the copy.
 func (p *proxiedRequest) chooseConnectTimeout(copyName string) time.Duration {
@@ -110,6 +123,7 @@
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's head failed", err, core.CallBroken{})
 	}
+	p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
 	if a.headers.NotRun {
 		return p.handleNotRun(a)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
 	unanswered         *unanswered
+	reachability       *reachability
 	moveTargets        *moveTargets
 	notices            *notices
 	crashProber        *engine.CrashProber
@@ -174,6 +175,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.reachability = newReachability(g.log)
 	return g
 }
 
