box, gateway: failing tests of boxes that reach no endpoint

What callers saw: 504 for requests that never left a box that had lost its endpoints, while other boxes served theirs.

Boxes and gateways take a function that opens connections to endpoints, by which the emulator breaks the paths of one box.

--- a/box/box.go
+++ b/box/box.go
@@ -14,6 +14,7 @@
 
 	"dillsaddle.example/dillsaddle/clock"
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/eventlog"
 	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/gateway"
@@ -59,6 +60,7 @@
 	gateway  *gateway.Gateway
 	clock    *clock.SuspensionDetector
 
+	dialEndpoint   engine.DialFunc
 	quarantine     *fleet.Quarantine
 	limits         *fleet.Limits
 	frontServer    *http.Server
@@ -70,8 +72,16 @@
 	settingsDigest uint64 // hash of the settings file as last read
 }
 
+// Option configures a box.
+type Option func(*Box)
+
+// WithEndpointDial sets the function that opens connections to endpoints.
+func WithEndpointDial(dial engine.DialFunc) Option {
+	return func(b *Box) { b.dialEndpoint = dial }
+}
+
 // Start starts a box with the given settings.
-func Start(o *Options, s *platform.Settings, log *zap.Logger, sink *eventlog.Sink) (*Box, error) {
+func Start(o *Options, s *platform.Settings, log *zap.Logger, sink *eventlog.Sink, options ...Option) (*Box, error) {
 	b := &Box{
 		options:  o,
 		settings: s,
@@ -79,6 +89,11 @@
 		sink:     sink,
 		done:     make(chan struct{}),
 		reloads:  make(chan struct{}, 1),
+
+		dialEndpoint: engine.Dial,
+	}
+	for _, option := range options {
+		option(b)
 	}
 	log.Info("start",
 		zap.String("box", s.Box),
@@ -89,7 +104,7 @@
 	)
 	b.clock = clock.New(b.handleSuspension, clock.WithErrorHandler(func(err error) { log.Warn("machine suspensions can't be detected", zap.Error(err)) }))
 	b.state = fleet.NewState(fleet.WithOnChange(b.handleChange))
-	engines := platform.NewEngineClient(platform.WithOnNotice(b.handleNotice))
+	engines := platform.NewEngineClient(platform.WithOnNotice(b.handleNotice), platform.WithEngineDial(b.dialEndpoint))
 	reports := fleet.NewLoadReports(engines, b.state, log.Named("reports"), b.handleReport, fleet.WithLoadQueryFilter(b.allowLoadQuery))
 	b.quarantine = fleet.NewQuarantine(log.Named("quarantine"))
 	b.limits = fleet.NewLimits(log.Named("limits"))
@@ -119,6 +134,7 @@
 	},
 		gateway.WithLog(log.Named("gateway")),
 		gateway.WithMover(engines),
+		gateway.WithDial(b.dialEndpoint),
 		gateway.WithBudgetShare(b.peers.BudgetShare),
 		gateway.WithRateShare(b.peers.RateShare),
 		gateway.WithOnPlaced(b.peers.BroadcastPlacement),
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -32,6 +32,7 @@
 	*box.Box
 	settings   emulator.BoxSettings
 	caller     *emulator.Caller
+	paths      *emulator.Paths // to all endpoints
 	statusAddr string
 }
 
@@ -86,15 +87,17 @@
 		s, err := platform.LoadSettings(path)
 		Expect(err).NotTo(HaveOccurred())
 		sink := eventlog.NewSink(io.Discard)
+		paths := emulator.NewPaths()
 		b, err := box.Start(&box.Options{
 			Settings:    path,
 			MetricsPort: int(netip.MustParseAddrPort(own[3]).Port()),
-		}, s, eventlog.New(sink, zap.InfoLevel), sink)
+		}, s, eventlog.New(sink, zap.InfoLevel), sink, box.WithEndpointDial(paths.Dial))
 		Expect(err).NotTo(HaveOccurred())
 		all = append(all, &testBox{
 			Box:        b,
 			settings:   settings,
 			caller:     emulator.NewCaller(own[0], emulator.Key),
+			paths:      paths,
 			statusAddr: own[3],
 		})
 	}
--- a/engine/crash_prober.go
+++ b/engine/crash_prober.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"os"
@@ -43,6 +44,7 @@
 // CrashProber finds out whether endpoints have crashed. Requests that fail at an endpoint
 // at the same time share one probe.
 type CrashProber struct {
+	dial   DialFunc
 	mu     sync.Mutex
 	probes map[string]*probe
 }
@@ -54,8 +56,13 @@
 	state     PortState // set before done is closed
 }
 
-// NewCrashProber returns a CrashProber.
-func NewCrashProber() *CrashProber { return &CrashProber{probes: make(map[string]*probe)} }
+// NewCrashProber returns a CrashProber that connects by dial.
+func NewCrashProber(dial DialFunc) *CrashProber {
+	return &CrashProber{
+		dial:   dial,
+		probes: make(map[string]*probe),
+	}
+}
 
 // Crashed reports whether an endpoint, given by its incarnation and address, has crashed, and
 // the port state that shows it. A broken connection alone is no proof: resets, invalid
@@ -98,14 +105,16 @@
 		done:      make(chan struct{}),
 	}
 	p.probes[endpoint] = q
-	go q.run(address)
+	go q.run(p.dial, address)
 	return q
 }
 
 // run connects to the endpoint and records the state of its port.
-func (q *probe) run(address netip.AddrPort) {
+func (q *probe) run(dial DialFunc, address netip.AddrPort) {
 	defer close(q.done)
-	c, err := net.DialTimeout("tcp", address.String(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := dial(ctx, address)
 	if err != nil {
 		q.state = PortRefused
 		if TimedOut(err) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,7 +86,7 @@
 		exited:            make(chan struct{}),
 		stop:              cancel,
 
-		crashProber: engine.NewCrashProber(),
+		crashProber: engine.NewCrashProber(engine.Dial),
 		quarantine:  fleet.NewQuarantine(log),
 	}
 	e.handlers = wire.NewHandlers(wire.WithVersions(e.state.Versions))
--- a/gateway/endpoint_conn.go
+++ b/gateway/endpoint_conn.go
@@ -43,7 +43,7 @@
 // setAckTimeout sets TCP_USER_TIMEOUT. Errors are ignored: the request's deadline still
 // bounds the connection.
 func setAckTimeout(c net.Conn) {
-	t, ok := c.(*net.TCPConn)
+	t, ok := c.(syscall.Conn)
 	if !ok {
 		return
 	}
@@ -69,7 +69,7 @@
 	if conn.reader.Buffered() > 0 {
 		return false
 	}
-	t, ok := conn.Conn.(*net.TCPConn)
+	t, ok := conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -73,6 +73,22 @@
 		}
 	})
 
+	// Callers don't repeat a request of unknown outcome.
+	It("is answered with 503 when its deadline passes before a connection was open", func() {
+		paths := emulator.NewPaths()
+		b = newTestbedWith(true, gateway.WithDial(paths.Dial))
+		s = b.add("i-1", emulator.PlainService)
+		paths.SetFault(emulator.PathSilent)
+		o := b.caller.Do(context.Background(), emulator.Call{
+			ID:       "u1",
+			Method:   http.MethodPost,
+			Path:     emulator.CallPath,
+			Deadline: time.Second,
+		})
+		Expect(o).To(And(HaveField("Status", http.StatusServiceUnavailable), HaveField("RetryAfter", Not(BeEmpty()))))
+		Expect(s.Runs()).To(BeEmpty())
+	})
+
 	It("is answered with 504 at its deadline when the endpoint is silent", func() {
 		s.SetFault(emulator.NoAnswer, 1)
 		o := post("g1")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	sendGate           *sendGate
 	waits              *waitQueue
 	box                string // this box's name, for messages about waits
+	dial               engine.DialFunc
 	pool               *Pool
 	log                *zap.Logger
 	counters           *counters
@@ -137,6 +138,11 @@
 	return func(g *Gateway) { g.checkSuspension = checkSuspension }
 }
 
+// WithDial sets the function that opens connections to endpoints.
+func WithDial(dial engine.DialFunc) Option {
+	return func(g *Gateway) { g.dial = dial }
+}
+
 // WithBoxName sets this box's name, by which other boxes know whose requests wait for room.
 func WithBoxName(box string) Option {
 	return func(g *Gateway) { g.box = box }
@@ -148,6 +154,7 @@
 		rules:            rules,
 		protocol:         protocol,
 		view:             view,
+		dial:             engine.Dial,
 		budgetShare:      func() core.BudgetShare { return core.BudgetShare{Boxes: 1} },
 		onPlaced:         func(fleet.Placement) {},
 		onEvacuating:     func(fleet.Evacuating) {},
@@ -165,16 +172,16 @@
 		evacuations:     make(map[string]*evacuation),
 		unanswered:      newUnanswered(),
 		notices:         newNotices(),
-		crashProber:     engine.NewCrashProber(),
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
 		checkSuspension: func() {},
 	}
 	g.waits = newWaitQueue(g)
 	g.moveTargets = newMoveTargets(g.balancer)
-	g.pool = NewPool(g.counters.openedConnections.Inc)
 	for _, o := range options {
 		o(g)
 	}
+	g.pool = NewPool(g.dial, g.counters.openedConnections.Inc)
+	g.crashProber = engine.NewCrashProber(g.dial)
 	g.reachability = newReachability(g.log)
 	return g
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -33,13 +33,15 @@
 	mu     sync.Mutex
 	conns  map[string][]*endpointConn // idle ones, by endpoint ID, the last used last
 	onOpen func()
+	dial   engine.DialFunc
 }
 
-// NewPool returns an empty pool; onOpen is called for each new connection.
-func NewPool(onOpen func()) *Pool {
+// NewPool returns an empty pool that connects by dial; onOpen is called for each new connection.
+func NewPool(dial engine.DialFunc, onOpen func()) *Pool {
 	return &Pool{
 		conns:  make(map[string][]*endpointConn),
 		onOpen: onOpen,
+		dial:   dial,
 	}
 }
 
@@ -61,8 +63,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", e.Address.String())
+	c, err := p.dial(ctx, e.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to endpoint "+e.ID)
 	}
