gateway: tell callers that a request without a connection has not run

What callers saw: 504 for a request whose deadline passed while its box opened a connection to an endpoint. 504 promises nothing, so requests that may run once aren't repeated, though no byte had left the box.

Cause: the deadline was reported to the call in place of the failed connection, so that the send still counted as one that may have run.

Now the send is recorded as unsent first; such a request gets 503 with Retry-After.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,10 +53,7 @@
 			AnswerOverdue: true,
 		})
 		p.logDecision("endpoint unreachable", zap.String("endpoint", p.endpoint.ID), zap.Error(err))
-		if ev := p.terminalEvent(); ev != nil {
-			return ev
-		}
-		return core.CallUnsent{}
+		return p.endOr(p.terminalEvent(), core.CallUnsent{})
 	}
 	if conn.isNew {
 		p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
@@ -154,13 +151,20 @@
 		zap.Duration("after", time.Since(p.placedAt)),
 		zap.Error(err),
 	)
-	if terminalEvent != nil {
-		if _, unsent := ev.(core.CallUnsent); unsent {
-			p.call.Step(time.Now(), ev)
-		}
-		return terminalEvent
+	return p.endOr(terminalEvent, ev)
+}
+
+// endOr returns the event that ends the request if there is one, otherwise ev. A send of which
+// nothing was sent is recorded as unsent in any case, or the caller would not be told that the
+// request has not run.
+func (p *proxiedRequest) endOr(terminalEvent, ev core.Event) core.Event {
+	if terminalEvent == nil {
+		return ev
 	}
-	return ev
+	if _, unsent := ev.(core.CallUnsent); unsent {
+		p.call.Step(time.Now(), ev)
+	}
+	return terminalEvent
 }
 
 // writeRequest writes the request's head and body; a large body is written concurrently.
