gateway, fleet: serve callers through other boxes while no endpoint is reached

What callers saw: a box that lost its paths to all endpoints, but not to callers, the store and other boxes, tried each endpoint until the time of the request was over: 7 of 135 first tries served there, 130 of 133 at the other boxes.

Cause: the only way from a request to an endpoint was the connection of the box that took it. Class: a duty that hangs on one box's own path although others reach the same place.

Now a box takes itself to be cut off from a service when connections to several endpoints fail, none answers meanwhile, and a probe of a sample fails too. It forwards the service's requests to boxes that aren't, as plain HTTP on the address for other boxes, and tells these by gossip. A request that fails to connect twice is forwarded without that. Which box: one of the own zone if at least half of it can, so that none gets much over twice its load; else one of all. The box that serves runs the request once and says in each answer whether an endpoint gave it, the request has not run, may have run, or was not served there: only then another box gets it. Retries, their budget and the limit of endpoints stay with the box that took the request. A stream with a copy continues through another box. Probes, three endpoints each 0.5 s, end it; answers don't, which arrive over one-way paths too. Without a box that reaches an endpoint, requests are refused at once after 2 s.

A box stays ready: open connections stay with it in any case, and with under half of a zone ready the platform uses all boxes again.

The same cause elsewhere: engines' load was queried by cut-off boxes, so their groups heard nothing of them; others do so now. A closed port counted as a crash of the endpoint under each request there; now not if another box is served by the service meanwhile.

--- a/box/box.go
+++ b/box/box.go
@@ -114,7 +114,7 @@
 		Address:    s.Peer,
 		InstanceID: rand.Uint64(),
 		LinkMbps:   s.LinkMbps,
-	}, s.Seeds, b.state, fleet.WithPeersLog(log.Named("peers")), fleet.WithLoadReports(reports), fleet.WithPlacementHandler(b.handlePlacement), fleet.WithBoxGoneHandler(b.handleBoxGone), fleet.WithEvacuationHandler(b.handleEvacuating), fleet.WithQuarantine(b.quarantine), fleet.WithLimits(b.limits), fleet.WithSuspensionCheck(b.clock.Check))
+	}, s.Seeds, b.state, fleet.WithPeersLog(log.Named("peers")), fleet.WithLoadReports(reports), fleet.WithPlacementHandler(b.handlePlacement), fleet.WithBoxGoneHandler(b.handleBoxGone), fleet.WithEvacuationHandler(b.handleEvacuating), fleet.WithQuarantine(b.quarantine), fleet.WithLimits(b.limits), fleet.WithSuspensionCheck(b.clock.Check), fleet.WithForwardedHandler(http.HandlerFunc(b.serveForwarded)))
 	if err != nil {
 		return nil, err
 	}
@@ -142,6 +142,7 @@
 		gateway.WithOnEvacuating(b.peers.BroadcastEvacuating),
 		gateway.WithOnLeaving(b.peers.ReportLeaving),
 		gateway.WithRetryBorrowing(b.peers.BorrowRetries),
+		gateway.WithForwarding(b.peers),
 		gateway.WithQuarantine(b.quarantine),
 		gateway.WithLimits(b.limits),
 		gateway.WithSuspensionCheck(b.clock.Check),
@@ -233,6 +234,15 @@
 	}
 }
 
+// serveForwarded passes a request that another box forwarded to the gateway.
+func (b *Box) serveForwarded(w http.ResponseWriter, r *http.Request) {
+	if b.gateway == nil {
+		http.NotFound(w, r)
+		return
+	}
+	b.gateway.ServeForwarded(w, r)
+}
+
 // handleNotice passes the notice in an engine's response to the gateway.
 func (b *Box) handleNotice(e routing.Endpoint, n gateway.Notice) {
 	if b.gateway != nil {
--- a/box/stop.go
+++ b/box/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"dillsaddle.example/dillsaddle/fleet"
 )
 
 // Done returns a channel that is closed when the box has stopped.
@@ -31,7 +33,18 @@
 	if err := b.frontServer.Shutdown(ctx); err != nil {
 		b.log.Warn("stopping with unfinished requests", zap.Int("active", b.gateway.Active()), zap.Error(err))
 	}
+	b.awaitForwarded(ctx)
 	b.cancel()
 	b.log.Info("stopped", zap.Int64("log_lines_left_out", b.sink.DroppedLines()))
 	close(b.done)
 }
+
+// forwardedPollInterval is how often a stopping box checks whether forwarded requests remain.
+const forwardedPollInterval = 20 * time.Millisecond
+
+// awaitForwarded waits until the requests that other boxes forwarded have finished, or ctx is done.
+func (b *Box) awaitForwarded(ctx context.Context) {
+	for b.gateway.Active() > 0 && ctx.Err() == nil {
+		fleet.Sleep(ctx, forwardedPollInterval)
+	}
+}
--- a/core/roster.go
+++ b/core/roster.go
@@ -16,6 +16,7 @@
 	Leaving    bool           `cbor:"6,keyasint,omitempty"`
 	Suspect    bool           `cbor:"7,keyasint,omitempty"` // the box didn't answer a gossip message
 	LinkMbps   uint32         `cbor:"8,keyasint,omitempty"` // speed of the box's link; 0 if unknown
+	CutOff     []string       `cbor:"9,keyasint,omitempty"` // services whose endpoints the box can't reach, sorted
 }
 
 // RosterRules configure how long boxes are remembered and how many are sent in a message.
@@ -89,6 +90,9 @@
 // MarkLeaving marks the box itself as leaving.
 func (r *Roster) MarkLeaving() { r.self.Leaving = true }
 
+// SetCutOff sets the services whose endpoints the box itself can't reach.
+func (r *Roster) SetCutOff(services []string) { r.self.CutOff = services }
+
 // RecordContact merges the record that a box sent about itself, which overrides gossip.
 func (r *Roster) RecordContact(now time.Time, m Peer) {
 	r.contacted = true
@@ -147,7 +151,7 @@
 		m.Leaving = m.Leaving || known.Leaving
 		m.Suspect = known.Suspect && m.Silence > r.rules.ClearWithin
 	}
-	if m.Leaving != known.Leaving || m.Suspect != known.Suspect || m.InstanceID != known.InstanceID {
+	if m.Leaving != known.Leaving || m.Suspect != known.Suspect || m.InstanceID != known.InstanceID || !slices.Equal(m.CutOff, known.CutOff) {
 		known.timesSent = 0
 	}
 	known.Peer = m
--- a/engine/crash_prober.go
+++ b/engine/crash_prober.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -131,6 +132,24 @@
 	}
 }
 
+// Err returns the error of a connection attempt to a port that isn't open, or nil.
+func (s PortState) Err() error {
+	switch s {
+	case PortOpen:
+		return nil
+	case PortSilent:
+		return errors.Wrap(os.ErrDeadlineExceeded, "connect to the port")
+	}
+	return errors.Wrap(syscall.ECONNREFUSED, "connect to the port")
+}
+
+// ProbePort connects to an endpoint's port by dial and returns its state.
+func ProbePort(dial DialFunc, address netip.AddrPort) PortState {
+	q := &probe{done: make(chan struct{})}
+	q.run(dial, address)
+	return q.state
+}
+
 // TimedOut reports whether an error is a timeout.
 func TimedOut(err error) bool {
 	var n net.Error
--- a/fleet/load_queries.go
+++ b/fleet/load_queries.go
@@ -109,22 +109,23 @@
 }
 
 // assignedEngines returns the engines that this box queries: of its group's preferred endpoints,
-// those for which this box hashes highest in the group. Until it has discovered its peers a box
+// those for which this box hashes highest in the group, without the boxes that can't reach them. Until it has discovered its peers a box
 // queries none, or every starting box would query all.
 func (r *LoadReports) assignedEngines() []routing.Endpoint {
 	v := r.state.View()
 	if v.Table == nil || !r.peers.HasDiscoveredPeers() {
 		return nil
 	}
-	self, group := r.peers.Self(), r.peers.Group()
+	self := r.peers.Self()
 	preferred := r.peers.PreferredEndpoints(v)
 	var assignedEngines []routing.Endpoint
 	for _, s := range v.Table.Document().Services {
 		if s.Engine == nil {
 			continue
 		}
+		members := r.peers.reachingMembers(s.Name)
 		for _, e := range v.Serving(s.Name) {
-			if preferred[e.ID] && hashesHighest(self, group.Members, e.ID) {
+			if preferred[e.ID] && hashesHighest(self, members, e.ID) {
 				assignedEngines = append(assignedEngines, e)
 			}
 		}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -54,6 +55,7 @@
 	budgets           RetryBudgets
 	quarantine        *Quarantine
 	limits            *Limits
+	forwarded         http.Handler // serves requests that other boxes forward; nil for none
 	checkSuspension   func()
 	onPlacement       func(time.Time, Placement)
 	onBoxGone         func(box string)
@@ -127,7 +129,7 @@
 	for _, o := range options {
 		o(p)
 	}
-	p.handlers = wire.NewHandlers(wire.WithOnAnswerSent(p.recordSentChunk), wire.WithNetwork(p.network))
+	p.handlers = wire.NewHandlers(wire.WithOnAnswerSent(p.recordSentChunk), wire.WithNetwork(p.network), wire.WithHTTPHandler(p.forwarded))
 	wire.HandleRequest(p.handlers, func(_ context.Context, c *wire.Conn, g Gossip) (Gossip, error) { return p.handleGossip(c, g), nil })
 	p.sender = newStateSender(state, p.log)
 	wire.HandleRequest(p.handlers, p.sender.handleStateRequest)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -23,6 +23,8 @@
 	body          []byte
 	remainder     io.Reader // the part of the body that is not in body yet, or nil
 	endpointConn  *endpointConn
+	pool          *Pool       // gets endpointConn back
+	pooledAs      string      // ID under which it does
 	writeResult   chan error  // receives the result of a request body written concurrently, or nil
 	stopAfterFunc func() bool // cancels closing the connection when the caller leaves
 }
@@ -48,17 +50,27 @@
 	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// readAnswer buffers the answer's body, up to maxBufferedAnswer.
-func (p *proxiedRequest) readAnswer(a *answer) core.Event {
+// readBody buffers the body, up to maxBufferedAnswer; what is left of a longer one is its remainder.
+func (a *answer) readBody() error {
 	body, err := io.ReadAll(io.LimitReader(a.head.Body, maxBufferedAnswer))
 	if err != nil {
-		a.close()
-		p.awaitEndpointCheck()
-		return p.failed("reading the answer's body failed", err, core.CallBroken{})
+		return err
 	}
 	a.body = body
 	if len(body) == maxBufferedAnswer {
 		a.remainder = a.head.Body
+	}
+	return nil
+}
+
+// readAnswer buffers the answer's body, up to maxBufferedAnswer.
+func (p *proxiedRequest) readAnswer(a *answer) core.Event {
+	if err := a.readBody(); err != nil {
+		a.close()
+		p.awaitEndpointCheck()
+		return p.failed("reading the answer's body failed", err, core.CallBroken{})
+	}
+	if a.remainder != nil {
 		return core.CallAnswered{}
 	}
 	a.release(p, true)
@@ -90,7 +102,7 @@
 		_ = a.endpointConn.Close()
 		return
 	}
-	p.gateway.pool.put(time.Now(), p.endpoint.ID, a.endpointConn, keepAlive(a.head.Header))
+	a.pool.put(time.Now(), a.pooledAs, a.endpointConn, keepAlive(a.head.Header))
 }
 
 func (a *answer) close() {
@@ -119,7 +131,11 @@
 	if a.remainder == nil && p.request.Method != http.MethodHead && bodyAllowed(a.head.StatusCode) {
 		p.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	p.recordEnd("answered", a.head.StatusCode)
+	outcome := "answered"
+	if p.forwardTo.Box != "" {
+		outcome = "answered by another box"
+	}
+	p.recordEnd(outcome, a.head.StatusCode)
 	p.writer.WriteHeader(a.head.StatusCode)
 	_, err := p.writer.Write(a.body)
 	if a.remainder == nil {
--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -43,6 +43,15 @@
 		return core.CallQuarantined{}
 	}
 	p.view = p.gateway.view()
+	if p.forwarded.copyToContinue() != "" {
+		return p.placeAtCopy()
+	}
+	if p.chooseBox(time.Now()) {
+		return core.CallPlaced{}
+	}
+	if p.isHopeless(time.Now()) {
+		return core.CallUnplaced{}
+	}
 	e, ok, ev := p.placeOrWait()
 	if ev != nil {
 		return ev
@@ -57,7 +66,7 @@
 	p.tried[e.ID] = true
 	p.placedAt = now
 	p.chooseBackup(now)
-	p.logDecision("placed", append(p.estimateFields(now, e),
+	p.logDecision("placed", append(append(p.estimateFields(now, e), p.forwarded.logFields()...),
 		zap.String("endpoint", e.ID),
 		zap.String("endpoint_zone", e.Zone),
 		zap.String("backup", p.backup.ID),
@@ -134,7 +143,13 @@
 
 // refuse answers a request that was not sent to any endpoint with an error.
 func (p *proxiedRequest) refuse(status int, reason string) {
+	p.refuseAs(forwardNotRun, status, reason)
+}
+
+// refuseAs does the same and, if another box forwarded the request, tells it the outcome.
+func (p *proxiedRequest) refuseAs(outcome forwardOutcome, status int, reason string) {
 	p.logDecision("refused", zap.Int("status", status), zap.String("why", reason))
+	p.markOutcome(outcome)
 	p.writeError(status, reason, p.retryDelay())
 	p.countOutcome("refused")
 }
@@ -144,6 +159,7 @@
 func (p *proxiedRequest) refuseQuarantined() {
 	reason := string(core.ReasonQuarantined)
 	p.logDecision("refused", zap.Int("status", http.StatusServiceUnavailable), zap.String("why", reason), zap.Stringer("content", p.contentDigest))
+	p.markOutcome(forwardNotRun)
 	p.writeError(http.StatusServiceUnavailable, reason+": it isn't run before the time in Retry-After", p.quarantineRemaining())
 	p.countOutcome("quarantined")
 }
@@ -177,6 +193,7 @@
 	if c.Reason == core.ReasonQuarantined {
 		retryAfter = p.quarantineRemaining()
 	}
+	p.markOutcome(outcomeOf(c))
 	p.writeError(status, string(c.Reason), retryAfter)
 	p.countOutcome("given up")
 }
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -134,6 +134,7 @@
 		return core.CallQuarantined{}
 	}
 	p.eventOrder.markSeam()
+	p.forwardTo = core.Peer{}
 	from := p.endpoint
 	if target := p.resumeFrom.target; p.gateway.view().Drained(target.Zone) {
 		p.logAsync("copy not used: its availability zone is drained", zap.String("broken", from.ID), zap.String("endpoint", target.ID))
@@ -151,6 +152,9 @@
 	)
 	p.gateway.counters.continuedStreams.Inc()
 	p.placedAt = time.Now()
+	if p.gateway.reachability.cutOffFor(p.placedAt, p.service.Name) > 0 && p.chooseBoxForCopy(p.placedAt, name) {
+		return p.forward()
+	}
 	p.chooseBackup(p.placedAt)
 	return p.send(name)
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -76,7 +76,12 @@
 		return
 	}
 	activeSince := func(at time.Time) bool { return p.gateway.balancer.ActiveSince(at, r.endpoint.ID) }
-	if portState, crashed := p.gateway.crashProber.Crashed(r.endpoint.ID, r.endpoint.Address, activeSince); crashed {
+	portState, crashed := p.gateway.crashProber.Crashed(r.endpoint.ID, r.endpoint.Address, activeSince)
+	if !crashed {
+		return
+	}
+	p.gateway.recordUnreachable(r.endpoint, portState.Err())
+	if !p.gateway.isPathLost(r.endpoint.Service) {
 		p.recordCrash(r, portState)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,9 @@
 // send sends the request to the chosen endpoint and reads the answer; a stream is passed on up
 // to its end. A non-empty copyName continues the run from that copy.
 func (p *proxiedRequest) send(copyName string) core.Event {
+	if p.forwardTo.Box != "" {
+		return p.forward()
+	}
 	now := time.Now()
 	defer p.endPlacing()
 	p.runFirstEventAt = time.Time{}
@@ -53,10 +56,13 @@
 			AnswerOverdue: true,
 		})
 		p.logDecision("endpoint unreachable", zap.String("endpoint", p.endpoint.ID), zap.Error(err))
-		return p.endOr(p.terminalEvent(), core.CallUnsent{})
+		if terminalEvent := p.terminalEvent(); terminalEvent != nil || copyName == "" || !p.chooseBoxForCopy(time.Now(), copyName) {
+			return p.endOr(terminalEvent, core.CallUnsent{})
+		}
+		return p.forward()
 	}
 	if conn.isNew {
-		p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
+		p.gateway.reachability.recordAnswer(p.service.Name)
 	}
 	if !p.gateway.sendGate.send(time.Now(), p.service, p.endpoint) {
 		_ = conn.Close()
@@ -78,18 +84,12 @@
 	return ev
 }
 
-// recordConnectFailure records that no connection to the request's endpoint could be opened. One
-// that was given up with the request says nothing about the endpoint.
-func (p *proxiedRequest) recordConnectFailure(err error) {
-	if p.request.Context().Err() != nil {
-		return
-	}
-	p.gateway.reachability.recordFailure(time.Now(), p.endpoint, len(p.gateway.view().Serving(p.endpoint.Service)), err)
-}
-
 // chooseConnectTimeout returns the timeout of a new connection, which is short if another
-// endpoint can take the request instead. A continuation needs the endpoint with the copy.
+// endpoint or box can take the request instead. A continuation needs the endpoint with the copy.
 func (p *proxiedRequest) chooseConnectTimeout(copyName string) time.Duration {
+	if p.isForwarded() || p.mayForward(time.Now()) {
+		return alternativeConnectTimeout
+	}
 	if copyName != "" {
 		return connectTimeout
 	}
@@ -106,7 +106,11 @@
 
 // exchange writes the request to a connection and reads the answer, of a stream its head.
 func (p *proxiedRequest) exchange(conn *endpointConn, copyName string) core.Event {
-	a := &answer{endpointConn: conn}
+	a := &answer{
+		endpointConn: conn,
+		pool:         p.gateway.pool,
+		pooledAs:     p.endpoint.ID,
+	}
 	p.answer = a
 	_ = conn.SetDeadline(p.currentDeadline())
 	a.stopAfterFunc = context.AfterFunc(p.request.Context(), func() { _ = conn.Close() })
@@ -120,7 +124,7 @@
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's head failed", err, core.CallBroken{})
 	}
-	p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
+	p.gateway.reachability.recordAnswer(p.service.Name)
 	if a.headers.NotRun {
 		return p.handleNotRun(a)
 	}
@@ -154,25 +158,9 @@
 	return p.endOr(terminalEvent, ev)
 }
 
-// endOr returns the event that ends the request if there is one, otherwise ev. A send of which
-// nothing was sent is recorded as unsent in any case, or the caller would not be told that the
-// request has not run.
-func (p *proxiedRequest) endOr(terminalEvent, ev core.Event) core.Event {
-	if terminalEvent == nil {
-		return ev
-	}
-	if _, unsent := ev.(core.CallUnsent); unsent {
-		p.call.Step(time.Now(), ev)
-	}
-	return terminalEvent
-}
-
-// writeRequest writes the request's head and body; a large body is written concurrently.
+// writeRequest writes the request to its endpoint.
 func (p *proxiedRequest) writeRequest(a *answer, copyName string) error {
-	var out bytes.Buffer
-	r := p.request
-	out.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	h := endToEndHeaders(r.Header)
+	h := endToEndHeaders(p.request.Header)
 	o := Outbound{
 		TimeLeft:   time.Until(p.currentDeadline()),
 		Endpoint:   p.endpoint.Name(),
@@ -187,6 +175,15 @@
 		o.BackupTo = p.backup.Address
 	}
 	p.gateway.protocol.Outbound(h, o)
+	return p.writeMessage(a, h)
+}
+
+// writeMessage writes the request with the given headers and its body; a large body is written
+// concurrently.
+func (p *proxiedRequest) writeMessage(a *answer, h http.Header) error {
+	var out bytes.Buffer
+	r := p.request
+	out.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(p.body) > 0 || r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		h.Set("Content-Length", strconv.Itoa(len(p.body)))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
 	unanswered         *unanswered
 	reachability       *reachability
+	forwarder          *forwarder
 	moveTargets        *moveTargets
 	notices            *notices
 	crashProber        *engine.CrashProber
@@ -64,6 +65,7 @@
 	checkSuspension    func()
 	bufferedBytes      atomic.Int64
 	activeRequests     atomic.Int64
+	activeForwarded    atomic.Int64              // of them, those that other boxes forwarded
 	suspended          atomic.Int64              // how long the machine was suspended since the process began, in ns
 	stopAt             atomic.Pointer[time.Time] // the end of a planned stop; nil if none is under way
 	unannouncedBreakAt atomic.Pointer[time.Time] // when a stream last broke off without notice; nil if none did
@@ -170,6 +172,7 @@
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
 		evacuations:     make(map[string]*evacuation),
+		forwarder:       newForwarder(),
 		unanswered:      newUnanswered(),
 		notices:         newNotices(),
 		quarantine:      fleet.NewQuarantine(zap.NewNop()),
@@ -182,7 +185,7 @@
 	}
 	g.pool = NewPool(g.dial, g.counters.openedConnections.Inc)
 	g.crashProber = engine.NewCrashProber(g.dial)
-	g.reachability = newReachability(g.log)
+	g.reachability = newReachability(g.log, g.forwarder.boxes.SetCutOff)
 	return g
 }
 
@@ -190,7 +193,10 @@
 func (g *Gateway) Active() int { return int(g.activeRequests.Load()) }
 
 // ServeHTTP proxies one request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve proxies one request, which another box forwarded if forwarded is not nil.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded *forwardedRequest) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	g.checkSuspension()
@@ -206,6 +212,7 @@
 		start:   time.Now(),
 		tried:   make(map[string]bool),
 
+		forwarded:       forwarded,
 		suspendedBefore: g.suspendedFor(),
 	}
 	p.serve()
@@ -222,6 +229,8 @@
 	g.dropExpiredEvacuations(now)
 	g.sendGate.sweep(now)
 	g.waits.sweep(now)
+	g.forwarder.sweep(now)
+	g.probeUnreachable(now)
 	g.balancer.DropUnused(now, func(id string) bool {
 		_, known := v.Endpoint(id)
 		return known
--- a/gateway/overdue_timer.go
+++ b/gateway/overdue_timer.go
@@ -74,13 +74,19 @@
 	}
 	p.gateway.unanswered.add(o)
 	usualAnswerTimes := p.gateway.usualAnswerTimes.mean(p.route.Name)
-	after := max(time.Duration(overdueFactor*float64(usualAnswerTimes)), time.Duration(minOverdueFraction*float64(p.route.LatencyTarget)))
+	after := p.overdueAfter()
 	if usualAnswerTimes > 0 && time.Until(p.currentDeadline()) > after+usualAnswerTimes {
 		o.timer = time.AfterFunc(after, func() { o.onOverdue(after) })
 	}
 	return o
 }
 
+// overdueAfter returns the time after which an answer, or a stream's first event, is overdue.
+func (p *proxiedRequest) overdueAfter() time.Duration {
+	usual := float64(p.gateway.usualAnswerTimes.mean(p.route.Name))
+	return time.Duration(max(overdueFactor*usual, minOverdueFraction*float64(p.route.LatencyTarget)))
+}
+
 func (o *overdueTimer) stop() {
 	if o.stopped {
 		return
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -12,6 +12,10 @@
 	Inbound(h http.Header) Inbound
 	// Outbound changes a copy of the caller's headers into the headers for an endpoint.
 	Outbound(h http.Header, o Outbound)
+	// Forwarded changes a copy of the caller's headers into those for another box, which serves
+	// the request within the time left. lastEvent is the ID of the last event that the caller of
+	// a continued stream has, or empty.
+	Forwarded(h http.Header, timeLeft time.Duration, lastEvent string)
 	// Answer decodes the status and headers of an endpoint's answer.
 	Answer(status int, h http.Header) Answer
 }
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -35,9 +35,14 @@
 	contentDigest   core.Digest // identifies the request and its repeats; see computeDigest
 	reservedBytes   int64       // memory reserved for body
 	call            *core.Call
-	endpoint        routing.Endpoint // the endpoint of the current send
-	backup          routing.Endpoint // the engine that gets a backup copy of the run; zero if none does
-	tried           map[string]bool  // IDs of endpoints that it was placed at
+	forwarded       *forwardedRequest // what the box said that forwarded the request to this one; nil if none did
+	forwardTo       core.Peer         // the box that gets the current send instead of an endpoint, or the zero value
+	forwards        int               // boxes that it was forwarded to
+	copyName        string            // copy of the run that forwardTo is to continue, or empty
+	failedConnects  int               // endpoints that accepted no connection for it
+	endpoint        routing.Endpoint  // the endpoint of the current send
+	backup          routing.Endpoint  // the engine that gets a backup copy of the run; zero if none does
+	tried           map[string]bool   // IDs of endpoints that it was placed at
 	answer          *answer
 	lastEventID     string // ID of the last event passed to the caller
 	eventOrder      eventOrder
@@ -78,6 +83,10 @@
 	if !p.resolveRoute() {
 		return
 	}
+	if reason := p.unservedReason(); reason != "" {
+		p.refuseAs(forwardUnserved, http.StatusServiceUnavailable, reason)
+		return
+	}
 	p.deadline = p.start.Add(p.timeout())
 	if p.outlastsStop() {
 		p.refuse(http.StatusServiceUnavailable, "this box stops before the stream would end; another one can serve it")
@@ -92,20 +101,27 @@
 		p.refuseQuarantined()
 		return
 	}
-	p.gateway.withBudget(p.service.Name, p.start, func(b *core.SharedBudget) { b.CountRequest(p.start) })
+	if !p.isForwarded() {
+		p.gateway.withBudget(p.service.Name, p.start, func(b *core.SharedBudget) { b.CountRequest(p.start) })
+	}
 	p.call = core.NewCall(p.callRules(), p.takeRetry)
 	defer p.finish()
 	p.runCall()
 }
 
-// callRules returns the rules for the request's sends.
+// callRules returns the rules for the request's sends. A forwarded request is run once here: the
+// forwarding box decides on further runs, as it may forward it to several boxes.
 func (p *proxiedRequest) callRules() core.CallRules {
-	return core.CallRules{
+	rules := core.CallRules{
 		Repeatable:   p.route.MayRepeat(),
 		Resumable:    p.route.Resumable,
 		MaxEndpoints: max(p.route.MaxEndpoints, 1),
 		MaxSends:     maxSends,
 	}
+	if p.isForwarded() {
+		rules.MaxEndpoints = 1
+	}
+	return rules
 }
 
 // takeRetry spends one send of the retry budget, and reports whether there was one. If this box's
@@ -150,7 +166,7 @@
 	case core.PlaceCall:
 		return p.chooseEndpoint()
 	case core.SendCall:
-		return p.send("")
+		return p.send(p.forwarded.copyToContinue())
 	case core.ContinueCall:
 		return p.continueFromCopy()
 	case core.ResumeCall:
--- a/gateway/waiting_request.go
+++ b/gateway/waiting_request.go
@@ -243,6 +243,7 @@
 		zap.String("priority", priorityText(p.priority())),
 	)
 	p.gateway.counters.countWait(p.route.Name, waitRefused)
+	p.markOutcome(forwardNotRun)
 	p.writeError(r.status, r.reason, retryAfter)
 	p.countOutcome("refused")
 }
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -20,6 +20,7 @@
 	onAnswerSent func(SentAnswer)
 	network      Network
 	client       *http.Client // dials WebSocket connections over network
+	http         http.Handler // serves requests that open no WebSocket connection; nil for none
 }
 
 // SentAnswer describes an answer that was written to its connection, or failed to be.
@@ -54,6 +55,11 @@
 	return func(h *Handlers) { h.network = n }
 }
 
+// WithHTTPHandler sets a handler for the HTTP requests that don't open a connection for messages.
+func WithHTTPHandler(handler http.Handler) HandlersOption {
+	return func(h *Handlers) { h.http = handler }
+}
+
 // NewHandlers returns Handlers without any registered handler.
 func NewHandlers(options ...HandlersOption) *Handlers {
 	h := &Handlers{
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -13,6 +14,14 @@
 // Path is the HTTP path on which a process accepts WebSocket connections.
 const Path = "/dillsaddle/1"
 
+const (
+	// readHeaderTimeout bounds the time to read a request's header.
+	readHeaderTimeout = 5 * time.Second
+	// httpIdleTimeout is how long an idle connection for requests other than messages is kept;
+	// it exceeds the time for which clients reuse one.
+	httpIdleTimeout = time.Minute
+)
+
 // Server accepts connections from other processes.
 type Server struct {
 	http     *http.Server
@@ -31,13 +40,28 @@
 		handlers: handlers,
 		conns:    make(map[*Conn]bool),
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc(Path, s.accept)
-	s.http = &http.Server{Handler: mux}
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.serveHTTP),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       httpIdleTimeout,
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
 
+// serveHTTP accepts connections for messages and passes other requests to their handler, whose
+// paths may be any.
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == Path && r.Header.Get("Upgrade") != "":
+		s.accept(w, r)
+	case s.handlers.http != nil:
+		s.handlers.http.ServeHTTP(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
 	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
