engine, gateway: bear a sound endpoint's silence of a second

What callers could see: a stream taken from its engine and run again at the copy's while the first still ran it, and requests quarantined that crashed nothing.

Cause: an engine that was silent for 0.61 s, or a port for 1 s, was taken for lost. Sound endpoints may be silent for about a second.

Now only 1.75 s of silence count; the stream's engine is pinged twice a second until then. Closed ports are detected as before.

--- a/engine/crash_prober.go
+++ b/engine/crash_prober.go
@@ -25,6 +25,9 @@
 	// recheckDelay is the time until an endpoint is probed again after an unclear result: an
 	// overloaded endpoint sends other responses meanwhile.
 	recheckDelay = 400 * time.Millisecond
+	// MaxSoundSilence is how long a sound endpoint may be silent: for about a second, with a
+	// margin. Only one that is silent for longer is taken for lost.
+	MaxSoundSilence = 1750 * time.Millisecond
 	// CrashProbeWait bounds how long a failed request waits for the probe of its endpoint
 	// before it is answered or retried. A closed port is detected within a round trip.
 	CrashProbeWait = 60 * time.Millisecond
@@ -72,12 +75,15 @@
 func (p *CrashProber) Crashed(endpoint string, address netip.AddrPort, heardSince func(time.Time) bool) (PortState, bool) {
 	start := time.Now()
 	state := p.probePort(start, endpoint, address)
-	if state != PortRefused && state != PortOpen {
+	for state == PortDropsConnections || state == PortSilent {
 		time.Sleep(recheckDelay)
 		if heardSince(start) {
 			return PortOpen, false
 		}
 		state = p.probePort(time.Now(), endpoint, address)
+		if state != PortSilent || time.Since(start) >= MaxSoundSilence {
+			break
+		}
 	}
 	return state, state != PortOpen
 }
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -17,18 +19,21 @@
 	minStallTime = 300 * time.Millisecond
 	// pingTimeout is how long an engine may take to answer a ping.
 	pingTimeout = 250 * time.Millisecond
+	// pingInterval is the time between two pings of an engine that didn't answer.
+	pingInterval = 250 * time.Millisecond
 )
 
 // watchdog detects engines that died without closing their connections. When a stream
-// stalls, its engine is pinged; if it doesn't answer, the connection is closed so that the
-// stream can continue from its copy. If it answers, the stream is kept: the run was
-// preempted or waits.
+// stalls, its engine is pinged; if it doesn't answer until it has been silent for longer than a
+// sound engine may be, the connection is closed so that the stream can continue from its copy. If
+// it answers, the stream is kept: the run was preempted or waits.
 type watchdog struct {
 	proxiedRequest *proxiedRequest
 	engine         routing.Endpoint
 	endpointConn   *endpointConn
 	stallTime      time.Duration // time without an event after which the engine is pinged
 	timer          *time.Timer
+	events         atomic.Int64 // number of resets
 }
 
 // startWatchdog starts a watchdog for a stream with a backup copy; without one the watchdog
@@ -48,6 +53,7 @@
 
 // reset restarts the timer after an event.
 func (w *watchdog) reset() {
+	w.events.Add(1)
 	if w.timer != nil {
 		w.timer.Reset(w.stallTime)
 	}
@@ -61,22 +67,42 @@
 
 func (w *watchdog) onStall() {
 	p := w.proxiedRequest
-	if !p.gateway.sendGate.allowLoadQuery(time.Now(), w.engine) {
-		w.timer.Reset(w.stallTime)
-		return
+	events := w.events.Load()
+	silentSince := time.Now().Add(-w.stallTime)
+	for {
+		if !p.gateway.sendGate.allowLoadQuery(time.Now(), w.engine) {
+			w.timer.Reset(w.stallTime)
+			return
+		}
+		err := w.ping()
+		if p.request.Context().Err() != nil || w.events.Load() != events {
+			return // the stream has ended, or an event restarted the timer
+		}
+		if err == nil {
+			w.timer.Reset(w.stallTime)
+			return
+		}
+		if time.Since(silentSince) >= engine.MaxSoundSilence {
+			w.closeConn(time.Since(silentSince), err)
+			return
+		}
+		time.Sleep(pingInterval)
 	}
-	ctx, cancel := context.WithTimeout(p.request.Context(), pingTimeout)
+}
+
+// ping pings the engine.
+func (w *watchdog) ping() error {
+	ctx, cancel := context.WithTimeout(w.proxiedRequest.request.Context(), pingTimeout)
 	defer cancel()
-	pingedAt := time.Now()
-	err := p.gateway.mover.Ping(ctx, w.engine)
-	if err == nil || p.request.Context().Err() != nil {
-		w.timer.Reset(w.stallTime)
-		return
-	}
+	return w.proxiedRequest.gateway.mover.Ping(ctx, w.engine)
+}
+
+// closeConn closes the connection to an engine that is taken for lost.
+func (w *watchdog) closeConn(silence time.Duration, err error) {
+	p := w.proxiedRequest
 	p.logAsync("engine did not answer a ping; its stream's connection is closed",
 		zap.String("endpoint", w.engine.ID),
-		zap.Duration("silent_for", w.stallTime),
-		zap.Duration("asked_for", time.Since(pingedAt)),
+		zap.Duration("silent_for", silence),
 		zap.Error(err),
 	)
 	p.gateway.balancer.Failed(time.Now(), w.engine.ID, true)
