--- a/gateway/endpoint_conn.go
+++ b/gateway/endpoint_conn.go
@@ -9,16 +9,9 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// readBufferBytes is the buffer for the head of an endpoint's answer; larger reads
-	// of the body bypass it.
-	readBufferBytes = 4 << 10
-	// ackTimeout closes a connection whose sent bytes the peer's kernel does not
-	// acknowledge, as after a network failure.
-	ackTimeout = 3 * time.Second
-	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-	tcpUserTimeout = 18
-)
+// readBufferBytes is the buffer for the head of an endpoint's answer; larger reads of the body
+// bypass it.
+const readBufferBytes = 4 << 10
 
 // endpointConn is a connection to one incarnation of an endpoint; it carries one request at
 // a time.
@@ -32,7 +25,6 @@
 }
 
 func newEndpointConn(c net.Conn) *endpointConn {
-	setAckTimeout(c)
 	return &endpointConn{
 		Conn:   c,
 		reader: bufio.NewReaderSize(c, readBufferBytes),
@@ -40,22 +32,6 @@
 	}
 }
 
-// setAckTimeout sets TCP_USER_TIMEOUT. Errors are ignored: the request's deadline still
-// bounds the connection.
-func setAckTimeout(c net.Conn) {
-	t, ok := c.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-	})
-}
-
 // Write writes to the connection and counts the bytes written.
 func (conn *endpointConn) Write(p []byte) (int, error) {
 	n, err := conn.Conn.Write(p)
