core, gateway: keep brittle endpoints from rejecting too many requests

Some services' endpoints say in all answers that one which has to reject more than N requests in a second for want of room fails for some seconds.

All boxes together now leave at most an endpoint's places and N more requests unanswered there, each its share by rendezvous hashing. After a rejection a box halves its limit there and raises it by one about every 2 s, since an endpoint whose memory is full has fewer places than it lists. A box without a share at any endpoint has one request unanswered at the service, and pauses after a rejection. What an endpoint says goes for its service. Continuations from copies are exempt: their place is kept.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -17,6 +17,7 @@
 	continuedStreams  *metrics.Counter
 	strayAnswers      *metrics.Counter
 	limitNotices      *metrics.Counter // answers that announced a rate limit
+	brittleNotices    *metrics.Counter // answers that announced that the endpoints are brittle
 	leavingNotices    *metrics.Counter // answers that announced that the endpoint leaves
 	backoffs          *metrics.Counter // answers that asked this box to back off
 	crashes           *metrics.Counter // endpoint crashes, counted once for each request that was running
@@ -31,6 +32,7 @@
 		continuedStreams:  metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
 		strayAnswers:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
 		limitNotices:      metrics.GetOrCreateCounter("dillsaddle_endpoint_limits_named_total"),
+		brittleNotices:    metrics.GetOrCreateCounter("dillsaddle_endpoint_brittle_answers_total"),
 		leavingNotices:    metrics.GetOrCreateCounter("dillsaddle_endpoint_leaving_answers_total"),
 		backoffs:          metrics.GetOrCreateCounter("dillsaddle_endpoint_rests_asked_total"),
 		crashes:           metrics.GetOrCreateCounter("dillsaddle_endpoints_ended_under_requests_total"),
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,7 +64,7 @@
 	if conn.isNew {
 		p.gateway.reachability.recordAnswer(p.service.Name)
 	}
-	if !p.gateway.sendGate.send(time.Now(), p.service, p.endpoint) {
+	if !p.gateway.sendGate.send(time.Now(), p.service, p.endpoint, copyName != "") {
 		_ = conn.Close()
 		p.logDecision("send limit of the endpoint reached; request not sent", zap.String("endpoint", p.endpoint.ID))
 		return core.CallUnsent{}
@@ -74,7 +74,9 @@
 	p.endPlacing()
 	p.overdueTimer = p.startOverdueTimer(conn)
 	defer p.overdueTimer.stop()
+	endpoint := p.endpoint
 	ev := p.exchange(conn, copyName)
+	p.gateway.sendGate.answered(time.Now(), endpoint, p.isRejection(ev))
 	if _, isStream := ev.(streamStarted); isStream {
 		return p.stream(now)
 	}
@@ -84,6 +86,12 @@
 	return ev
 }
 
+// isRejection reports whether an event is that the endpoint had no room for the request.
+func (p *proxiedRequest) isRejection(ev core.Event) bool {
+	_, refused := ev.(core.CallRefused)
+	return refused && p.answer.head.StatusCode != http.StatusMisdirectedRequest
+}
+
 // chooseConnectTimeout returns the timeout of a new connection, which is short if another
 // endpoint or box can take the request instead. A continuation needs the endpoint with the copy.
 func (p *proxiedRequest) chooseConnectTimeout(copyName string) time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	return func(g *Gateway) {
 		g.sendGate.cold.share = share
 		g.sendGate.limits.share = share
+		g.sendGate.brittle.share = share
 	}
 }
 
@@ -183,6 +184,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.sendGate.brittle.log = g.log
 	g.pool = NewPool(g.dial, g.counters.openedConnections.Inc)
 	g.crashProber = engine.NewCrashProber(g.dial)
 	g.reachability = newReachability(g.log, g.forwarder.boxes.SetCutOff)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -57,6 +57,9 @@
 	Limit   float64       // the limit in requests per second, from all boxes together
 	Leaving bool          // it is leaving
 	Backoff time.Duration // for how long this box must not send to it; 0 if it may
+
+	Brittle    bool // the endpoints of its service fail if they reject too many requests
+	Rejections int  // the most per second that one of them bears, from all boxes together
 }
 
 // Load is the load of an endpoint when it answered.
--- a/gateway/send_gate.go
+++ b/gateway/send_gate.go
@@ -18,6 +18,7 @@
 	backoffs *backoffs
 	cold     *coldLimiter
 	limits   *rateLimiter
+	brittle  *brittleLimiter
 }
 
 func newSendGate(allowance routing.ColdAllowance, limits *fleet.Limits) *sendGate {
@@ -25,12 +26,13 @@
 		backoffs: newBackoffs(),
 		cold:     newColdLimiter(allowance),
 		limits:   newRateLimiter(limits),
+		brittle:  newBrittleLimiter(),
 	}
 }
 
 // isExhausted reports whether an endpoint is known to take no send from this box now.
 func (g *sendGate) isExhausted(now time.Time, e routing.Endpoint) bool {
-	return g.isBackingOff(now, e) || g.cold.isExhausted(now, e) || g.limits.isExhausted(now, e.ID)
+	return g.isBackingOff(now, e) || g.cold.isExhausted(now, e) || g.limits.isExhausted(now, e.ID) || g.brittle.isExhausted(now, e)
 }
 
 // isBackingOff reports whether the endpoint asked this box to send nothing until later.
@@ -45,7 +47,7 @@
 
 // isLimited reports whether an endpoint is throttled or cold.
 func (g *sendGate) isLimited(now time.Time, e routing.Endpoint) bool {
-	return e.ColdAt(now) || g.isThrottled(now, e)
+	return e.ColdAt(now) || g.isThrottled(now, e) || g.brittle.isExhausted(now, e)
 }
 
 // reserve reserves a send for a planned request and reports whether one was left.
@@ -67,17 +69,27 @@
 }
 
 // send spends a reserved send on a request that goes out now and reports whether it may go
-// out. Otherwise the reservation is released.
-func (g *sendGate) send(now time.Time, s *routing.Service, e routing.Endpoint) bool {
-	if g.isBackingOff(now, e) {
+// out; continues is set if it continues from a copy. If it may, answered must be called for it; otherwise the reservation is released.
+func (g *sendGate) send(now time.Time, s *routing.Service, e routing.Endpoint, continues bool) bool {
+	if g.isBackingOff(now, e) || !g.brittle.send(now, e, continues) {
 		g.release(e)
 		return false
 	}
 	if !g.limits.send(now, e.ID, true) {
 		g.cold.release(e)
+		g.brittle.answered(now, e, false)
 		return false
 	}
-	return g.cold.send(now, s, e)
+	if !g.cold.send(now, s, e) {
+		g.brittle.answered(now, e, false)
+		return false
+	}
+	return true
+}
+
+// answered records that the answer to a request has begun, or that none will come.
+func (g *sendGate) answered(now time.Time, e routing.Endpoint, isRejected bool) {
+	g.brittle.answered(now, e, isRejected)
 }
 
 // allowMove spends a send on a request to an engine to move one of its runs, and reports
@@ -112,6 +124,7 @@
 	g.backoffs.sweep(now)
 	g.cold.sweep(now)
 	g.limits.sweep(now)
+	g.brittle.sweep(now)
 }
 
 // candidates returns the endpoints in the request's allowed regions that may take it now.
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -15,6 +15,9 @@
 	if n.Limited {
 		g.counters.limitNotices.Inc()
 	}
+	if n.Brittle {
+		g.counters.brittleNotices.Inc()
+	}
 	if n.Leaving {
 		g.counters.leavingNotices.Inc()
 		// The store may not list it as leaving yet, or may be unavailable.
@@ -26,6 +29,7 @@
 		g.log.Info("endpoint asked this box to back off", zap.String("endpoint", e.ID), zap.Duration("for", n.Backoff))
 	}
 	g.sendGate.limits.announced.RecordAnswer(now, e.ID, n.Limited, n.Limit)
+	g.sendGate.brittle.recordAnswer(e.Service, n.Brittle, n.Rejections)
 }
 
 // Throttle holds the limits on sends that an endpoint asked for.
