gateway: keep a box that merely has no endpoint for one request; soak cuts paths

Cause: a forwarded request for which the other box had no endpoint at the moment (all limited or backing off) kept all requests from that box for a second. With three boxes, none was left.

Now that outcome is told apart: the request goes to another box, and others may follow. A box that serves nothing for the service is left out for 0.3 s, one that doesn't answer for 1 s, and all are used rather than none. Answers of endpoints that are invalid or break off no longer count against the box.

A box takes the local address of its connections to endpoints as a flag, by which the proxies know it.

--- a/box/main.go
+++ b/box/main.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/eventlog"
 	"dillsaddle.example/dillsaddle/platform"
 )
@@ -35,6 +37,7 @@
 	MetricsPort int
 	LogLevel    string
 	Check       bool
+	Source      string
 }
 
 func parse(arguments []string) (*Options, error) {
@@ -43,6 +46,7 @@
 	fs.StringVar(&o.Settings, "settings", os.Getenv(platform.SettingsVariable), "platform's settings `FILE`")
 	fs.IntVar(&o.MetricsPort, "metrics-port", 9464, "`port` for metrics and status on the box's address")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn, error")
+	fs.StringVar(&o.Source, "source", "", "local IP `address` of connections to endpoints; the system chooses one if empty")
 	fs.BoolVar(&o.Check, "check", false, "check the settings and exit")
 	return o, ff.Parse(fs, arguments)
 }
@@ -74,7 +78,15 @@
 	}
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryBytes)))
 	sink := eventlog.NewSink(out)
-	b, err := Start(o, s, eventlog.New(sink, level.Level()), sink)
+	var options []Option
+	if o.Source != "" {
+		source, err := netip.ParseAddr(o.Source)
+		if err != nil {
+			return fail(errors.Wrap(err, "parse -source"), exitUsage)
+		}
+		options = append(options, WithEndpointDial(engine.DialFrom(source)))
+	}
+	b, err := Start(o, s, eventlog.New(sink, level.Level()), sink, options...)
 	if err != nil {
 		return fail(err, exitError)
 	}
--- a/engine/dial.go
+++ b/engine/dial.go
@@ -30,7 +30,21 @@
 
 // Dial opens a TCP connection to an endpoint that fails within ackTimeout after the path is lost.
 func Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{
+	d := newDialer()
+	return d.DialContext(ctx, "tcp", to.String())
+}
+
+// DialFrom returns a Dial whose connections have the given local address.
+func DialFrom(source netip.Addr) DialFunc {
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		d := newDialer()
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+		return d.DialContext(ctx, "tcp", to.String())
+	}
+}
+
+func newDialer() net.Dialer {
+	return net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveInterval,
@@ -39,7 +53,6 @@
 		},
 		Control: setAckTimeout,
 	}
-	return d.DialContext(ctx, "tcp", to.String())
 }
 
 // setAckTimeout sets TCP_USER_TIMEOUT.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,9 +27,10 @@
 	// maxFailedConnects is the number of endpoints that a request may fail to connect to before
 	// it is forwarded.
 	maxFailedConnects = 2
-	// forwardExclusion is how long a box that could not serve a forwarded request gets no
-	// others.
-	forwardExclusion = time.Second
+	// forwardExclusion is how long a box that didn't answer a forwarded request gets no others,
+	// and shortForwardExclusion how long one that answered that it can't serve the service.
+	forwardExclusion      = time.Second
+	shortForwardExclusion = 300 * time.Millisecond
 	// forwardSlack is how long after a forwarded request's deadline its answer is awaited: only
 	// the other box knows whether the request ran.
 	forwardSlack = 150 * time.Millisecond
@@ -53,11 +55,12 @@
 // forwardOutcome says where an answer to a forwarded request comes from.
 type forwardOutcome string
 
-// The outcomes. All but the first are answers of the box itself. After forwardUnserved another box
-// may serve the request.
+// The outcomes. All but the first are answers of the box itself. After forwardUnserved and
+// forwardBusy another box may serve the request.
 const (
 	forwardAnswered forwardOutcome = "answered" // by an endpoint
-	forwardUnserved forwardOutcome = "unserved" // not run, since the box can't reach an endpoint or take the request
+	forwardUnserved forwardOutcome = "unserved" // not run, since the box serves no requests for the service now
+	forwardBusy     forwardOutcome = "busy"     // not run, since no endpoint takes this request from the box now
 	forwardNotRun   forwardOutcome = "not-run"
 	forwardUnknown  forwardOutcome = "unknown"
 )
@@ -104,11 +107,11 @@
 
 func (noForwarding) SetCutOff([]string) {}
 
-// exclude keeps a service's requests from a box for a moment.
-func (f *forwarder) exclude(now time.Time, box, service string) {
+// exclude keeps a service's requests from a box for a time.
+func (f *forwarder) exclude(now time.Time, box, service string, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.excluded[box+"/"+service] = now.Add(jitter(forwardExclusion))
+	f.excluded[box+"/"+service] = now.Add(jitter(d))
 }
 
 func (f *forwarder) isExcluded(now time.Time, box, service string) bool {
@@ -156,7 +159,7 @@
 		return false
 	}
 	p.forwardTo = box
-	p.forwards++
+	p.forwardedTo = append(p.forwardedTo, box.Box)
 	p.placedAt = now
 	p.mu.Lock()
 	p.endpoint = routing.Endpoint{}
@@ -174,7 +177,7 @@
 		return false
 	}
 	p.forwardTo = box
-	p.forwards++
+	p.forwardedTo = append(p.forwardedTo, box.Box)
 	p.copyName = name
 	p.logForward(p.gateway.reachability.cutOffFor(now, p.service.Name), zap.String("endpoint", p.endpoint.ID), zap.String("copy", name))
 	return true
@@ -191,13 +194,19 @@
 	)...)
 }
 
-// forwardingBox returns a box to forward the request to, and whether there is one.
+// forwardingBox returns a box to forward the request to, and whether there is one. In a small fleet
+// all others may be excluded at the same time, and are better than none.
 func (p *proxiedRequest) forwardingBox(now time.Time) (core.Peer, bool) {
-	if p.isForwarded() || p.forwards >= maxForwards {
+	if p.isForwarded() || len(p.forwardedTo) >= maxForwards {
 		return core.Peer{}, false
 	}
 	f := p.gateway.forwarder
-	return f.boxes.ForwardingBox(p.service.Name, func(box string) bool { return f.isExcluded(now, box, p.service.Name) })
+	isUsed := func(box string) bool { return slices.Contains(p.forwardedTo, box) }
+	box, ok := f.boxes.ForwardingBox(p.service.Name, func(box string) bool { return isUsed(box) || f.isExcluded(now, box, p.service.Name) })
+	if ok {
+		return box, true
+	}
+	return f.boxes.ForwardingBox(p.service.Name, isUsed)
 }
 
 // mayForward reports whether another box may serve the request if no endpoint is reached.
@@ -274,9 +283,12 @@
 func (p *proxiedRequest) forwardedEvent(a *answer, outcome forwardOutcome) core.Event {
 	switch outcome {
 	case forwardUnserved:
-		return p.forwardFailed("the box can't serve the request", nil, core.CallUnsent{})
+		p.gateway.forwarder.exclude(time.Now(), p.forwardTo.Box, p.service.Name, shortForwardExclusion)
+		return p.forwardEnded("the box serves no requests for the service", nil, core.CallUnsent{})
+	case forwardBusy:
+		return p.forwardEnded("no endpoint takes the request from the box", nil, core.CallUnsent{})
 	case forwardUnknown:
-		return p.forwardFailed("the box doesn't know whether the request ran", nil, core.CallBroken{})
+		return p.forwardEnded("the box doesn't know whether the request ran", nil, core.CallBroken{})
 	case forwardNotRun:
 		return core.CallAnswered{}
 	case forwardAnswered:
@@ -286,7 +298,7 @@
 	a.headers = p.gateway.protocol.Answer(a.head.StatusCode, a.head.Header)
 	if reason := a.invalidReason(); reason != "" {
 		_ = a.endpointConn.Close()
-		return p.forwardFailed(reason, nil, core.CallBroken{})
+		return p.forwardEnded(reason, nil, core.CallBroken{})
 	}
 	return core.CallAnswered{Failed: a.head.StatusCode >= http.StatusInternalServerError}
 }
@@ -297,7 +309,7 @@
 	box := p.forwardTo
 	mayRetryElsewhere := !p.headSent && p.call.MayRunAgain()
 	return time.AfterFunc(max(p.overdueAfter(), minForwardOverdue), func() {
-		p.gateway.forwarder.exclude(time.Now(), box.Box, p.service.Name)
+		p.gateway.forwarder.exclude(time.Now(), box.Box, p.service.Name, forwardExclusion)
 		p.logAsync("answer of a forwarded request overdue", zap.String("box", box.Box), zap.Bool("leaves", mayRetryElsewhere))
 		if mayRetryElsewhere && p.gateway.hasRetryBudget(p.service.Name) {
 			_ = conn.Close()
@@ -305,21 +317,24 @@
 	})
 }
 
-// forwardFailed logs that a box did not answer the forwarded request, keeps others from it for a
-// moment, and returns the event for it: the caller's departure or the deadline if that was the
-// cause, otherwise ev.
+// forwardFailed keeps requests from a box that did not answer a forwarded one, and ends that.
 func (p *proxiedRequest) forwardFailed(what string, err error, ev core.Event) core.Event {
-	terminalEvent := p.terminalEvent()
-	if terminalEvent == nil {
-		p.gateway.forwarder.exclude(time.Now(), p.forwardTo.Box, p.service.Name)
+	if p.terminalEvent() == nil {
+		p.gateway.forwarder.exclude(time.Now(), p.forwardTo.Box, p.service.Name, forwardExclusion)
 	}
+	return p.forwardEnded(what, err, ev)
+}
+
+// forwardEnded logs that a box did not serve the forwarded request, and returns the event for it:
+// the caller's departure or the deadline if that was the cause, otherwise ev.
+func (p *proxiedRequest) forwardEnded(what string, err error, ev core.Event) core.Event {
 	p.logDecision("forwarding failed",
 		zap.String("box", p.forwardTo.Box),
 		zap.String("what", what),
 		zap.Duration("after", time.Since(p.placedAt)),
 		zap.Error(err),
 	)
-	return p.endOr(terminalEvent, ev)
+	return p.endOr(p.terminalEvent(), ev)
 }
 
 // endOr returns the event that ends the request if there is one, otherwise ev. A send of which
@@ -376,7 +391,7 @@
 			return core.CallCompleted{}
 		case err != nil:
 			a.close()
-			return p.forwardFailed("the stream broke off", err, core.CallBroken{})
+			return p.forwardEnded("the stream broke off", err, core.CallBroken{})
 		}
 		timer.Stop()
 		switch p.eventOrder.classify(e.id) {
@@ -384,7 +399,7 @@
 			continue
 		case gap:
 			a.close()
-			return p.forwardFailed("events are missing after the continuation", nil, core.CallBroken{})
+			return p.forwardEnded("events are missing after the continuation", nil, core.CallBroken{})
 		}
 		if err := p.writeEvent(a, e); err != nil {
 			a.close()
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -116,8 +116,10 @@
 	switch {
 	case c.Outcome != core.NotRun:
 		return forwardUnknown
-	case c.Reason == core.ReasonUnreachable || c.Reason == core.ReasonNoEndpoint:
+	case c.Reason == core.ReasonUnreachable:
 		return forwardUnserved
+	case c.Reason == core.ReasonNoEndpoint:
+		return forwardBusy
 	}
 	return forwardNotRun
 }
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -37,7 +37,7 @@
 	call            *core.Call
 	forwarded       *forwardedRequest // what the box said that forwarded the request to this one; nil if none did
 	forwardTo       core.Peer         // the box that gets the current send instead of an endpoint, or the zero value
-	forwards        int               // boxes that it was forwarded to
+	forwardedTo     []string          // names of the boxes that it was forwarded to
 	copyName        string            // copy of the run that forwardTo is to continue, or empty
 	failedConnects  int               // endpoints that accepted no connection for it
 	endpoint        routing.Endpoint  // the endpoint of the current send
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -39,7 +39,7 @@
 // startCrashingCaller starts the client, unless the seed has no crashing request.
 func startCrashingCaller(f *fleet, seed uint64, planned bool) *crashingCaller {
 	c := &crashingCaller{done: make(chan struct{})}
-	if seed < firstCrashSeed || planned {
+	if seed < firstCrashSeed || hasCuts(seed) || planned {
 		return c
 	}
 	r := rand.New(rand.NewPCG(seed, 7))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -30,6 +31,8 @@
 	streamEvents = 40
 	eventGap     = 50 * time.Millisecond
 	workTime     = 15 * time.Millisecond
+	// maxSources is the number of boxes whose source addresses share three bytes.
+	maxSources = 200
 )
 
 // boxProcess is one box, run as a process, with its own link to the store.
@@ -38,6 +41,7 @@
 	settingsPath   string
 	metricsAddress string
 	storeProxy     *FaultProxy
+	source         netip.Addr // local address of its connections to servers
 	log            *os.File
 
 	mu           sync.Mutex
@@ -74,6 +78,8 @@
 	reportsStarts    bool // the servers tell when they started
 	hasLoad          bool // routes compete for full and slow engines
 	streamTokens     emulator.Tokens
+	hasCuts          bool                     // boxes are cut off from all servers, and plain servers are brittle
+	cutSources       map[netip.Addr]LinkFault // sources of the boxes that are cut off from all servers
 }
 
 func startFleet(program, folder string, boxes int, seed uint64) (*fleet, error) {
@@ -90,6 +96,8 @@
 		reportsStarts:   reportsStarts(seed),
 		hasLoad:         hasLoad(seed),
 		streamTokens:    streamTokens(seed),
+		hasCuts:         hasCuts(seed),
+		cutSources:      make(map[netip.Addr]LinkFault),
 	}
 	for range plainServerCount {
 		if _, err := f.addServer(emulator.PlainService); err != nil {
@@ -125,6 +133,10 @@
 		proxy:   proxy,
 		service: service,
 	}
+	for source, fault := range f.cutSources {
+		proxy.SetFor(source, fault)
+	}
+	f.makeBrittle(l)
 	f.deployment.AddStarted(s)
 	f.deployment.PutEntryAt(s, proxy.Address(), service, "ready")
 	f.servers = append(f.servers, l)
@@ -154,6 +166,7 @@
 				GraceSeconds: graceSeconds,
 			},
 			metricsAddress: own[3],
+			source:         netip.AddrFrom4([4]byte{127, 0, byte(1 + i/maxSources), byte(1 + i%maxSources)}),
 			storeProxy:     proxy,
 		}
 		if b.settingsPath, err = b.settings.Write(f.folder); err != nil {
@@ -192,7 +205,7 @@
 	if _, err := strconv.Atoi(port); err != nil {
 		return err
 	}
-	c := exec.Command(program, "-settings", b.settingsPath, "-metrics-port", port)
+	c := exec.Command(program, "-settings", b.settingsPath, "-metrics-port", port, "-source", b.source.String())
 	c.Stdout = b.log
 	c.Stderr = b.log
 	if err := c.Start(); err != nil {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -33,8 +35,9 @@
 	listener net.Listener
 	mu       sync.Mutex
 	fault    LinkFault
+	bySource map[netip.Addr]LinkFault // faults of single sources, which take precedence
 	changed  chan struct{}
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]netip.Addr // with their sources
 	closed   bool
 }
 
@@ -48,7 +51,8 @@
 		target:   target,
 		listener: l,
 		changed:  make(chan struct{}),
-		conns:    make(map[net.Conn]bool),
+		conns:    make(map[net.Conn]netip.Addr),
+		bySource: make(map[netip.Addr]LinkFault),
 	}
 	go p.accept()
 	return p, nil
@@ -62,13 +66,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = t
+	p.applyChange()
+}
+
+// SetFor changes the fault of the connections from one source; with NoFault it has that of all.
+func (p *FaultProxy) SetFor(source netip.Addr, t LinkFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bySource[source] = t
+	p.applyChange()
+}
+
+// applyChange wakes the connections up after a change, and resets those that are to be. The caller
+// holds mu.
+func (p *FaultProxy) applyChange() {
 	close(p.changed)
 	p.changed = make(chan struct{})
-	if t == Reset {
-		p.resetAll()
+	for c, source := range p.conns {
+		if p.faultOf(source) == Reset {
+			reset(c)
+		}
 	}
 }
 
+// faultOf returns the fault of the connections from a source. The caller holds mu.
+func (p *FaultProxy) faultOf(source netip.Addr) LinkFault { return cmp.Or(p.bySource[source], p.fault) }
+
 func (p *FaultProxy) resetAll() {
 	for c := range p.conns {
 		reset(c)
@@ -93,19 +116,22 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *FaultProxy) state() (LinkFault, chan struct{}, bool) {
+func (p *FaultProxy) state(source netip.Addr) (LinkFault, chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.changed, p.closed
+	return p.faultOf(source), p.changed, p.closed
 }
 
+// sourceOf returns the address that a connection comes from.
+func sourceOf(c net.Conn) netip.Addr { return c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap() }
+
 func (p *FaultProxy) accept() {
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		if f, _, _ := p.state(); f == Reset {
+		if f, _, _ := p.state(sourceOf(c)); f == Reset {
 			reset(c)
 			continue
 		}
@@ -114,17 +140,23 @@
 }
 
 func (p *FaultProxy) relay(client net.Conn) {
+	source := sourceOf(client)
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		reset(client)
 		return
 	}
 	p.mu.Lock()
-	p.conns[client], p.conns[server] = true, true
+	p.conns[client], p.conns[server] = source, source
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.copyOneWay(client, server, true, done)
-	go p.copyOneWay(server, client, false, done)
+	go p.copyOneWay(client, server, flow{
+		source:    source,
+		isRequest: true,
+	}, done)
+	go p.copyOneWay(server, client, flow{
+		source: source,
+	}, done)
 	<-done
 	<-done
 	p.mu.Lock()
@@ -135,13 +167,19 @@
 	_ = server.Close()
 }
 
+// flow is one direction of a connection.
+type flow struct {
+	source    netip.Addr
+	isRequest bool
+}
+
 // copyOneWay copies data in one direction until EOF. An error resets the other side.
-func (p *FaultProxy) copyOneWay(from, to net.Conn, isRequest bool, done chan struct{}) {
+func (p *FaultProxy) copyOneWay(from, to net.Conn, f flow, done chan struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && (!p.waitUntilOpen(isRequest) || !p.write(to, buffer[:n])) {
+		if n > 0 && (!p.waitUntilOpen(f) || !p.write(to, f.source, buffer[:n])) {
 			reset(from)
 			reset(to)
 			return
@@ -161,26 +199,26 @@
 
 // waitUntilOpen waits until the fault lets data pass. It returns false if the connection must
 // be reset.
-func (p *FaultProxy) waitUntilOpen(isRequest bool) bool {
+func (p *FaultProxy) waitUntilOpen(f flow) bool {
 	for {
-		f, changed, closed := p.state()
-		if closed || f == Reset {
+		fault, changed, closed := p.state(f.source)
+		if closed || fault == Reset {
 			return false
 		}
-		if f == Delayed {
+		if fault == Delayed {
 			time.Sleep(delayTime)
 		}
-		if f != Silent && (f != OneWay || isRequest) {
+		if fault != Silent && (fault != OneWay || f.isRequest) {
 			return true
 		}
 		<-changed
 	}
 }
 
-func (p *FaultProxy) write(to net.Conn, data []byte) bool {
+func (p *FaultProxy) write(to net.Conn, source netip.Addr, data []byte) bool {
 	for len(data) > 0 {
 		n := len(data)
-		if f, _, _ := p.state(); f == Trickled {
+		if f, _, _ := p.state(source); f == Trickled {
 			n = min(n, trickleSize)
 			time.Sleep(tricklePause)
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -91,7 +91,9 @@
 	restorer := newStoreRestorer(i, seed)
 	massFaults := newMassFaults(i, seed)
 	load := newLoadFaults(i, callers, seed)
+	cuts := newPathCuts(i, seed)
 	time.Sleep(meanFaultPause)
+	cuts.begin()
 	for range faultCount {
 		i.restartExited()
 		i.replaceCrashed()
@@ -108,6 +110,7 @@
 	for len(i.undo) > 0 {
 		i.undoOldest()
 	}
+	cuts.end()
 	r := &Report{
 		Seed:      seed,
 		Planned:   planned,
@@ -122,6 +125,8 @@
 	r.Faults = append(i.descriptions, announcements.String())
 	r.checkCalls(f, i, results)
 	r.checkNotices(f, announcements, results)
+	r.checkCuts(cuts, results)
+	r.checkFalls(f)
 	r.checkCrashingRequest(f, crashing.stop(), i.memoryLostTimes)
 	return r, r.checkLogs(f, i, results)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 		Entry("all boxes are killed at the same moment, which lose word of crashes", 4049),
 		Entry("planned work during bursts of urgent and patient streams for full and slow engines", 5001),
 		Entry("boxes killed and paused, and engines that leave, during such bursts", 5003),
+		Entry("a box is cut off from all servers, and one request without an endpoint keeps others from its peers", 6002),
 		Entry("a request crashes every engine, behind proxies that make crashes look like resets", 1001),
 	)
 })
