--- a/fleet/load_queries.go
+++ b/fleet/load_queries.go
@@ -109,8 +109,8 @@
 }
 
 // assignedEngines returns the engines that this box queries: of its group's preferred endpoints,
-// those for which this box hashes highest in the group, without the boxes that can't reach them. Until it has discovered its peers a box
-// queries none, or every starting box would query all.
+// those for which this box hashes highest in the group, without the boxes that can't reach them.
+// Until it has discovered its peers a box queries none, or every starting box would query all.
 func (r *LoadReports) assignedEngines() []routing.Endpoint {
 	v := r.state.View()
 	if v.Table == nil || !r.peers.HasDiscoveredPeers() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -166,6 +166,19 @@
 	return p.endOr(terminalEvent, ev)
 }
 
+// endOr returns the event that ends the request if there is one, otherwise ev. A send of which
+// nothing was sent is recorded as unsent in any case, or the caller would not be told that the
+// request has not run.
+func (p *proxiedRequest) endOr(terminalEvent, ev core.Event) core.Event {
+	if terminalEvent == nil {
+		return ev
+	}
+	if _, unsent := ev.(core.CallUnsent); unsent {
+		p.call.Step(time.Now(), ev)
+	}
+	return terminalEvent
+}
+
 // writeRequest writes the request to its endpoint.
 func (p *proxiedRequest) writeRequest(a *answer, copyName string) error {
 	h := endToEndHeaders(p.request.Header)
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -239,12 +239,19 @@
 		add("e-1", 30, fastInterval)
 		stream("f0")
 		before := len(placed.all())
-		r := httptest.NewRequest(http.MethodPost, emulator.StreamPath, strings.NewReader("prompt"))
-		r.Host = emulator.Host
-		r.Header.Set("X-Request-Id", "f1")
-		r.Header.Set("X-Deadline-Ms", "20000")
-		r.Header.Set("Api-Key", emulator.Key)
-		r.Header.Set("X-Token-Usage", "100,400")
+		r, err := b.caller.NewRequest(context.Background(), emulator.Call{
+			ID:       "f1",
+			Method:   http.MethodPost,
+			Path:     emulator.StreamPath,
+			Body:     "prompt",
+			Deadline: 20 * time.Second,
+			Tokens: emulator.Tokens{
+				Prompt:    100,
+				MaxOutput: 400,
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		r.RequestURI = emulator.StreamPath
 		b.gateway.ServeHTTP(&stoppingWriter{ResponseRecorder: httptest.NewRecorder()}, r)
 		all := placed.all()[before:]
 		Expect(all).To(HaveLen(2))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -111,11 +111,7 @@
 
 // passEvent passes an event to the caller and records its times.
 func (p *proxiedRequest) passEvent(a *answer, e event) error {
-	if !p.headSent {
-		p.headSent = true
-		p.copyHeaders(a.head)
-		p.writer.WriteHeader(a.head.StatusCode)
-	}
+	p.sendHead(a)
 	received := time.Now()
 	p.call.Step(received, core.CallProgressed{})
 	if _, err := p.writer.Write(e.raw); err != nil {
@@ -168,11 +164,7 @@
 }
 
 func (p *proxiedRequest) complete(a *answer) core.Event {
-	if !p.headSent {
-		p.headSent = true
-		p.copyHeaders(a.head)
-		p.writer.WriteHeader(a.head.StatusCode)
-	}
+	p.sendHead(a)
 	a.release(p, true)
 	p.gateway.balancer.Succeeded(time.Now(), p.endpoint.ID, p.firstEventDelay)
 	p.updateAverages()
