--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -199,7 +199,7 @@
 		case errors.Is(err, io.EOF):
 			p.sendHead(a)
 			a.release(p, true)
-			p.recordEnd("streamed by another box", a.head.StatusCode, zap.String("box", p.forwardTo.Box), zap.Int("events", p.events))
+			p.recordEnd("streamed by another box", a.head.StatusCode, zap.String("box", p.forwardTo.Box), zap.Duration("first_event", p.firstEventDelay), zap.Int("events", p.events))
 			return core.CallCompleted{}
 		case err != nil:
 			a.close()
--- a/losses/line.go
+++ b/losses/line.go
@@ -175,3 +175,6 @@
 	}
 	return lines, skipped, errors.Wrapf(scanner.Err(), "read the log after line %d", lines)
 }
+
+// isAnswer reports whether the line is the end of a request that got an endpoint's answer.
+func (l *Line) isAnswer() bool { return l.Event == "streamed" || l.Event == "answered" }
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -60,6 +60,14 @@
 		Entry("a pause at the engine", losses.BetweenEvents, losses.PauseAtEngine, true, placed, stuttering),
 	)
 
+	It("takes the answer of another box for the end of a request that was forwarded there", func() {
+		const forwarded = `{"at":"2026-07-19T05:50:20Z","event":"streamed by another box","request":"R","route":"long","status":200,"first_event":"410ms","late":false}`
+		Expect(report(placed, forwarded).Rows).To(BeEmpty())
+		r := report(placed, complete, forwarded)
+		Expect(r.Rows).To(BeEmpty())
+		Expect(r.Routes[0].Streams).To(BeEquivalentTo(1))
+	})
+
 	It("omits complete answers and refusals due to the caller", func() {
 		Expect(report(placed, complete).Rows).To(BeEmpty())
 		Expect(report(badKey).Rows).To(BeEmpty())
--- a/losses/request.go
+++ b/losses/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
@@ -105,6 +106,12 @@
 		r.endpointCrashed = l.Endpoint == r.endpoint
 	case "answered", "streamed", "cut", "given up", "refused", "caller left":
 		r.outcome = &l
+	case "answered by another box", "streamed by another box":
+		// The box that served the request logged the end in more detail.
+		if r.outcome == nil || !r.outcome.isAnswer() {
+			l.Event, _, _ = strings.Cut(l.Event, " ")
+			r.outcome = &l
+		}
 	}
 }
 
@@ -131,7 +138,7 @@
 		l.Moment, l.Cause = WhileWaiting, BoxCrashed
 	case r.outcome == nil:
 		l.Moment, l.Cause = InProgress, BoxCrashed
-	case r.outcome.Event == "streamed" || r.outcome.Event == "answered":
+	case r.outcome.isAnswer():
 		return r.lossOfAnswered(l, f)
 	case r.outcome.Event == "refused":
 		l.Moment, l.Cause = r.lossMoment(), r.refusalCause()
