core: keep a learned limit within the box's share of a brittle endpoint

A box whose share became smaller, as when others join, went on with the limit that it had learned, until that was raised next. The test failed before (two requests allowed with one place).

--- a/core/rejection_limiter.go
+++ b/core/rejection_limiter.go
@@ -54,7 +54,7 @@
 	}
 	l.raise(now, places)
 	if l.hasLimit {
-		places = l.limit
+		places = min(places, l.limit)
 	}
 	return l.unanswered < places
 }
--- a/core/rejection_limiter_test.go
+++ b/core/rejection_limiter_test.go
@@ -68,6 +68,17 @@
 		Expect(sendAll()).To(Equal(places / 2))
 	})
 
+	It("allows no more than the box's places when these become fewer", func() {
+		reachPlaces()
+		Expect(sendAll()).To(Equal(places))
+		answer(1, true)
+		answer(places-1, false)
+		now = now.Add(rules.Window + time.Millisecond)
+		Expect(l.CanSend(now, 1, rejections)).To(BeTrue())
+		l.Sent()
+		Expect(l.CanSend(now, 1, rejections)).To(BeFalse())
+	})
+
 	It("raises its limit until it has all its places again", func() {
 		reachPlaces()
 		sendAll()
