--- a/review/standin/taken_away.go
+++ b/review/standin/taken_away.go
@@ -13,13 +13,13 @@
 // chunks.
 func takenAway(h *harness) (int, error) {
 	const (
-		boxes, engines = 3, 12
+		boxes, engines = 3, 24
 		prompt, events = 3000, 40
-		perSecond      = 24
+		perSecond      = 48
 		length         = 60 * time.Second
 		noticeGap      = 3300 * time.Millisecond
 		notice         = 1600 * time.Millisecond
-		leave          = 2 // of 12, 0.17
+		leave          = 4 // of 24, 0.17
 		unframedEvery  = "20"
 	)
 	zones := []string{"z-a", "z-b", "z-c"}
