--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 for program in target/dillsaddle-node target/review/standin; do
   [ -x "$program" ] || { echo "$program isn't built"; exit 2; }
 done
-timeout -s KILL 118 target/review/standin unlisted "$PWD" "$PWD/review/1"
+timeout -s KILL 118 target/review/standin store-away "$PWD" "$PWD/review/1"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,16 +16,16 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin engine|unlisted|taken-away|cut-off ...")
+		fmt.Fprintln(os.Stderr, "usage: standin engine|store-away|taken-away|cut-off ...")
 		os.Exit(cannotRun)
 	}
 	if os.Args[1] == "engine" {
 		os.Exit(engineMain(os.Args[2:]))
 	}
-	cases := map[string]func(*harness) (int, error){"unlisted": unlisted, "taken-away": takenAway, "cut-off": cutOff}
+	cases := map[string]func(*harness) (int, error){"store-away": storeAway, "taken-away": takenAway, "cut-off": cutOff}
 	run := cases[os.Args[1]]
 	if run == nil || len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin unlisted|taken-away|cut-off REPOSITORY FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin store-away|taken-away|cut-off REPOSITORY FOLDER")
 		os.Exit(cannotRun)
 	}
 	h, err := newHarness(os.Args[2], os.Args[3])
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -19,6 +19,7 @@
 	items    map[string]item
 	history  []item
 	revision uint64
+	isAway   bool // it answers nothing
 }
 
 type item struct {
@@ -41,10 +42,35 @@
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
 	mux.HandleFunc("GET /kv-key", s.serveKey)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.unlessAway(mux)) }()
 	return s, nil
 }
 
+// unlessAway serves calls while the store isn't away; otherwise they get no answer.
+func (s *store) unlessAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.hangIfAway(r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// hangIfAway waits until the caller has given up if the store is away, and closes the connection.
+func (s *store) hangIfAway(r *http.Request) {
+	s.mu.Lock()
+	isAway := s.isAway
+	s.mu.Unlock()
+	if isAway {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *store) setAway(isAway bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isAway = isAway
+}
+
 func (s *store) put(key string, value any) {
 	data, _ := json.Marshal(value)
 	s.mu.Lock()
@@ -132,5 +158,6 @@
 	at := s.revision
 	events = append([]item(nil), events...)
 	s.mu.Unlock()
+	s.hangIfAway(r)
 	writeJSON(w, 200, map[string]any{"events": append([]item{}, events...), "at": at})
 }
--- a/review/standin/unlisted.go
+++ b/review/standin/store_away.go
@@ -13,27 +13,25 @@
 	addedPath = "/added/"
 )
 
-// unlisted: the servers are partitioned from the store for 5 s, one after the other. After
-// three check-ins of silence a server's entry goes, and it is written again, unchanged, when
-// the server reaches the store again. All servers run and serve all the time.
-func unlisted(h *harness) (int, error) {
+// storeAway: the store is silent for 4.5 s, once. The servers' entries lapse meanwhile, after
+// three check-ins of silence, and are back, unchanged, within 1.2 s of its return. All boxes
+// and servers run, serve and reach the store all the time.
+func storeAway(h *harness) (int, error) {
 	const (
 		boxes, engines = 3, 3
-		prompt, events = 300, 10
+		prompt, events = 300, 20
 		perSecond      = 10
-		cutFor         = 5 * time.Second
+		awayFor        = 4500 * time.Millisecond
 		silence        = 3 * 1200 * time.Millisecond // three check-ins
-		gap            = 6 * time.Second             // from one server's cut to the next one's
-		calm           = 5 * time.Second
+		checkIn        = 1200 * time.Millisecond
 	)
 	zones := []string{"z-a", "z-b", "z-c"}
 	h.configure(7, 39000, 34459, askPath)
-	list := func(i int) {
-		h.listEngine(fmt.Sprintf("i-%04d", i+1), fmt.Sprintf("%s.%d:8080", h.net, 101+i), zones[i], "ready", 1)
-	}
+	id := func(i int) string { return fmt.Sprintf("i-%04d", i+1) }
+	list := func(i int) { h.listEngine(id(i), fmt.Sprintf("%s.%d:8080", h.net, 101+i), zones[i], "ready", 1) }
 	for i := range engines {
 		address := fmt.Sprintf("%s.%d:8080", h.net, 101+i)
-		if _, err := h.start(nil, h.writeLine, os.Args[0], "engine", "-addr", address, "-public", address, "-id", fmt.Sprintf("i-%04d", i+1), "-zone", zones[i]); err != nil {
+		if _, err := h.start(nil, h.writeLine, os.Args[0], "engine", "-addr", address, "-public", address, "-id", id(i), "-zone", zones[i]); err != nil {
 			return cannotRun, err
 		}
 	}
@@ -62,11 +60,11 @@
 	traffic := func(period time.Duration, path string) {
 		for range int(period/time.Second) * perSecond {
 			n++
-			front, id := fronts[n%len(fronts)], fmt.Sprintf("%08x%08x", 0x9c410000+n, time.Now().UnixNano()&0xffffffff)
+			front, request := fronts[n%len(fronts)], fmt.Sprintf("%08x%08x", 0x9c410000+n, time.Now().UnixNano()&0xffffffff)
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				o := h.ask(front, path, id, prompt, events, 6*time.Second)
+				o := h.ask(front, path, request, prompt, events, 9*time.Second)
 				h.judge(o, events)
 				mu.Lock()
 				defer mu.Unlock()
@@ -79,19 +77,25 @@
 		}
 	}
 	traffic(5*time.Second, askPath)
-	for i := range engines {
-		if h.trouble {
-			id := fmt.Sprintf("i-%04d", i+1)
-			h.log("path", "server cut from the store", "server", id)
-			time.AfterFunc(silence, func() {
-				h.store.remove("servers/" + id)
-				h.log("store", "entry gone after three check-ins of silence", "server", id)
-			})
-			time.AfterFunc(cutFor, func() { list(i) })
-		}
-		traffic(gap, askPath)
+	if h.trouble {
+		h.store.setAway(true)
+		h.log("store", "away")
+		time.AfterFunc(silence, func() {
+			for i := range engines {
+				h.store.remove("servers/" + id(i))
+				h.log("store", "entry lapsed", "server", id(i))
+			}
+		})
+		time.AfterFunc(awayFor, func() {
+			h.store.setAway(false)
+			h.log("store", "back")
+			for i := range engines {
+				time.AfterFunc(time.Duration(i+1)*checkIn/engines, func() { list(i) })
+			}
+		})
 	}
-	traffic(calm, askPath)
+	traffic(awayFor.Truncate(time.Second)+time.Second, askPath)
+	traffic(8*time.Second, askPath) // calm again, for over contactMs
 	before := served[askPath]
 	h.configure(9, 39000, 34459, askPath, addedPath)
 	traffic(2*time.Second, askPath)
@@ -100,7 +104,7 @@
 	all.Wait()
 	first, added := share(served[askPath], asked[askPath]), share(served[addedPath], asked[addedPath])
 	text := fmt.Sprintf("first route: %d of %d served; added route: %d of %d served", served[askPath], asked[askPath], served[addedPath], asked[addedPath])
-	h.log("judge", "result", "what", text)
+	h.log("judge", "result", "outcome", text)
 	fmt.Println(text)
 	if before == 0 || asked[addedPath] < 20 {
 		return cannotRun, errCannotRun
