--- /dev/null
+++ b/box/stop_test.go
@@ -0,0 +1,90 @@
+package box_test
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// listenTime is how long a stopping box accepts connections, whether it is busy or not.
+const listenTime = 2500 * time.Millisecond
+
+// connectRaw opens a connection for raw requests, and closes it after the test.
+func connectRaw(b *testBox) *emulator.RawCaller {
+	c, err := emulator.DialRaw(b.settings.Front)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return c
+}
+
+// sendRaw sends a request on a connection.
+func sendRaw(c *emulator.RawCaller, text string) {
+	Expect(c.Send(text)).To(Succeed())
+}
+
+// streamText returns the text of a request for a stream.
+func streamText(id string) string {
+	return withLongDeadline(strings.Replace(emulator.RequestText(id, "prompt"), emulator.CallPath, emulator.StreamPath, 1))
+}
+
+// withLongDeadline gives a request's text a deadline after the end of the box's grace period.
+func withLongDeadline(text string) string {
+	return strings.Replace(text, "X-Deadline-Ms: 5000", "X-Deadline-Ms: 9000", 1)
+}
+
+var _ = Describe("a stopping box", func() {
+	var engine *emulator.Server
+	var b *testBox
+	BeforeEach(func() {
+		d := newDeployment()
+		addServer(d, "i-plain", emulator.PlainService)
+		engine = addServer(d, "i-engine", emulator.ModelService)
+		engine.Events, engine.EventInterval = 40, 100*time.Millisecond
+		b = startBoxes(d, 1)[0]
+		Expect(emulator.WaitReady(b.settings.Ready, waitTimeout)).To(Succeed())
+	})
+
+	// stopDuringStream stops the box while a stream runs that takes it longer than listenTime.
+	stopDuringStream := func() {
+		sendRaw(connectRaw(b), streamText("held-1"))
+		Eventually(engine.Runs).WithTimeout(waitTimeout).Should(HaveLen(1))
+		b.Stop()
+	}
+
+	It("answers a request on a connection that it accepted before it stopped listening", func() {
+		stopDuringStream()
+		time.Sleep(listenTime - 300*time.Millisecond)
+		c := connectRaw(b)
+		time.Sleep(700 * time.Millisecond)
+		sendRaw(c, emulator.RequestText("late-1", "record"))
+		o, err := c.ReadAnswer()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	})
+
+	It("answers a request that an endpoint has not answered when the grace period ends", func() {
+		engine.SetFault(emulator.SilentStream, -1)
+		c := connectRaw(b)
+		sendRaw(c, streamText("silent-1"))
+		Eventually(engine.Runs).WithTimeout(waitTimeout).Should(HaveLen(1))
+		b.Stop()
+		o, err := c.ReadAnswer()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Status).To(Equal(http.StatusBadGateway))
+	})
+
+	It("answers a request whose body is incomplete when the grace period ends", func() {
+		c := connectRaw(b)
+		text := emulator.RequestText("half-1", strings.Repeat("x", 4096))
+		sendRaw(c, withLongDeadline(text[:len(text)-100]))
+		b.Stop()
+		o, err := c.ReadAnswer()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.PromisesNotRun()).To(BeTrue())
+	})
+})
