box: log callers' connections that are closed with a request unanswered

net/http closes connections without a word, so that the log of a box could not tell a request that was read and dropped from one that was never read, nor from an answer that was lost on its way. Each connection now knows whether bytes of a request were read and whether any of its answer was written; a counter tells how connections ended, a line names those without an answer, and a stopping box logs the sums.

--- a/box/box.go
+++ b/box/box.go
@@ -64,6 +64,7 @@
 	quarantine     *fleet.Quarantine
 	partQuarantine *fleet.PartQuarantine
 	limits         *fleet.Limits
+	callers        *callerConns
 	frontServer    *http.Server
 	cancel         context.CancelFunc
 	stopOnce       sync.Once
--- /dev/null
+++ b/box/caller_conns.go
@@ -0,0 +1,87 @@
+package box
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// callerConns is the listener for callers, with the open connections that it accepted.
+type callerConns struct {
+	*net.TCPListener
+	log *zap.Logger
+
+	mu    sync.Mutex
+	open  map[*callerConn]bool
+	ended map[connEnd]int // closed connections
+}
+
+// listenForCallers listens on an address.
+func listenForCallers(address string, log *zap.Logger) (*callerConns, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on "+address)
+	}
+	return &callerConns{
+		TCPListener: l.(*net.TCPListener),
+		log:         log,
+		open:        make(map[*callerConn]bool),
+		ended:       make(map[connEnd]int),
+	}, nil
+}
+
+// Accept waits for the next connection.
+func (cs *callerConns) Accept() (net.Conn, error) {
+	accepted, err := cs.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{
+		TCPConn: accepted,
+		conns:   cs,
+		resting: true,
+		since:   time.Now(),
+	}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.open[c] = true
+	return c, nil
+}
+
+// handleState handles a change of a connection's state in the HTTP server.
+func (cs *callerConns) handleState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.rest()
+	}
+}
+
+// remove records that a connection was closed; took is how long it had been in its last state.
+func (cs *callerConns) remove(c *callerConn, end connEnd, took time.Duration) {
+	cs.mu.Lock()
+	delete(cs.open, c)
+	cs.ended[end]++
+	cs.mu.Unlock()
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_caller_connections_closed_total{state=%q}", end)).Inc()
+	if end == endedUnanswered {
+		cs.log.Warn("caller's connection closed with a request unanswered", zap.Stringer("caller", c.RemoteAddr()), zap.Duration("after", took))
+	}
+}
+
+// logEnds logs how the connections were closed, and how many are open.
+func (cs *callerConns) logEnds() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.log.Info("callers' connections",
+		zap.Int("open", len(cs.open)),
+		zap.Int("answered", cs.ended[endedAnswered]),
+		zap.Int("resting", cs.ended[endedResting]),
+		zap.Int("caller_left", cs.ended[endedByCaller]),
+		zap.Int("unanswered", cs.ended[endedUnanswered]),
+	)
+}
--- a/box/listen.go
+++ b/box/listen.go
@@ -12,8 +12,14 @@
 
 // listen opens the listeners for callers, readiness checks and operators, and serves them.
 func (b *Box) listen() error {
+	callers, err := listenForCallers(b.settings.Front.String(), b.log.Named("callers"))
+	if err != nil {
+		return err
+	}
+	b.callers = callers
 	b.frontServer = &http.Server{
 		Handler:           b.gateway,
+		ConnState:         callers.handleState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -29,7 +35,6 @@
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{b.settings.Front, b.frontServer},
 		{b.settings.Ready, &http.Server{Handler: ready}},
 		{netip.AddrPortFrom(b.settings.Front.Addr(), uint16(b.options.MetricsPort)), &http.Server{Handler: operators}},
 	} {
@@ -37,15 +42,19 @@
 		if err != nil {
 			return errors.Wrap(err, "listen on "+l.address.String())
 		}
-		go func() {
-			if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-				b.log.Error("server stopped unexpectedly", zap.Stringer("address", l.address), zap.Error(err))
-			}
-		}()
+		go b.serveOn(socket, l.server)
 	}
+	go b.serveOn(callers, b.frontServer)
 	return nil
 }
 
+// serveOn serves the connections of a listener until the server or the listener is closed.
+func (b *Box) serveOn(l net.Listener, s *http.Server) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		b.log.Error("server stopped unexpectedly", zap.Stringer("address", l.Addr()), zap.Error(err))
+	}
+}
+
 // serverErrorLog writes the errors of an http.Server to the log.
 type serverErrorLog struct{ log *zap.Logger }
 
--- a/box/stop.go
+++ b/box/stop.go
@@ -35,6 +35,7 @@
 	}
 	b.awaitForwarded(ctx)
 	b.cancel()
+	b.callers.logEnds()
 	b.log.Info("stopped", zap.Int64("log_lines_left_out", b.sink.DroppedLines()))
 	close(b.done)
 }
