box: answer requests that are read while the box stops

Callers saw their connection closed without an answer after a box had read their request, around planned stops.

http.Server.Shutdown counts a connection as idle until the whole head of a request is parsed, closes such connections from another goroutine, and drops each request that is parsed after it began ("if c.server.shuttingDown() { return }"): on a connection accepted before the listener closed, and on a kept one whose head came in two parts. The slower the box, the more time lies between the read and the end of the parse.

The box no longer calls Shutdown. A resting connection is closed by the goroutine that reads it: its read times out, and only if no byte has been read or has arrived. The listener stays open until no connection is left and none was accepted for 100 ms.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -3,14 +3,18 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
+// firstRequestDelay is how long a stopping box waits for the first request on a connection.
+const firstRequestDelay = time.Second
+
 // callerConn is a caller's connection. It tracks whether bytes of a request were read that
 // has no answer yet. The HTTP server's own state doesn't tell: it counts a connection as idle
-// until the head of a request is parsed.
+// until the head of a request is parsed. Only the goroutine that reads a connection closes it.
 type callerConn struct {
 	*net.TCPConn
 	conns *callerConns
@@ -22,20 +26,73 @@
 	callerLeft bool      // the caller closed or reset the connection
 	readAhead  bool      // the first byte of the next request was read
 	isClosed   bool
+	isNew      bool // no answer was written yet
+	isRetired  bool // the rest is to end with the connection
 }
 
 // Read reads from the connection.
 func (c *callerConn) Read(into []byte) (int, error) {
-	n, err := c.TCPConn.Read(into)
+	for {
+		n, err := c.TCPConn.Read(into)
+		if !c.handleRead(n, len(into), err) {
+			return n, err
+		}
+	}
+}
+
+// handleRead records the result of a read into a buffer, and reports whether to read again.
+func (c *callerConn) handleRead(n, buffer int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	isRetired := c.isRetired && c.resting
 	if n > 0 {
-		c.recordRead(n, len(into))
+		c.recordRead(n, buffer)
 	}
 	if err != nil && !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
 		c.callerLeft = true
 	}
-	return n, err
+	if !isRetired || (n == 0 && !(isTimeout(err) && c.hasUnread())) {
+		return false
+	}
+	c.isRetired = false
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+	return n == 0
+}
+
+// hasUnread reports whether bytes have arrived that were not read yet.
+func (c *callerConn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var one [1]byte
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		unread, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && unread > 0
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection is retired.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isRetired && c.resting {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// retire ends the read that waits for a request, so that the connection is closed. A connection
+// on which a byte of a request was read or has arrived stays open.
+func (c *callerConn) retire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.resting || c.isRetired || (c.isNew && now.Sub(c.since) < firstRequestDelay) {
+		return
+	}
+	c.isRetired = true
+	_ = c.TCPConn.SetReadDeadline(now)
 }
 
 // recordRead records that n bytes were read into a buffer. While a request is served, the HTTP
@@ -64,6 +121,7 @@
 	defer c.mu.Unlock()
 	c.resting = !c.readAhead
 	c.readAhead = false
+	c.isNew = false
 	c.isAnswered = false
 	c.since = time.Now()
 }
--- a/box/caller_conns.go
+++ b/box/caller_conns.go
@@ -12,14 +12,19 @@
 	"go.uber.org/zap"
 )
 
+// quietTime is the time without a new connection after which a stopping box stops listening.
+// Connections that wait to be accepted are reset then.
+const quietTime = 100 * time.Millisecond
+
 // callerConns is the listener for callers, with the open connections that it accepted.
 type callerConns struct {
 	*net.TCPListener
 	log *zap.Logger
 
-	mu    sync.Mutex
-	open  map[*callerConn]bool
-	ended map[connEnd]int // closed connections
+	mu         sync.Mutex
+	open       map[*callerConn]bool
+	ended      map[connEnd]int // closed connections
+	acceptedAt time.Time       // when the last connection was accepted
 }
 
 // listenForCallers listens on an address.
@@ -46,14 +51,39 @@
 		TCPConn: accepted,
 		conns:   cs,
 		resting: true,
+		isNew:   true,
 		since:   time.Now(),
 	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.open[c] = true
+	cs.acceptedAt = c.since
 	return c, nil
 }
 
+// retireResting closes the connections on which callers have begun no request.
+func (cs *callerConns) retireResting(now time.Time) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		c.retire(now)
+	}
+}
+
+// isDrained reports whether no connection is open and none was accepted for quietTime.
+func (cs *callerConns) isDrained(now time.Time) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open) == 0 && now.Sub(cs.acceptedAt) >= quietTime
+}
+
+// openCount returns the number of open connections.
+func (cs *callerConns) openCount() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)
+}
+
 // handleState handles a change of a connection's state in the HTTP server.
 func (cs *callerConns) handleState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
--- a/box/listen.go
+++ b/box/listen.go
@@ -50,7 +50,7 @@
 
 // serveOn serves the connections of a listener until the server or the listener is closed.
 func (b *Box) serveOn(l net.Listener, s *http.Server) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !b.stopping.Load() {
 		b.log.Error("server stopped unexpectedly", zap.Stringer("address", l.Addr()), zap.Error(err))
 	}
 }
--- a/box/stop.go
+++ b/box/stop.go
@@ -30,16 +30,38 @@
 	time.Sleep(min(balancerDelay, time.Until(limit)))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	if err := b.frontServer.Shutdown(ctx); err != nil {
-		b.log.Warn("stopping with unfinished requests", zap.Int("active", b.gateway.Active()), zap.Error(err))
-	}
+	b.drainCallers(ctx)
 	b.awaitForwarded(ctx)
+	if active := b.gateway.Active(); active > 0 {
+		b.log.Warn("stopping with unfinished requests", zap.Int("active", active))
+	}
 	b.cancel()
 	b.callers.logEnds()
+	_ = b.frontServer.Close()
 	b.log.Info("stopped", zap.Int64("log_lines_left_out", b.sink.DroppedLines()))
 	close(b.done)
 }
 
+// drainInterval is the interval at which a stopping box closes resting connections.
+const drainInterval = 20 * time.Millisecond
+
+// drainCallers closes callers' connections once they rest, and then the listener, until all are
+// closed or ctx is done. http.Server.Shutdown would drop requests that were read but not parsed.
+func (b *Box) drainCallers(ctx context.Context) {
+	b.closeRestingUntil(ctx, b.callers.isDrained)
+	_ = b.callers.Close()
+	b.closeRestingUntil(ctx, func(time.Time) bool { return b.callers.openCount() == 0 })
+}
+
+// closeRestingUntil closes callers' connections once they rest, until isDone returns true or ctx is
+// done.
+func (b *Box) closeRestingUntil(ctx context.Context, isDone func(time.Time) bool) {
+	for !isDone(time.Now()) && ctx.Err() == nil {
+		b.callers.retireResting(time.Now())
+		fleet.Sleep(ctx, drainInterval)
+	}
+}
+
 // forwardedPollInterval is how often a stopping box checks whether forwarded requests remain.
 const forwardedPollInterval = 20 * time.Millisecond
 
--- a/box/stop_test.go
+++ b/box/stop_test.go
@@ -67,6 +67,22 @@
 		Expect(o.Status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
 	})
 
+	It("answers a request on a kept connection whose head it had read in part when it stopped listening", func() {
+		c := connectRaw(b)
+		sendRaw(c, emulator.RequestText("kept-1", "record"))
+		_, err := c.ReadAnswer()
+		Expect(err).NotTo(HaveOccurred())
+		stopDuringStream()
+		text := emulator.RequestText("kept-2", "record")
+		time.Sleep(listenTime - 300*time.Millisecond)
+		sendRaw(c, text[:len(text)/2])
+		time.Sleep(700 * time.Millisecond)
+		sendRaw(c, text[len(text)/2:])
+		o, err := c.ReadAnswer()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	})
+
 	It("answers a request that an endpoint has not answered when the grace period ends", func() {
 		engine.SetFault(emulator.SilentStream, -1)
 		c := connectRaw(b)
