core, gateway: answer requests that a box's end interrupts

A stopping box ended with its requests: those that a silent endpoint held, that waited or backed off got no answer, only the end of their connection.

200 ms before the box ends, each request whose answer has not begun now has its work interrupted. The call takes this as an event of its own: 503 if nothing of it was sent, so that the caller may repeat it, otherwise 502. Streams and answers that have begun go on to the end. Requests that would last longer than the box by their route's usual time are refused at once, streams as before. A request that another box forwarded is returned to it, so that it is sent elsewhere.

The model of calls has the event in each of its states.

--- a/box/box.go
+++ b/box/box.go
@@ -36,6 +36,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// killMargin is the time left before the kill when a planned stop ends.
 	killMargin = 350 * time.Millisecond
+	// answerTime is the time before that in which requests without an answer are refused.
+	answerTime = 200 * time.Millisecond
 	// logFlushTimeout bounds the final flush when the log's reader is slow.
 	logFlushTimeout = 100 * time.Millisecond
 	// maxLoggedIDs bounds the endpoint IDs listed in one log line.
--- a/box/stop.go
+++ b/box/stop.go
@@ -18,7 +18,7 @@
 		b.stopping.Store(true)
 		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
 		limit := time.Now().Add(b.settings.Grace - killMargin)
-		b.gateway.Stop(limit)
+		b.gateway.Stop(limit.Add(-answerTime))
 		b.peers.MarkLeaving()
 		go b.shutDown(limit)
 	})
@@ -30,6 +30,8 @@
 	time.Sleep(min(balancerDelay, time.Until(limit)))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
+	ending := time.AfterFunc(time.Until(limit)-answerTime, b.gateway.End)
+	defer ending.Stop()
 	b.drainCallers(ctx)
 	b.awaitForwarded(ctx)
 	if active := b.gateway.Active(); active > 0 {
--- a/core/call.go
+++ b/core/call.go
@@ -122,6 +122,11 @@
 			c.revertSend()
 		}
 		return c.end(c.refusal(ReasonExpired))
+	case CallInterrupted:
+		if e.Unsent {
+			c.revertSend()
+		}
+		return c.end(c.refusal(ReasonStopping))
 	case CallAbandoned:
 		return c.end(CancelCall{})
 	}
@@ -170,6 +175,8 @@
 		}
 	case CallExpired:
 		reason = ReasonExpired
+	case CallInterrupted:
+		reason = ReasonStopping
 	case CallQuarantined:
 		reason = ReasonQuarantined
 	}
--- a/core/call_event.go
+++ b/core/call_event.go
@@ -10,6 +10,7 @@
 	ReasonRefused     Reason = "endpoints refused"
 	ReasonBroken      Reason = "connection broke"
 	ReasonExpired     Reason = "time is over"
+	ReasonStopping    Reason = "the box stops"
 	ReasonBudget      Reason = "retry budget spent"
 	ReasonQuarantined Reason = "endpoints end under the request"
 	// ReasonPartQuarantined is ReasonQuarantined for a part of the request's prompt.
@@ -60,6 +61,12 @@
 	Unsent bool // no byte of the current send left the box
 }
 
+// CallInterrupted reports that the box ends before the call does.
+type CallInterrupted struct {
+	EventBase
+	Unsent bool // no byte of the current send left the box
+}
+
 // CallAbandoned reports that the caller disconnected.
 type CallAbandoned struct{ EventBase }
 
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -75,6 +75,12 @@
 		Expect(stepAll(singleRunCall(true), core.CallPlaced{}, core.CallExpired{})).To(Equal(refusal(core.Unknown, core.ReasonExpired)))
 	})
 
+	It("is refused as not run only if nothing of it was sent when its box ends", func() {
+		Expect(stepAll(singleRunCall(true), core.CallInterrupted{})).To(Equal(refusal(core.NotRun, core.ReasonStopping)))
+		Expect(stepAll(singleRunCall(true), core.CallPlaced{}, core.CallInterrupted{Unsent: true})).To(Equal(refusal(core.NotRun, core.ReasonStopping)))
+		Expect(stepAll(singleRunCall(true), core.CallPlaced{}, core.CallInterrupted{})).To(Equal(refusal(core.Unknown, core.ReasonStopping)))
+	})
+
 	It("is placed again without using the budget if no byte of it was sent", func() {
 		Expect(stepAll(singleRunCall(false), core.CallPlaced{}, core.CallUnsent{})).To(Equal([]core.Command{core.PlaceCall{}}))
 	})
@@ -162,6 +168,7 @@
 			{core.CallAnswered{Failed: true}, core.ReasonBroken},
 			{core.CallBroken{}, core.ReasonBroken},
 			{core.CallExpired{}, core.ReasonExpired},
+			{core.CallInterrupted{}, core.ReasonStopping},
 			{core.CallUnplaced{}, core.ReasonBroken},
 		} {
 			c := streaming(true)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -150,6 +150,7 @@
 		outcome = "answered by another box"
 	}
 	p.recordEnd(outcome, a.head.StatusCode)
+	p.isAnswering.Store(true)
 	p.writer.WriteHeader(a.head.StatusCode)
 	_, err := p.writer.Write(a.body)
 	if a.remainder == nil {
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -90,7 +90,7 @@
 	select {
 	case <-h.done:
 		return !h.ended
-	case <-p.request.Context().Done():
+	case <-p.ctx.Done():
 	case <-t.C:
 	}
 	return true
@@ -110,7 +110,7 @@
 	defer t.Stop()
 	select {
 	case <-h.done:
-	case <-p.request.Context().Done():
+	case <-p.ctx.Done():
 		return nil
 	case <-t.C:
 		return nil
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -72,8 +72,8 @@
 // when the result is recorded.
 func (p *proxiedRequest) startEndpointCheck() (done <-chan struct{}) {
 	checked := make(chan struct{})
-	if p.request.Context().Err() != nil {
-		close(checked) // the caller left
+	if p.ctx.Err() != nil {
+		close(checked) // the caller left, or the box ends
 		return checked
 	}
 	r := p.currentRun()
@@ -127,8 +127,18 @@
 	if p.wasStopped() {
 		return true
 	}
-	_, ended := p.gateway.probePort(p.endpoint)
-	return ended
+	ended := make(chan bool, 1)
+	endpoint := p.endpoint
+	go func() {
+		_, hasEnded := p.gateway.probePort(endpoint)
+		ended <- hasEnded
+	}()
+	select {
+	case hasEnded := <-ended:
+		return hasEnded
+	case <-p.ctx.Done():
+		return true
+	}
 }
 
 func (p *proxiedRequest) recordCrash(r run, portState engine.PortState) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,7 +45,7 @@
 	if !p.route.MayRepeat() {
 		maxIdle = maxIdleNonRepeatable
 	}
-	ctx, cancel := context.WithDeadline(p.request.Context(), p.currentDeadline())
+	ctx, cancel := context.WithDeadline(p.ctx, p.currentDeadline())
 	defer cancel()
 	conn, err := p.gateway.pool.get(ctx, now, p.endpoint, maxIdle, p.chooseConnectTimeout(copyName))
 	if err != nil {
@@ -119,7 +119,7 @@
 	}
 	p.answer = a
 	_ = conn.SetDeadline(p.currentDeadline())
-	a.stopAfterFunc = context.AfterFunc(p.request.Context(), func() { _ = conn.Close() })
+	a.stopAfterFunc = context.AfterFunc(p.ctx, func() { _ = conn.Close() })
 	writeErr := p.writeRequest(a, copyName)
 	if writeErr != nil && conn.writtenBytes == 0 {
 		a.close()
@@ -166,15 +166,21 @@
 	return endOr(terminalEvent, ev)
 }
 
-// endOr returns the event that ends the request if there is one, otherwise ev. The deadline's event
-// says whether nothing was sent, or the caller would not be told that the request has not run.
+// endOr returns the event that ends the request if there is one, otherwise ev. The events of the
+// deadline and of the box's end say whether nothing was sent, or the caller would not be told that the
+// request has not run.
 func endOr(terminalEvent, ev core.Event) core.Event {
 	if terminalEvent == nil {
 		return ev
 	}
-	if expired, ok := terminalEvent.(core.CallExpired); ok {
-		_, expired.Unsent = ev.(core.CallUnsent)
-		return expired
+	_, unsent := ev.(core.CallUnsent)
+	switch e := terminalEvent.(type) {
+	case core.CallExpired:
+		e.Unsent = unsent
+		return e
+	case core.CallInterrupted:
+		e.Unsent = unsent
+		return e
 	}
 	return terminalEvent
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -58,7 +58,7 @@
 	if !p.route.MayRepeat() {
 		maxIdle = maxIdleNonRepeatable
 	}
-	ctx, cancel := context.WithDeadline(p.request.Context(), p.currentDeadline())
+	ctx, cancel := context.WithDeadline(p.ctx, p.currentDeadline())
 	defer cancel()
 	to := routing.Endpoint{
 		ID:      box.Box + "/" + strconv.FormatUint(box.InstanceID, 10),
@@ -75,7 +75,7 @@
 	}
 	p.answer = a
 	_ = conn.SetDeadline(p.currentDeadline().Add(forwardSlack))
-	a.stopAfterFunc = context.AfterFunc(p.request.Context(), func() { _ = conn.Close() })
+	a.stopAfterFunc = context.AfterFunc(p.ctx, func() { _ = conn.Close() })
 	timer := p.startForwardTimer(conn)
 	defer timer.Stop()
 	if err := p.writeForwarded(a); err != nil && conn.writtenBytes == 0 {
@@ -245,6 +245,7 @@
 		return
 	}
 	p.headSent = true
+	p.isAnswering.Store(true)
 	p.copyHeaders(a.head)
 	p.writer.WriteHeader(a.head.StatusCode)
 }
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -116,7 +116,7 @@
 	switch {
 	case c.Outcome != core.NotRun:
 		return forwardUnknown
-	case c.Reason == core.ReasonUnreachable:
+	case c.Reason == core.ReasonUnreachable, c.Reason == core.ReasonStopping:
 		return forwardUnserved
 	case c.Reason == core.ReasonNoEndpoint:
 		return forwardBusy
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,13 +48,15 @@
 	pool               *Pool
 	log                *zap.Logger
 	counters           *counters
-	mu                 sync.Mutex       // guards budgets, streams and evacuations
+	mu                 sync.Mutex       // guards budgets, streams, evacuations, requests and hasEnded
 	usualAnswerTimes   durationAverages // time to a whole answer or a first event, by route
 	eventIntervals     durationAverages // time between events, by service
 	slowdowns          *slowdownReports
 	budgets            map[string]*core.SharedBudget       // retry budgets, by service
 	streams            map[string]map[*proxiedRequest]bool // running streams, by endpoint ID
 	evacuations        map[string]*evacuation              // by the leaving endpoint's ID
+	requests           map[*proxiedRequest]context.CancelFunc
+	hasEnded           bool // End was called
 	unanswered         *unanswered
 	reachability       *reachability
 	forwarder          *forwarder
@@ -180,6 +182,7 @@
 		streams:          make(map[string]map[*proxiedRequest]bool),
 
 		evacuations:     make(map[string]*evacuation),
+		requests:        make(map[*proxiedRequest]context.CancelFunc),
 		forwarder:       newForwarder(),
 		unanswered:      newUnanswered(),
 		notices:         newNotices(),
@@ -225,6 +228,7 @@
 		forwarded:       forwarded,
 		suspendedBefore: g.suspendedFor(),
 	}
+	defer g.register(p)()
 	p.serve()
 	p.ensureEnded()
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -67,7 +67,7 @@
 	if !p.ensureRetryBudget(p.service.Name) {
 		return moveNoBudget
 	}
-	ctx, cancel := context.WithTimeout(p.request.Context(), moveTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, moveTimeout)
 	defer cancel()
 	withoutRoom := make(map[string]bool) // IDs of targets that refused or have no send left
 	var refused []string
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	gateway         *Gateway
 	writer          http.ResponseWriter
 	request         *http.Request
+	ctx             context.Context // done when the caller left or, unless isAnswering, when the box ends
 	start           time.Time
 	deadline        time.Time // not corrected for suspensions since start; see currentDeadline
 	inbound         Inbound
@@ -64,6 +66,7 @@
 	missedPause       atomic.Bool   // longestPause exceeds the route's target
 	suspendedBefore   time.Duration // the gateway's total suspension at start
 	headSent          bool          // the answer's head was written to the caller
+	isAnswering       atomic.Bool   // the caller gets an endpoint's answer
 	outcome           string        // how the answer ended; empty before that
 	placedAt          time.Time
 	resumeFrom        *handover     // where the stream continues after a break
@@ -92,7 +95,7 @@
 	}
 	p.deadline = p.start.Add(p.timeout())
 	if p.outlastsStop() {
-		p.refuse(http.StatusServiceUnavailable, "this box stops before the stream would end; another one can serve it")
+		p.refuseAs(forwardUnserved, http.StatusServiceUnavailable, "this box stops before the request would end; another one can serve it")
 		return
 	}
 	if !p.readBody() {
@@ -199,12 +202,15 @@
 	return nil
 }
 
-// terminalEvent returns the event that ends the request now: that the caller has left or the
-// deadline has passed. It returns nil if neither is so.
+// terminalEvent returns the event that ends the request now: that the caller has left, the box
+// ends or the deadline has passed. It returns nil if none is so.
 func (p *proxiedRequest) terminalEvent() core.Event {
 	if p.request.Context().Err() != nil {
 		return core.CallAbandoned{}
 	}
+	if p.ctx.Err() != nil {
+		return core.CallInterrupted{}
+	}
 	if !time.Now().Before(p.currentDeadline()) {
 		return core.CallExpired{}
 	}
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	requestedAt := time.Now()
-	ctx, cancel := context.WithTimeout(p.request.Context(), borrowTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, borrowTimeout)
 	defer cancel()
 	g.borrowRetries(ctx, service)
 	available := g.hasRetryBudget(service)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"dillsaddle.example/dillsaddle/routing"
 )
 
 // Stop begins a planned stop that lasts until end. Answers from now on ask callers to close
-// their connections, and streams that would be cut at the end are refused.
+// their connections, and requests that would still run at the end are refused.
 //
 // Requests that wait for room are sent at once, since little time is left for them.
 func (g *Gateway) Stop(end time.Time) {
@@ -15,16 +16,51 @@
 	g.waits.notify()
 }
 
-// outlastsStop reports whether a stream would still be running at the end of a planned stop.
-// Such a stream is refused before anything is sent, so that its caller can try another box.
-// New streams arrive for about 2 s after the stop has begun.
+// End ends all requests whose answer has not begun, so that their callers get an answer before
+// the process ends.
+func (g *Gateway) End() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hasEnded = true
+	for p, cancel := range g.requests {
+		if !p.isAnswering.Load() {
+			cancel()
+		}
+	}
+}
+
+// register gives a request its context. The returned function must be called when the request has
+// ended.
+func (g *Gateway) register(p *proxiedRequest) (unregister func()) {
+	ctx, cancel := context.WithCancel(p.request.Context())
+	p.ctx = ctx
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.requests[p] = cancel
+	if g.hasEnded {
+		cancel()
+	}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.requests, p)
+		cancel()
+	}
+}
+
+// outlastsStop reports whether a request would still be running at the end of a planned stop.
+// Such a request is refused before anything is sent, so that its caller can try another box.
+// New requests arrive for about 2 s after the stop has begun.
 func (p *proxiedRequest) outlastsStop() bool {
 	stopAt := p.gateway.stopAt.Load()
-	engine := p.service.Engine
-	if stopAt == nil || engine == nil || p.route.Kind != routing.Streaming {
+	if stopAt == nil {
 		return false
 	}
-	return p.start.Add(p.expectedStreamTime(engine)).After(*stopAt)
+	expected := p.gateway.usualAnswerTimes.mean(p.route.Name)
+	if engine := p.service.Engine; engine != nil && p.route.Kind == routing.Streaming {
+		expected = p.expectedStreamTime(engine)
+	}
+	return p.start.Add(expected).After(*stopAt)
 }
 
 // expectedStreamTime estimates the time from sending the request to the end of its stream.
--- a/gateway/waiting_request.go
+++ b/gateway/waiting_request.go
@@ -27,7 +27,7 @@
 const (
 	waitSent      waitOutcome = "sent"      // to an engine with room
 	waitExceeded  waitOutcome = "limit"     // sent without room at the longest wait
-	waitStopped   waitOutcome = "stopping"  // sent without room since the box stops
+	waitStopped   waitOutcome = "stopping"  // the box stops; sent without room, or answered at its end
 	waitRefused   waitOutcome = "refused"   // before it began
 	waitLeft      waitOutcome = "left"      // the caller disconnected
 	waitExpired   waitOutcome = "expired"   // the deadline passed
@@ -163,8 +163,11 @@
 	switch {
 	case ev != nil:
 		outcome = waitExpired
-		if _, left := ev.(core.CallAbandoned); left {
+		switch ev.(type) {
+		case core.CallAbandoned:
 			outcome = waitLeft
+		case core.CallInterrupted:
+			outcome = waitStopped
 		}
 	case p.isQuarantined():
 		outcome, ev = waitWithdrawn, core.CallQuarantined{}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -75,7 +75,7 @@
 			return
 		}
 		err := w.ping()
-		if p.request.Context().Err() != nil || w.events.Load() != events {
+		if p.ctx.Err() != nil || w.events.Load() != events {
 			return // the stream has ended, or an event restarted the timer
 		}
 		if err == nil {
@@ -92,7 +92,7 @@
 
 // ping pings the engine.
 func (w *watchdog) ping() error {
-	ctx, cancel := context.WithTimeout(w.proxiedRequest.request.Context(), pingTimeout)
+	ctx, cancel := context.WithTimeout(w.proxiedRequest.ctx, pingTimeout)
 	defer cancel()
 	return w.proxiedRequest.gateway.mover.Ping(ctx, w.engine)
 }
--- a/model/call.go
+++ b/model/call.go
@@ -66,6 +66,7 @@
 	}
 	s.addStep(add, "the caller disconnects", 0, core.CallAbandoned{})
 	s.addStep(add, "its deadline passes", 0, core.CallExpired{})
+	s.addStep(add, "its box ends", 0, core.CallInterrupted{})
 	switch s.pending.(type) {
 	case core.PlaceCall:
 		s.addStep(add, "an endpoint is chosen", 0, core.CallPlaced{})
@@ -89,11 +90,13 @@
 	}
 	s.addFault(add, "no byte is sent", 0, core.CallUnsent{})
 	s.addFault(add, "no byte is sent before its deadline passes", 0, core.CallExpired{Unsent: true})
+	s.addFault(add, "no byte is sent before its box ends", 0, core.CallInterrupted{Unsent: true})
 	s.addFault(add, "the endpoint refuses it", 0, core.CallRefused{})
 	s.addFault(add, "another box refuses it", 0, core.CallDeclined{})
 	s.addFault(add, "its connection breaks before it is read", 0, core.CallBroken{})
 	s.addFault(add, "it runs and its answer is lost", run, core.CallBroken{})
 	s.addFault(add, "it runs and its deadline passes", run, core.CallExpired{})
+	s.addFault(add, "it runs and its box ends", run, core.CallInterrupted{})
 	s.addStep(add, "it runs and is answered", run, core.CallAnswered{})
 	s.addFault(add, "it runs and fails", run, core.CallAnswered{Failed: true})
 	if s.rules.Events > 0 {
--- a/trace/event.go
+++ b/trace/event.go
@@ -65,6 +65,7 @@
 	core.CallProgressed{},
 	core.CallCompleted{},
 	core.CallExpired{},
+	core.CallInterrupted{},
 	core.CallAbandoned{},
 	core.VersionOffered{},
 	core.VersionHeard{},
