gateway: answer requests whose body does not arrive

A caller that had sent part of a body got no answer: not at its deadline, not when it was refused, not at the end of a stopping box. When reading a body failed, the handler cleared the connection's read deadline and panicked, and net/http then waited for the rest of the body before it closed the connection, without a limit. It does the same before it writes an early refusal.

A body that is late is answered 408, one that is incomplete when the box ends 503, and for the rest of the body of a refused request net/http now waits 250 ms at most.

--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -223,6 +223,7 @@
 }
 
 func (p *proxiedRequest) writeError(status int, reason string, retryAfter time.Duration) {
+	p.limitUnreadBody()
 	h := p.writer.Header()
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,6 +71,21 @@
 		Consistently(s.Runs).WithTimeout(200 * time.Millisecond).Should(BeEmpty())
 	})
 
+	It("is answered 408 if the body does not arrive before the deadline", func() {
+		text := strings.Replace(emulator.RequestText("b1", "whole body"), "X-Deadline-Ms: 5000", "X-Deadline-Ms: 300", 1)
+		Expect(c.Send(text[:len(text)-4])).To(Succeed())
+		Expect(answer().Status).To(Equal(http.StatusRequestTimeout))
+		Expect(s.Runs()).To(BeEmpty())
+	})
+
+	It("is refused while its body has not arrived", func() {
+		text := strings.Replace(emulator.RequestText("b2", "whole body"), emulator.CallPath, "/nowhere/", 1)
+		started := time.Now()
+		Expect(c.Send(text[:len(text)-4])).To(Succeed())
+		Expect(answer().Status).To(Equal(http.StatusNotFound))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	})
+
 	DescribeTable("does not get a request run that is smuggled in another one's body",
 		func(extra string) {
 			Expect(c.Send(emulator.RequestText("outer", "0\r\n\r\n"+emulator.RequestText("inner", "x"), extra))).To(Succeed())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,6 +225,7 @@
 		start:   time.Now(),
 		tried:   make(map[string]bool),
 
+		hasUnreadBody:   r.ContentLength != 0,
 		forwarded:       forwarded,
 		suspendedBefore: g.suspendedFor(),
 	}
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -9,12 +10,15 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
 const (
 	// bodyChunkBytes is how much of a body is read, and reserved memory for, at a time.
 	bodyChunkBytes = 32 << 10
+	// unreadBodyTime is how long the rest of a body may take that a refused request still sends.
+	unreadBodyTime = 250 * time.Millisecond
 	// defaultTimeout is the timeout of routes that set none.
 	defaultTimeout = time.Minute
 )
@@ -95,35 +99,54 @@
 func (p *proxiedRequest) rank() int { return p.priority().Customer }
 
 // readBody reads the whole body, within the configured size limit and the box's memory for
-// bodies; on failure it answers the caller and returns false.
+// bodies, until the deadline or the box's end; on failure it answers the caller and returns false.
 func (p *proxiedRequest) readBody() bool {
 	maxBytes := int64(p.view.Table.Limits().BodyBytes)
 	length := p.request.ContentLength
-	if length == 0 {
+	if !p.hasUnreadBody {
 		return true
 	}
 	if maxBytes > 0 && length > maxBytes {
 		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
 		return false
 	}
-	_ = http.NewResponseController(p.writer).SetReadDeadline(p.deadline)
+	rc := http.NewResponseController(p.writer)
+	_ = rc.SetReadDeadline(p.deadline)
+	stopAfterFunc := context.AfterFunc(p.ctx, func() { _ = rc.SetReadDeadline(time.Now()) })
 	err := p.readBodyChunks(http.MaxBytesReader(p.writer, p.request.Body, max(maxBytes, 1)))
-	_ = http.NewResponseController(p.writer).SetReadDeadline(time.Time{})
-	if err == nil {
+	wasStopped := !stopAfterFunc() && p.gateway.isEnding()
+	if err == nil && !wasStopped {
+		p.hasUnreadBody = false
+		_ = rc.SetReadDeadline(time.Time{})
 		return true
 	}
 	p.gateway.bufferedBytes.Add(-p.reservedBytes)
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits")
-		return false
-	}
-	if errors.Is(err, errNoMemory) {
+	case errors.Is(err, errNoMemory):
 		p.refuse(http.StatusServiceUnavailable, "no memory is left for bodies")
-		return false
+	case wasStopped && !hasLeft(err):
+		p.refuse(http.StatusServiceUnavailable, "this box stopped before the body had arrived; another one can serve it")
+	case engine.TimedOut(err):
+		p.refuse(http.StatusRequestTimeout, "the body did not arrive in time")
+	default:
+		p.logDecision("reading the caller's body failed; connection is closed", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+// hasLeft reports whether reading a body failed since the caller closed or reset its connection.
+func hasLeft(err error) bool { return err != nil && !engine.TimedOut(err) }
+
+// limitUnreadBody bounds the time for which the HTTP server reads what is left of the body
+// before it sends an answer.
+func (p *proxiedRequest) limitUnreadBody() {
+	if p.hasUnreadBody {
+		_ = http.NewResponseController(p.writer).SetReadDeadline(time.Now().Add(unreadBodyTime))
 	}
-	p.logDecision("reading the caller's body failed; connection is closed", zap.Error(err))
-	panic(http.ErrAbortHandler)
 }
 
 // errNoMemory reports that the box's memory for bodies is exhausted.
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -34,6 +34,7 @@
 	resolvedVersion uint64 // version of the configuration in which route, service and customer were looked up
 	allowedRegions  routing.AllowedRegions
 	body            []byte
+	hasUnreadBody   bool        // part of the body was not read yet
 	contentDigest   core.Digest // identifies the request and its repeats; see computeDigest
 	reservedBytes   int64       // memory reserved for body
 	call            *core.Call
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// isEnding reports whether End was called.
+func (g *Gateway) isEnding() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hasEnded
+}
+
 // register gives a request its context. The returned function must be called when the request has
 // ended.
 func (g *Gateway) register(p *proxiedRequest) (unregister func()) {
