box: don't reset connections whose callers still send

A caller whose body was too large got a broken pipe in place of its 413 if it sent for longer than half a second: net/http closes the socket then, and a socket that is closed with unread bytes is reset.

The box now reads and drops what such a caller sends, for 2 s or 16 MiB at most, before it closes the connection.

The spec failed before (write: broken pipe), and holds.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -9,8 +10,13 @@
 	"github.com/pkg/errors"
 )
 
-// firstRequestDelay is how long a stopping box waits for the first request on a connection.
-const firstRequestDelay = time.Second
+const (
+	// firstRequestDelay is how long a stopping box waits for the first request on a connection.
+	firstRequestDelay = time.Second
+	// maxLingerTime and maxLingerBytes bound what is read of a caller that sends after its answer.
+	maxLingerTime  = 2 * time.Second
+	maxLingerBytes = 16 << 20
+)
 
 // callerConn is a caller's connection. It tracks whether bytes of a request were read that
 // has no answer yet. The HTTP server's own state doesn't tell: it counts a connection as idle
@@ -126,19 +132,35 @@
 	c.since = time.Now()
 }
 
-// Close closes the connection.
+// Close closes the connection. If the caller still sends, it does so in the background once the
+// caller has closed its side: a socket that is closed with unread bytes is reset, and the end of
+// the answer may be lost with it.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	wasClosed, end := c.isClosed, c.end()
+	wasClosed, end, took := c.isClosed, c.end(), time.Since(c.since)
 	c.isClosed = true
-	took := time.Since(c.since)
 	c.mu.Unlock()
-	if !wasClosed {
-		c.conns.remove(c, end, took)
+	switch {
+	case wasClosed:
+		return net.ErrClosed
+	case end == endedAnswered && c.hasUnread():
+		go c.closeAfterCaller(end, took)
+		return nil
 	}
+	c.conns.remove(c, end, took)
 	return c.TCPConn.Close()
 }
 
+// closeAfterCaller reads and drops what the caller sends until it closes its side, up to
+// maxLingerBytes and maxLingerTime, and closes the connection.
+func (c *callerConn) closeAfterCaller(end connEnd, took time.Duration) {
+	_ = c.CloseWrite()
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(maxLingerTime))
+	_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+	_ = c.TCPConn.Close()
+	c.conns.remove(c, end, took)
+}
+
 // connEnd is the state in which a caller's connection was closed.
 type connEnd string
 
