box: don't lose a SIGTERM behind pending SIGHUPs

All signals shared a channel with room for four. While a box starts, nobody reads it, and the runtime drops a signal for which there is no room: after four SIGHUPs a SIGTERM was lost, and the platform killed the box with its requests when the grace period had passed. Stops and reloads now have a channel each.

--- a/box/main.go
+++ b/box/main.go
@@ -55,8 +55,10 @@
 // handlers are installed first, so that a SIGHUP during startup doesn't end the
 // process.
 func Main(arguments []string, out io.Writer) int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Each has a channel of its own, so that many reloads don't displace a stop.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	o, err := parse(arguments)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
@@ -90,7 +92,7 @@
 	if err != nil {
 		return fail(err, exitError)
 	}
-	b.runUntilStopped(signals)
+	b.runUntilStopped(stops, reloads)
 	sink.Close(logFlushTimeout)
 	return exitOK
 }
@@ -101,14 +103,12 @@
 }
 
 // runUntilStopped handles signals until a planned stop is complete.
-func (b *Box) runUntilStopped(signals <-chan os.Signal) {
+func (b *Box) runUntilStopped(stops, reloads <-chan os.Signal) {
 	for {
 		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				b.Reload()
-				continue
-			}
+		case <-reloads:
+			b.Reload()
+		case <-stops:
 			b.Stop()
 		case <-b.Done():
 			return
