box: serve requests that arrived before the end of a rest was noticed

A box that gets no processor time, or that was frozen, sees the deadline of a resting connection before the request that came in time on it, and closed the connection with the request unread. The same check as for a stopping box now holds for every rest: if bytes have arrived, they are read. Without a test of its own: it takes a frozen process and a rest of a minute.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -50,19 +50,21 @@
 func (c *callerConn) handleRead(n, buffer int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isRetired := c.isRetired && c.resting
+	wasResting, wasRetired := c.resting, c.isRetired
 	if n > 0 {
 		c.recordRead(n, buffer)
 	}
 	if err != nil && !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
 		c.callerLeft = true
 	}
-	if !isRetired || (n == 0 && !(isTimeout(err) && c.hasUnread())) {
-		return false
+	// A process that got no processor time sees the end of the rest before the request that came
+	// in time.
+	isLate := wasResting && n == 0 && isTimeout(err) && c.hasUnread()
+	if isLate || (wasResting && wasRetired && n > 0) {
+		c.isRetired = false
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
 	}
-	c.isRetired = false
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
-	return n == 0
+	return isLate
 }
 
 // hasUnread reports whether bytes have arrived that were not read yet.
