box: bound the time that a caller may leave its answer unread

A caller that stopped reading and never closed held its request, its answer and the stream at the engine for as long as its connection lived. Writes to callers now fail when nothing was read for 30 s. Slow callers that go on reading are not affected.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -13,6 +13,8 @@
 const (
 	// firstRequestDelay is how long a stopping box waits for the first request on a connection.
 	firstRequestDelay = time.Second
+	// maxWriteStall is how long a caller may leave its answer unread before it counts as gone.
+	maxWriteStall = 30 * time.Second
 	// maxLingerTime and maxLingerBytes bound what is read of a caller that sends after its answer.
 	maxLingerTime  = 2 * time.Second
 	maxLingerBytes = 16 << 20
@@ -34,6 +36,8 @@
 	isClosed   bool
 	isNew      bool // no answer was written yet
 	isRetired  bool // the rest is to end with the connection
+
+	writeLimitSet time.Time // when the deadline of writes was last set
 }
 
 // Read reads from the connection.
@@ -115,14 +119,26 @@
 	}
 }
 
-// Write writes to the connection.
+// Write writes to the connection. It fails if the caller has not read for maxWriteStall.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.isAnswered = true
+	if now := time.Now(); now.After(c.writeLimitSet.Add(time.Second)) {
+		c.writeLimitSet = now
+		_ = c.SetWriteDeadline(now.Add(maxWriteStall))
+	}
 	c.mu.Unlock()
 	return c.TCPConn.Write(p)
 }
 
+// SetWriteDeadline sets the deadline of writes.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		return nil // net/http clears it after each answer
+	}
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // rest records the end of an answer.
 func (c *callerConn) rest() {
 	c.mu.Lock()
