box, gateway: begin no stream late in a planned stop

From the time on at which the balancer opens no more connections, streams are refused, and the listener closes 1 s before the end. The log tells a head that was read in part from a request without an answer.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -33,6 +33,7 @@
 	isAnswered bool      // part of an answer to the current request was written
 	callerLeft bool      // the caller closed or reset the connection
 	readAhead  bool      // the first byte of the next request was read
+	isServed   bool      // the head of the current request was read to its end
 	isClosed   bool
 	isNew      bool // no answer was written yet
 	isRetired  bool // the rest is to end with the connection
@@ -113,6 +114,7 @@
 	if c.resting {
 		c.resting = false
 		c.isAnswered = false
+		c.isServed = false
 		c.since = time.Now()
 	} else if n == 1 && buffer == 1 {
 		c.readAhead = true
@@ -147,9 +149,17 @@
 	c.readAhead = false
 	c.isNew = false
 	c.isAnswered = false
+	c.isServed = false
 	c.since = time.Now()
 }
 
+// serve records that the head of a request was read to its end.
+func (c *callerConn) serve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isServed = true
+}
+
 // Close closes the connection. If the caller still sends, it does so in the background once the
 // caller has closed its side: a socket that is closed with unread bytes is reset, and the end of
 // the answer may be lost with it.
@@ -187,7 +197,8 @@
 	endedResting    connEnd = "resting"     // no byte of a request was read
 	endedAnswered   connEnd = "answered"    // the answer to the last request was written, at least in part
 	endedByCaller   connEnd = "caller left" // the caller closed or reset it
-	endedUnanswered connEnd = "unanswered"  // bytes of a request were read and none of an answer written
+	endedIncomplete connEnd = "incomplete"  // part of the head of a request was read
+	endedUnanswered connEnd = "unanswered"  // a request was read, its body perhaps in part, and no byte of an answer written
 )
 
 // end returns the state in which the connection would be closed now.
@@ -199,6 +210,8 @@
 		return endedResting
 	case c.isAnswered:
 		return endedAnswered
+	case !c.isServed:
+		return endedIncomplete
 	}
 	return endedUnanswered
 }
--- a/box/caller_conns.go
+++ b/box/caller_conns.go
@@ -86,7 +86,14 @@
 
 // handleState handles a change of a connection's state in the HTTP server.
 func (cs *callerConns) handleState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.serve()
+	case http.StateIdle:
 		c.rest()
 	}
 }
@@ -112,6 +119,7 @@
 		zap.Int("answered", cs.ended[endedAnswered]),
 		zap.Int("resting", cs.ended[endedResting]),
 		zap.Int("caller_left", cs.ended[endedByCaller]),
+		zap.Int("incomplete", cs.ended[endedIncomplete]),
 		zap.Int("unanswered", cs.ended[endedUnanswered]),
 	)
 }
--- a/box/stop.go
+++ b/box/stop.go
@@ -18,7 +18,7 @@
 		b.stopping.Store(true)
 		b.log.Info("stop", zap.Int("active", b.gateway.Active()))
 		limit := time.Now().Add(b.settings.Grace - killMargin)
-		b.gateway.Stop(limit.Add(-answerTime))
+		b.gateway.Stop(time.Now().Add(balancerDelay), limit.Add(-answerTime))
 		b.peers.MarkLeaving()
 		go b.shutDown(limit)
 	})
@@ -32,7 +32,7 @@
 	defer cancel()
 	ending := time.AfterFunc(time.Until(limit)-answerTime, b.gateway.End)
 	defer ending.Stop()
-	b.drainCallers(ctx)
+	b.drainCallers(ctx, limit)
 	b.awaitForwarded(ctx)
 	if active := b.gateway.Active(); active > 0 {
 		b.log.Warn("stopping with unfinished requests", zap.Int("active", active))
@@ -44,13 +44,17 @@
 	close(b.done)
 }
 
-// drainInterval is the interval at which a stopping box closes resting connections.
-const drainInterval = 20 * time.Millisecond
+const (
+	// drainInterval is the interval at which a stopping box closes resting connections.
+	drainInterval = 20 * time.Millisecond
+	// lastRequestTime is the time before its end in which a stopping box accepts no connections.
+	lastRequestTime = time.Second
+)
 
 // drainCallers closes callers' connections once they rest, and then the listener, until all are
 // closed or ctx is done. http.Server.Shutdown would drop requests that were read but not parsed.
-func (b *Box) drainCallers(ctx context.Context) {
-	b.closeRestingUntil(ctx, b.callers.isDrained)
+func (b *Box) drainCallers(ctx context.Context, limit time.Time) {
+	b.closeRestingUntil(ctx, func(now time.Time) bool { return b.callers.isDrained(now) || limit.Sub(now) < lastRequestTime })
 	_ = b.callers.Close()
 	b.closeRestingUntil(ctx, func(time.Time) bool { return b.callers.openCount() == 0 })
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	activeForwarded    atomic.Int64              // of them, those that other boxes forwarded
 	suspended          atomic.Int64              // how long the machine was suspended since the process began, in ns
 	stopAt             atomic.Pointer[time.Time] // the end of a planned stop; nil if none is under way
+	lastStreams        atomic.Pointer[time.Time] // from when on a planned stop refuses streams; nil if none is under way
 	unannouncedBreakAt atomic.Pointer[time.Time] // when a stream last broke off without notice; nil if none did
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,10 +8,12 @@
 )
 
 // Stop begins a planned stop that lasts until end. Answers from now on ask callers to close
-// their connections, and requests that would still run at the end are refused.
+// their connections, and requests that would still run at the end are refused, as are all streams
+// from lastStreams on: their length is a guess.
 //
 // Requests that wait for room are sent at once, since little time is left for them.
-func (g *Gateway) Stop(end time.Time) {
+func (g *Gateway) Stop(lastStreams, end time.Time) {
+	g.lastStreams.Store(&lastStreams)
 	g.stopAt.Store(&end)
 	g.waits.notify()
 }
@@ -64,6 +66,9 @@
 		return false
 	}
 	expected := p.gateway.usualAnswerTimes.mean(p.route.Name)
+	if p.route.Kind == routing.Streaming && p.start.After(*p.gateway.lastStreams.Load()) {
+		return true
+	}
 	if engine := p.service.Engine; engine != nil && p.route.Kind == routing.Streaming {
 		expected = p.expectedStreamTime(engine)
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -240,12 +240,12 @@
 		s := b.add("e-1", emulator.ModelService)
 		s.Events, s.EventInterval = 12, eventGap
 		Expect(stream("p1").IsComplete).To(BeTrue())
-		b.gateway.Stop(time.Now().Add(300 * time.Millisecond))
+		b.gateway.Stop(time.Now().Add(300*time.Millisecond), time.Now().Add(300*time.Millisecond))
 		o := stream("p2")
 		Expect(o.Status).To(Equal(http.StatusServiceUnavailable))
 		Expect(o.RetryAfter).NotTo(BeEmpty())
 		Expect(s.Runs()).To(HaveLen(1))
-		b.gateway.Stop(time.Now().Add(10 * time.Second))
+		b.gateway.Stop(time.Now().Add(10*time.Second), time.Now().Add(10*time.Second))
 		Expect(stream("p3").IsComplete).To(BeTrue())
 	})
 
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // HandleSuspension corrects the gateway's state after the machine was suspended for a time
 // that the monotonic clock did not count. Deadlines come that much sooner. Idle connections
@@ -10,9 +13,11 @@
 	g.waits.handleSuspension(d)
 	g.sendGate.backoffs.suspended(d)
 	g.pool.Sweep(time.Now(), func(string) bool { return false })
-	if end := g.stopAt.Load(); end != nil {
-		earlier := end.Add(-d)
-		g.stopAt.Store(&earlier)
+	for _, at := range []*atomic.Pointer[time.Time]{&g.stopAt, &g.lastStreams} {
+		if t := at.Load(); t != nil {
+			earlier := t.Add(-d)
+			at.Store(&earlier)
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/waiting_failure_test.go
+++ b/gateway/waiting_failure_test.go
@@ -93,7 +93,7 @@
 
 	It("is sent at once regardless of room when the box stops, and later ones don't wait", func() {
 		done := b.startWaiting(emulator.StreamPath, "a")
-		b.gateway.Stop(time.Now().Add(10 * time.Second))
+		b.gateway.Stop(time.Now().Add(10*time.Second), time.Now().Add(10*time.Second))
 		Eventually(b.engine.Runs, "200ms").Should(HaveLen(1))
 		Expect((<-done).IsComplete).To(BeTrue())
 		Expect(b.outcomes("a")).To(Equal([]string{"stopping"}))
