--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -316,6 +316,13 @@
 	}
 }
 
+// wasKilled reports whether the box ever got a SIGKILL.
+func (b *boxProcess) wasKilled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.disturbances) > 0
+}
+
 func (b *boxProcess) markRestarting() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/lapses.go
+++ b/soak/lapses.go
@@ -42,7 +42,7 @@
 	hangStreamDeadline = 2600 * time.Millisecond
 )
 
-func hasLapses(seed uint64) bool { return seed >= firstLapseSeed }
+func hasLapses(seed uint64) bool { return seed >= firstLapseSeed && !hasStops(seed) }
 
 // hasHangs reports whether the paths from a seed's single box to all servers fail.
 func hasHangs(seed uint64) bool { return hasLapses(seed) && seed%2 == 1 }
--- a/soak/prompt_parts.go
+++ b/soak/prompt_parts.go
@@ -36,7 +36,7 @@
 	minCrowdShare = 0.75
 )
 
-func hasBadPart(seed uint64) bool { return seed >= firstBadPartSeed && !hasLapses(seed) }
+func hasBadPart(seed uint64) bool { return seed >= firstBadPartSeed && seed < firstLapseSeed }
 
 // badPrompt returns the parts of a prompt that crashes engines: the bad part comes first, in the
 // middle or alone, and the others are shared with sound prompts.
--- a/soak/run.go
+++ b/soak/run.go
@@ -93,8 +93,9 @@
 	if err != nil {
 		return nil, err
 	}
-	planned := seed%3 == 0 && !hasLapses(seed)
+	planned := seed%3 == 0 && !hasLapses(seed) || hasStops(seed)
 	callers := startCallers(f, seed)
+	resting := startRestingCallers(f, seed)
 	crashing := startCrashingCaller(f, seed, planned)
 	i := newInjector(f, seed, planned)
 	announcements := newAnnouncer(f, seed)
@@ -108,9 +109,12 @@
 	f.crowd.schedule()
 	lapses := newLapses(i, seed)
 	firstFaultAt := time.Now()
-	if hasLapses(seed) {
+	switch {
+	case hasLapses(seed):
 		lapses.run()
-	} else {
+	case hasStops(seed):
+		newStops(i, seed).run()
+	default:
 		for range faultCount {
 			i.restartExited()
 			i.replaceCrashed()
@@ -142,6 +146,7 @@
 		lapses.recordSeries(firstFaultAt)
 	}
 	r.Violations = append(r.Violations, i.unexpectedExits...)
+	restingResults := resting.stop()
 	results := callers.stop()
 	r.Faults = append(i.descriptions, announcements.String())
 	r.checkCalls(f, i, results)
@@ -152,6 +157,9 @@
 	crashTimes := r.checkCrashingRequest(f, crashing.stop(), crashing.threshold, i.memoryLostTimes)
 	r.checkSoundPrompts(f, crashTimes, results)
 	r.checkCrowd(f, results)
+	if err := r.checkStops(f, restingResults); err != nil {
+		return r, err
+	}
 	if err := r.checkLogs(f, i, results); err != nil || len(r.Violations) == 0 {
 		return r, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,7 @@
 		Entry("the first part of most prompts is at more crashes than the part that causes them", 7015),
 		Entry("a request crashes every engine, behind proxies that make crashes look like resets", 1001),
 		Entry("entries lapse while the store is down or their servers don't reach it, and boxes never use the servers again", 8000),
+		Entry("boxes stopped and reloaded in series drop requests that they have read", 9005),
 		Entry("connections to servers hang until deadlines have passed, and streams that are continued then look whole", 8001),
 	)
 })
