gateway: bound the memory of buffered answers

Each answer was buffered up to 256 KiB, however many there were: some 500 long answers, or ones without end, and callers that read slowly took all memory of a small box. A sixth of the box's memory is now for answers, like that for bodies; beyond it what is left of an answer is streamed. Not seen on a box; the spec plays 120 answers of 200 KiB whose callers don't read.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -13,9 +13,15 @@
 	"dillsaddle.example/dillsaddle/core"
 )
 
-// maxBufferedAnswer is the size in bytes up to which an answer is buffered whole before
-// it is passed on; the rest of a longer one is streamed.
-const maxBufferedAnswer = 256 << 10
+const (
+	// maxBufferedAnswer is the size in bytes up to which an answer is buffered whole before
+	// it is passed on; the rest of a longer one is streamed.
+	maxBufferedAnswer = 256 << 10
+	// answerChunkBytes is how much of an answer memory is reserved for at a time.
+	answerChunkBytes = 32 << 10
+	// answerMemoryDivisor divides the box's memory; the quotient bounds the buffered answers.
+	answerMemoryDivisor = 6
+)
 
 // reasonMayBeCut says why an answer isn't passed on as a whole one.
 const reasonMayBeCut = "the answer has no length, and its endpoint ended or stopped the run"
@@ -59,22 +65,35 @@
 	return a.head.ContentLength < 0 && len(a.head.TransferEncoding) == 0 && method != http.MethodHead && bodyAllowed(a.head.StatusCode)
 }
 
-// readBody buffers the body, up to maxBufferedAnswer; what is left of a longer one is its remainder.
-func (a *answer) readBody() error {
-	body, err := io.ReadAll(io.LimitReader(a.head.Body, maxBufferedAnswer))
-	if err != nil {
-		return err
-	}
-	a.body = body
-	if len(body) == maxBufferedAnswer {
-		a.remainder = a.head.Body
+// bufferAnswer buffers the body of an answer, up to maxBufferedAnswer and within the box's memory for
+// answers; what is left of a longer one is its remainder.
+func (p *proxiedRequest) bufferAnswer(a *answer) error {
+	for len(a.body) < maxBufferedAnswer && p.reserveAnswerMemory() {
+		chunk, err := io.ReadAll(io.LimitReader(a.head.Body, answerChunkBytes))
+		a.body = append(a.body, chunk...)
+		if err != nil || len(chunk) < answerChunkBytes {
+			return err
+		}
 	}
+	a.remainder = a.head.Body
 	return nil
 }
 
+// reserveAnswerMemory reserves memory for a chunk of the answer, until the request ends, and
+// reports whether there was enough.
+func (p *proxiedRequest) reserveAnswerMemory() bool {
+	g := p.gateway
+	if g.answerBytes.Add(answerChunkBytes) > g.rules.MemoryBytes/answerMemoryDivisor {
+		g.answerBytes.Add(-answerChunkBytes)
+		return false
+	}
+	p.answerBytes += answerChunkBytes
+	return true
+}
+
 // readAnswer buffers the answer's body, up to maxBufferedAnswer.
 func (p *proxiedRequest) readAnswer(a *answer) core.Event {
-	if err := a.readBody(); err != nil {
+	if err := p.bufferAnswer(a); err != nil {
 		a.close()
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's body failed", err, core.CallBroken{})
@@ -99,6 +118,9 @@
 	return core.CallAnswered{Failed: failed}
 }
 
+// BufferedAnswerBytes returns the memory that is reserved for answers.
+func (g *Gateway) BufferedAnswerBytes() int64 { return g.answerBytes.Load() }
+
 // release returns the connection to the pool if isComplete is set, for an answer read to its
 // end, and the request was sent whole. Otherwise it closes the connection.
 func (a *answer) release(p *proxiedRequest, isComplete bool) {
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"runtime"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,3 +48,29 @@
 		Entry("in the number of an event's lines", emulator.ModelService, emulator.StreamPath, streamHead+"\r\n", "data: x\n", http.StatusBadGateway),
 	)
 })
+
+// Guards against answers that together fill a box's memory while their callers don't read.
+var _ = Describe("many long answers", func() {
+	It("are buffered within the box's memory for them, and passed on whole", func() {
+		const callers, length = 120, 200 << 10
+		b := newTestbed()
+		b.add("i-1", emulator.PlainService).SetRawAnswer(signedHead+fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length)), "")
+		var all []*emulator.RawCaller
+		for n := range callers {
+			c, err := emulator.DialRaw(b.address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			Expect(c.Send(emulator.RequestText(fmt.Sprintf("a%d", n), "body"))).To(Succeed())
+			all = append(all, c)
+		}
+		limit := int64(testbedMemory / 6)
+		Consistently(b.gateway.BufferedAnswerBytes).WithTimeout(500 * time.Millisecond).Should(BeNumerically("<=", limit))
+		for _, c := range all {
+			o, err := c.ReadAnswer()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(o.Status).To(Equal(http.StatusOK))
+			Expect(o.Body).To(HaveLen(length))
+		}
+		Eventually(b.gateway.BufferedAnswerBytes).WithTimeout(time.Second).Should(BeZero())
+	})
+})
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -94,7 +94,7 @@
 	if outcome == forwardAnswered && isEventStream(a.head) {
 		return p.passForwardedStream(a, timer)
 	}
-	if err := a.readBody(); err != nil {
+	if err := p.bufferAnswer(a); err != nil {
 		a.close()
 		return p.forwardFailed("reading the answer's body failed", err, core.CallBroken{})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,8 @@
 	quarantine         *fleet.Quarantine
 	partQuarantine     *fleet.PartQuarantine
 	checkSuspension    func()
-	bufferedBytes      atomic.Int64
+	bufferedBytes      atomic.Int64 // of callers' bodies
+	answerBytes        atomic.Int64 // of endpoints' answers
 	activeRequests     atomic.Int64
 	activeForwarded    atomic.Int64              // of them, those that other boxes forwarded
 	suspended          atomic.Int64              // how long the machine was suspended since the process began, in ns
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -37,6 +37,7 @@
 	hasUnreadBody   bool        // part of the body was not read yet
 	contentDigest   core.Digest // identifies the request and its repeats; see computeDigest
 	reservedBytes   int64       // memory reserved for body
+	answerBytes     int64       // memory reserved for answers
 	call            *core.Call
 	forwarded       *forwardedRequest // what the box said that forwarded the request to this one; nil if none did
 	forwardTo       core.Peer         // the box that gets the current send instead of an endpoint, or the zero value
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -54,6 +54,7 @@
 		defer g.mu.Unlock()
 		delete(g.requests, p)
 		cancel()
+		g.answerBytes.Add(-p.answerBytes)
 	}
 }
 
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -19,6 +19,9 @@
 	"dillsaddle.example/dillsaddle/platform/emulator"
 )
 
+// testbedMemory is the memory of a testbed's gateway in bytes.
+const testbedMemory = 64 << 20
+
 // testbed is a gateway in front of emulated servers; it reads its view from the emulated
 // store once, and again on refresh.
 type testbed struct {
@@ -60,7 +63,7 @@
 			Window: 10 * time.Second,
 			Safety: 1,
 		},
-		MemoryBytes:  64 << 20,
+		MemoryBytes:  testbedMemory,
 		FirstProcess: firstProcess,
 	}, append([]gateway.Option{
 		gateway.WithLog(zap.New(observed)),
