--- a/gateway/choose_endpoint.go
+++ b/gateway/choose_endpoint.go
@@ -23,8 +23,6 @@
 	// lasts as long as an outage of the store does: seconds. Most callers try only twice, and
 	// would meet the same outage after defaultRetryAfter.
 	noConfigRetryAfter = 2 * time.Second
-	// stoppingRetryAfter is the Retry-After while this box stops: others serve the request.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// retryJitter is the fraction by which jitter varies times in both directions, so that
 	// callers refused together do not return together.
 	retryJitter = 0.25
@@ -217,9 +215,6 @@
 		return defaultRetryAfter
 	}
 	now := time.Now()
-	if p.gateway.stopAt.Load() != nil {
-		return jitter(stoppingRetryAfter)
-	}
 	wait := p.gateway.sendGate.nextSendIn(now, p.allowedEndpoints(func(routing.Endpoint) bool { return true }))
 	if wait <= defaultRetryAfter {
 		return defaultRetryAfter
