box: end requests also within a short grace period

With a grace period below 2.85 s the box waited for the balancer until its very end, and interrupted the remaining requests when nobody waited for their answers any more. By reading; the timer now starts with the stop, and the wait leaves a second.

--- a/box/stop.go
+++ b/box/stop.go
@@ -27,11 +27,11 @@
 // shutDown waits until the balancer opens no more connections and running requests
 // have finished, up to the limit, and then stops the box.
 func (b *Box) shutDown(limit time.Time) {
-	time.Sleep(min(balancerDelay, time.Until(limit)))
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
 	ending := time.AfterFunc(time.Until(limit)-answerTime, b.gateway.End)
 	defer ending.Stop()
+	time.Sleep(min(balancerDelay, time.Until(limit)-lastRequestTime))
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
 	b.drainCallers(ctx, limit)
 	b.awaitForwarded(ctx)
 	if active := b.gateway.Active(); active > 0 {
