soak: don't count refusals for a revoked key as failures of cuts

Such a request must not be served at any box, so that the check now leaves it out, at boxes that are cut off and at the others.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -89,6 +89,10 @@
 		if !c.enabled || !c.injector.fleet.isUndisturbed(s.box) || s.startedAt.Before(c.beganAt.Add(cutApplyTime)) || s.startedAt.After(c.endedAt) {
 			continue
 		}
+		// A request whose key was revoked must not be served.
+		if revokedAt := c.injector.keyRevokedAt; s.Status == http.StatusUnauthorized && s.key == emulator.OtherKey && !revokedAt.IsZero() && s.startedAt.After(revokedAt) {
+			continue
+		}
 		at := 0
 		if c.boxes[s.box] {
 			at = 1
