--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -28,15 +28,15 @@
 	conns *callerConns
 
 	mu         sync.Mutex
-	resting    bool      // nothing was read since the connection was opened or the last answer ended
-	since      time.Time // start of the current rest or request
+	idle       bool      // nothing was read since the connection was opened or the last answer ended
+	since      time.Time // start of the current idle time or request
 	isAnswered bool      // part of an answer to the current request was written
 	callerLeft bool      // the caller closed or reset the connection
 	readAhead  bool      // the first byte of the next request was read
 	isServed   bool      // the head of the current request was read to its end
 	isClosed   bool
 	isNew      bool // no answer was written yet
-	isRetired  bool // the rest is to end with the connection
+	isClosing  bool // the idle time is to end with the connection
 
 	writeLimitSet time.Time // when the deadline of writes was last set
 }
@@ -55,18 +55,18 @@
 func (c *callerConn) handleRead(n, buffer int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wasResting, wasRetired := c.resting, c.isRetired
+	wasIdle, wasClosing := c.idle, c.isClosing
 	if n > 0 {
 		c.recordRead(n, buffer)
 	}
 	if err != nil && !isTimeout(err) && !errors.Is(err, net.ErrClosed) {
 		c.callerLeft = true
 	}
-	// A process that got no processor time sees the end of the rest before the request that came
+	// A process that got no processor time sees the end of the idle time before the request that came
 	// in time.
-	isLate := wasResting && n == 0 && isTimeout(err) && c.hasUnread()
-	if isLate || (wasResting && wasRetired && n > 0) {
-		c.isRetired = false
+	isLate := wasIdle && n == 0 && isTimeout(err) && c.hasUnread()
+	if isLate || (wasIdle && wasClosing && n > 0) {
+		c.isClosing = false
 		_ = c.TCPConn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
 	}
 	return isLate
@@ -86,33 +86,33 @@
 	return err == nil && unread > 0
 }
 
-// SetReadDeadline sets the deadline of reads, unless the connection is retired.
+// SetReadDeadline sets the deadline of reads, unless the connection is closing.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isRetired && c.resting {
+	if c.isClosing && c.idle {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// retire ends the read that waits for a request, so that the connection is closed. A connection
+// closeIdle ends the read that waits for a request, so that the connection is closed. A connection
 // on which a byte of a request was read or has arrived stays open.
-func (c *callerConn) retire(now time.Time) {
+func (c *callerConn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.resting || c.isRetired || (c.isNew && now.Sub(c.since) < firstRequestDelay) {
+	if !c.idle || c.isClosing || (c.isNew && now.Sub(c.since) < firstRequestDelay) {
 		return
 	}
-	c.isRetired = true
+	c.isClosing = true
 	_ = c.TCPConn.SetReadDeadline(now)
 }
 
 // recordRead records that n bytes were read into a buffer. While a request is served, the HTTP
 // server reads a single byte to detect whether the caller leaves.
 func (c *callerConn) recordRead(n, buffer int) {
-	if c.resting {
-		c.resting = false
+	if c.idle {
+		c.idle = false
 		c.isAnswered = false
 		c.isServed = false
 		c.since = time.Now()
@@ -141,11 +141,11 @@
 	return c.TCPConn.SetWriteDeadline(t)
 }
 
-// rest records the end of an answer.
-func (c *callerConn) rest() {
+// becomeIdle records the end of an answer.
+func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resting = !c.readAhead
+	c.idle = !c.readAhead
 	c.readAhead = false
 	c.isNew = false
 	c.isAnswered = false
@@ -194,7 +194,7 @@
 
 // The states.
 const (
-	endedResting    connEnd = "resting"     // no byte of a request was read
+	endedIdle       connEnd = "idle"        // no byte of a request was read
 	endedAnswered   connEnd = "answered"    // the answer to the last request was written, at least in part
 	endedByCaller   connEnd = "caller left" // the caller closed or reset it
 	endedIncomplete connEnd = "incomplete"  // part of the head of a request was read
@@ -206,8 +206,8 @@
 	switch {
 	case c.callerLeft:
 		return endedByCaller
-	case c.resting:
-		return endedResting
+	case c.idle:
+		return endedIdle
 	case c.isAnswered:
 		return endedAnswered
 	case !c.isServed:
--- a/box/caller_conns.go
+++ b/box/caller_conns.go
@@ -50,7 +50,7 @@
 	c := &callerConn{
 		TCPConn: accepted,
 		conns:   cs,
-		resting: true,
+		idle:    true,
 		isNew:   true,
 		since:   time.Now(),
 	}
@@ -61,12 +61,12 @@
 	return c, nil
 }
 
-// retireResting closes the connections on which callers have begun no request.
-func (cs *callerConns) retireResting(now time.Time) {
+// closeIdle closes the connections on which callers have begun no request.
+func (cs *callerConns) closeIdle(now time.Time) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.open {
-		c.retire(now)
+		c.closeIdle(now)
 	}
 }
 
@@ -94,7 +94,7 @@
 	case http.StateActive:
 		c.serve()
 	case http.StateIdle:
-		c.rest()
+		c.becomeIdle()
 	}
 }
 
@@ -117,7 +117,7 @@
 	cs.log.Info("callers' connections",
 		zap.Int("open", len(cs.open)),
 		zap.Int("answered", cs.ended[endedAnswered]),
-		zap.Int("resting", cs.ended[endedResting]),
+		zap.Int("idle", cs.ended[endedIdle]),
 		zap.Int("caller_left", cs.ended[endedByCaller]),
 		zap.Int("incomplete", cs.ended[endedIncomplete]),
 		zap.Int("unanswered", cs.ended[endedUnanswered]),
--- a/box/stop.go
+++ b/box/stop.go
@@ -45,25 +45,25 @@
 }
 
 const (
-	// drainInterval is the interval at which a stopping box closes resting connections.
+	// drainInterval is the interval at which a stopping box closes idle connections.
 	drainInterval = 20 * time.Millisecond
 	// lastRequestTime is the time before its end in which a stopping box accepts no connections.
 	lastRequestTime = time.Second
 )
 
-// drainCallers closes callers' connections once they rest, and then the listener, until all are
+// drainCallers closes callers' connections once they are idle, and then the listener, until all are
 // closed or ctx is done. http.Server.Shutdown would drop requests that were read but not parsed.
 func (b *Box) drainCallers(ctx context.Context, limit time.Time) {
-	b.closeRestingUntil(ctx, func(now time.Time) bool { return b.callers.isDrained(now) || limit.Sub(now) < lastRequestTime })
+	b.closeIdleUntil(ctx, func(now time.Time) bool { return b.callers.isDrained(now) || limit.Sub(now) < lastRequestTime })
 	_ = b.callers.Close()
-	b.closeRestingUntil(ctx, func(time.Time) bool { return b.callers.openCount() == 0 })
+	b.closeIdleUntil(ctx, func(time.Time) bool { return b.callers.openCount() == 0 })
 }
 
-// closeRestingUntil closes callers' connections once they rest, until isDone returns true or ctx is
+// closeIdleUntil closes callers' connections once they are idle, until isDone returns true or ctx is
 // done.
-func (b *Box) closeRestingUntil(ctx context.Context, isDone func(time.Time) bool) {
+func (b *Box) closeIdleUntil(ctx context.Context, isDone func(time.Time) bool) {
 	for !isDone(time.Now()) && ctx.Err() == nil {
-		b.callers.retireResting(time.Now())
+		b.callers.closeIdle(time.Now())
 		fleet.Sleep(ctx, drainInterval)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -95,7 +95,7 @@
 	}
 	planned := seed%3 == 0 && !hasLapses(seed) || hasStops(seed)
 	callers := startCallers(f, seed)
-	resting := startRestingCallers(f, seed)
+	idle := startIdleCallers(f, seed)
 	crashing := startCrashingCaller(f, seed, planned)
 	i := newInjector(f, seed, planned)
 	announcements := newAnnouncer(f, seed)
@@ -146,7 +146,7 @@
 		lapses.recordSeries(firstFaultAt)
 	}
 	r.Violations = append(r.Violations, i.unexpectedExits...)
-	restingResults := resting.stop()
+	idleResults := idle.stop()
 	results := callers.stop()
 	r.Faults = append(i.descriptions, announcements.String())
 	r.checkCalls(f, i, results)
@@ -157,7 +157,7 @@
 	crashTimes := r.checkCrashingRequest(f, crashing.stop(), crashing.threshold, i.memoryLostTimes)
 	r.checkSoundPrompts(f, crashTimes, results)
 	r.checkCrowd(f, results)
-	if err := r.checkStops(f, restingResults); err != nil {
+	if err := r.checkStops(f, idleResults); err != nil {
 		return r, err
 	}
 	if err := r.checkLogs(f, i, results); err != nil || len(r.Violations) == 0 {
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -14,13 +14,13 @@
 
 const (
 	// firstStopSeed is the first seed in whose run boxes are stopped and reloaded in series, the
-	// configuration grows and its times get shorter, and callers keep resting connections. In odd
+	// configuration grows and its times get shorter, and callers keep idle connections. In odd
 	// seeds an engine never answers.
 	firstStopSeed         = 9000
 	stopRounds            = 10
-	restingCallersPerBox  = 12
+	idleCallersPerBox     = 12
 	requestsPerConnection = 5
-	maxRest               = 1200 * time.Millisecond
+	maxIdle               = 1200 * time.Millisecond
 	maxPartPause          = 300 * time.Millisecond
 	maxReloads            = 6
 	grownRoutes           = 300
@@ -30,31 +30,31 @@
 
 func hasStops(seed uint64) bool { return seed >= firstStopSeed }
 
-// restingResult is a request on a kept connection, as its caller saw it.
-type restingResult struct {
+// idleResult is a request on a kept connection, as its caller saw it.
+type idleResult struct {
 	emulator.Outcome
 	err       error
 	sentWhole bool
 }
 
-// restingCallers send requests in parts on connections that rest between them, to all boxes.
-type restingCallers struct {
+// idleCallers send requests in parts on connections that are idle between them, to all boxes.
+type idleCallers struct {
 	mu      sync.Mutex
-	results []restingResult
+	results []idleResult
 	workers sync.WaitGroup
 	done    chan struct{}
 }
 
-func startRestingCallers(f *fleet, seed uint64) *restingCallers {
-	c := &restingCallers{done: make(chan struct{})}
+func startIdleCallers(f *fleet, seed uint64) *idleCallers {
+	c := &idleCallers{done: make(chan struct{})}
 	if !hasStops(seed) {
 		return c
 	}
 	for box := range f.boxes {
-		for n := range restingCallersPerBox {
-			r := rand.New(rand.NewPCG(seed, uint64(1000+box*restingCallersPerBox+n)))
+		for n := range idleCallersPerBox {
+			r := rand.New(rand.NewPCG(seed, uint64(1000+box*idleCallersPerBox+n)))
 			c.workers.Go(func() {
-				for k := 0; !c.pause(r, maxRest/4); k++ {
+				for k := 0; !c.pause(r, maxIdle/4); k++ {
 					c.useConnection(f.boxes[box].settings.Front, r, fmt.Sprintf("s%d-b%d-r%d-%d", seed, box, n, k))
 				}
 			})
@@ -64,7 +64,7 @@
 }
 
 // pause sleeps for a random time, and reports whether the callers are to stop.
-func (c *restingCallers) pause(r *rand.Rand, longest time.Duration) bool {
+func (c *idleCallers) pause(r *rand.Rand, longest time.Duration) bool {
 	select {
 	case <-c.done:
 		return true
@@ -74,14 +74,14 @@
 }
 
 // useConnection opens a connection and sends requests on it until it is closed.
-func (c *restingCallers) useConnection(front string, r *rand.Rand, name string) {
+func (c *idleCallers) useConnection(front string, r *rand.Rand, name string) {
 	conn, err := emulator.DialRaw(front)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	for n := range requestsPerConnection {
-		if c.pause(r, maxRest) {
+		if c.pause(r, maxIdle) {
 			return
 		}
 		s := sendInParts(conn, r, fmt.Sprintf("%s-%d", name, n))
@@ -95,7 +95,7 @@
 }
 
 // sendInParts sends a request, in two parts at times, and reads its answer.
-func sendInParts(conn *emulator.RawCaller, r *rand.Rand, id string) restingResult {
+func sendInParts(conn *emulator.RawCaller, r *rand.Rand, id string) idleResult {
 	text := emulator.RequestText(id, "record")
 	switch r.IntN(6) {
 	case 0:
@@ -103,7 +103,7 @@
 	case 1:
 		text = emulator.RequestText(id, strings.Repeat("x", longBody))
 	}
-	s := restingResult{Outcome: emulator.Outcome{ID: id}}
+	s := idleResult{Outcome: emulator.Outcome{ID: id}}
 	if r.IntN(2) == 0 {
 		cut := 1 + r.IntN(len(text)-1)
 		if s.err = conn.Send(text[:cut]); s.err != nil {
@@ -122,7 +122,7 @@
 }
 
 // stop ends the callers and returns their results.
-func (c *restingCallers) stop() []restingResult {
+func (c *idleCallers) stop() []idleResult {
 	close(c.done)
 	c.workers.Wait()
 	return c.results
@@ -204,7 +204,7 @@
 
 // checkStops checks that each request that a box read has an answer, and that what was told not to
 // have run has not. A box that outlasts its grace period loses what it has read.
-func (r *Report) checkStops(f *fleet, results []restingResult) error {
+func (r *Report) checkStops(f *fleet, results []idleResult) error {
 	if !hasStops(r.Seed) {
 		return nil
 	}
