--- a/soak/stops.go
+++ b/soak/stops.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -211,12 +212,15 @@
 	runs := f.deployment.Runs()
 	for _, s := range results {
 		r.Requests++
-		if s.Status == 200 && s.IsComplete {
+		if s.Status == http.StatusOK && s.IsComplete {
 			r.Served++
 		}
 		if s.err != nil && s.sentWhole && len(runs[s.ID]) > 0 {
 			r.addViolation("LOST: %s was sent to a server and its connection closed without an answer: %v", s.ID, s.err)
 		}
+		if s.Status == http.StatusOK && !s.IsComplete {
+			r.addViolation("LOST: planned work interrupted the answer to %s", s.ID)
+		}
 		if s.PromisesNotRun() && len(runs[s.ID]) > 0 {
 			r.addViolation("REFUSED: %s got status %d (not run) but ran", s.ID, s.Status)
 		}
