--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/standin ] && [ -x target/dillsaddle-node ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
-exec target/review-2/standin part-batches "$folder/record.txt"
+exec target/review-2/standin reset-path "$folder/record.txt"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,8 @@
 	}
 	cases := map[string]func(*record, string, bool) (int, error){
 		"part-batches": runPartBatches,
+		"stale-box":    runStaleBox,
+		"reset-path":   runResetPath,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -35,7 +35,7 @@
 	interval time.Duration // between two events, or the work of a request without events
 	badPart  string        // an engine crashes when it begins to write an answer on it; empty for none
 	onCrash  func(*server)
-	rejects  func(net.Conn) bool // whether a new connection is reset; nil for none
+	path     *pathCut // of some boxes to the servers; nil for none
 	rec      *record
 
 	listener net.Listener
@@ -72,20 +72,26 @@
 		if err != nil {
 			return
 		}
-		if s.rejects != nil && s.rejects(c) {
-			resetConn(c)
-			continue
-		}
-		s.mu.Lock()
-		if s.crashed {
-			s.mu.Unlock()
-			resetConn(c)
-			continue
-		}
-		s.conns[c] = true
+		go s.take(c)
+	}
+}
+
+// take serves a new connection, unless the path that it came by is cut.
+func (s *server) take(c net.Conn) {
+	if s.path != nil && s.path.matches(c) {
+		time.Sleep(s.path.resetAfter)
+		resetConn(c)
+		return
+	}
+	s.mu.Lock()
+	if s.crashed {
 		s.mu.Unlock()
-		go s.serve(c)
+		resetConn(c)
+		return
 	}
+	s.conns[c] = true
+	s.mu.Unlock()
+	s.serve(c)
 }
 
 func resetConn(c net.Conn) {
