gateway: takes a path for lost that accepts connections and leads nowhere

Cause: an open port counted as a reached endpoint, for the failures that raise the doubt and for the probes that decide it. The log of the case shows 92 sends broken at all three endpoints and none answered, and no failed connection.

Now a send that ends without a byte of an answer counts, and probes are status checks. If these stay silent, endpoints may be slow: requests are tried at another box first. Answers to load queries count as answers too. Overdue answers aren't told to other boxes while the path may be at fault.

The table of box/reachability_test.go failed before: 1 of 101 served on a path that resets after 50 ms; so did the spec of a path that is lost again.

--- a/box/reachability_test.go
+++ b/box/reachability_test.go
@@ -29,6 +29,12 @@
 	}
 }
 
+// pathFault is a fault of all paths of a box.
+type pathFault struct {
+	emulator.PathFault
+	resetAfter time.Duration // of new connections; see SetResetAfter
+}
+
 // Guards against callers of boxes that lost all endpoints failing while other boxes reach these.
 var _ = Describe("a box that reaches no endpoint", func() {
 	const (
@@ -37,32 +43,22 @@
 		spell      = 4 * time.Second // how long the loss lasts beyond that
 		returnTime = 3 * time.Second // until boxes use their own paths again
 	)
-	faults := []emulator.PathFault{
-		emulator.PathSilent,
-		emulator.PathReset,
-		emulator.PathDropped,
-		emulator.PathRefused,
-		emulator.PathNoReturn,
-		emulator.PathNoDelivery,
-	}
 	const sound = 2 // boxes that keep their paths; the last ones
 	var d *emulator.Deployment
 	var boxes []*testBox
-	BeforeEach(func() {
+	start := func(faulty int) {
 		d = newDeployment()
 		for i := range 3 {
 			addServer(d, fmt.Sprintf("i-%d", i), emulator.PlainService)
 			addServer(d, fmt.Sprintf("e-%d", i), emulator.ModelService)
 		}
-		boxes = startReadyBoxes(d, len(faults)+sound)
+		boxes = startReadyBoxes(d, faulty+sound)
 		time.Sleep(settleTime)
-	})
-	setFaults := func(isLost bool) {
+	}
+	setFaults := func(faults []pathFault) {
 		for i, fault := range faults {
-			if !isLost {
-				fault = emulator.PathOpen
-			}
-			boxes[i].paths.SetFault(fault)
+			boxes[i].paths.SetResetAfter(fault.resetAfter)
+			boxes[i].paths.SetFault(fault.PathFault)
 		}
 	}
 	unreachable := func(b *testBox) []box.UnreachableService {
@@ -71,7 +67,7 @@
 		return status.Unreachable
 	}
 	// expectServed checks that callers of boxes without paths are served like those of the others.
-	expectServed := func(attempts []attempt, from, until time.Time) {
+	expectServed := func(faults []pathFault, attempts []attempt, from, until time.Time) {
 		GinkgoHelper()
 		served, failed := make([]int, len(boxes)), make([]int, len(boxes))
 		total, totalFailed := 0, 0
@@ -90,7 +86,7 @@
 		for i := range boxes {
 			name := "a box with paths"
 			if i < len(faults) {
-				name = string(faults[i])
+				name = fmt.Sprintf("%s after %s", faults[i].PathFault, faults[i].resetAfter)
 			}
 			Expect(served[i]).To(BeNumerically(">=", 2*failed[i]), "%s: %d served, %d failed", name, served[i], failed[i])
 			Expect(served[i]).NotTo(BeZero(), name)
@@ -98,25 +94,120 @@
 		Expect(totalFailed).To(BeNumerically("<=", 10+total/50), "failed of %d", total)
 	}
 
-	It("has its callers served by other boxes, until it has a path again", func() {
-		load := startLoad(boxes, 50*time.Millisecond, emulator.CallPath, emulator.RepeatPath, emulator.StreamPath, emulator.ResumePath)
-		time.Sleep(time.Second)
-		setFaults(true)
-		lostAt := time.Now()
-		time.Sleep(lossBound + spell)
-		setFaults(false)
-		backAt := time.Now()
-		time.Sleep(returnTime)
-		for _, b := range boxes {
-			Expect(unreachable(b)).To(BeEmpty(), b.settings.Name)
+	DescribeTable("has its callers served by other boxes, until it has a path again",
+		func(faults ...pathFault) {
+			start(len(faults))
+			load := startLoad(boxes, 50*time.Millisecond, emulator.CallPath, emulator.RepeatPath, emulator.StreamPath, emulator.ResumePath)
+			time.Sleep(time.Second)
+			setFaults(faults)
+			lostAt := time.Now()
+			time.Sleep(lossBound + spell)
+			setFaults(make([]pathFault, len(faults)))
+			backAt := time.Now()
+			time.Sleep(returnTime)
+			for _, b := range boxes {
+				Expect(unreachable(b)).To(BeEmpty(), b.settings.Name)
+			}
+			attempts := load.stop()
+			expectServed(faults, attempts, lostAt.Add(lossBound), backAt)
+			expectServed(faults, attempts, backAt.Add(returnTime/2), time.Now())
+			expectTruthful(d, attempts)
+		},
+		Entry("if no connection can be opened",
+			pathFault{PathFault: emulator.PathSilent},
+			pathFault{PathFault: emulator.PathReset},
+			pathFault{PathFault: emulator.PathDropped},
+			pathFault{PathFault: emulator.PathRefused},
+			pathFault{PathFault: emulator.PathNoReturn},
+			pathFault{PathFault: emulator.PathNoDelivery},
+		),
+		Entry("if something on the path accepts connections, and resets them later or never",
+			pathFault{
+				PathFault:  emulator.PathDropped,
+				resetAfter: 50 * time.Millisecond,
+			},
+			pathFault{
+				PathFault:  emulator.PathDropped,
+				resetAfter: 200 * time.Millisecond,
+			},
+			pathFault{
+				PathFault:  emulator.PathDropped,
+				resetAfter: 2 * time.Second,
+			},
+			pathFault{PathFault: emulator.PathSwallowed},
+		),
+	)
+
+	It("has its callers served soon again when a path that came back is lost once more", func() {
+		lost := []pathFault{{
+			PathFault:  emulator.PathDropped,
+			resetAfter: 200 * time.Millisecond,
+		}}
+		const (
+			backFor   = 1500 * time.Millisecond
+			blindTime = time.Second // the reset, the probe's reset and a request in each
+		)
+		start(len(lost))
+		load := startLoad(boxes, 50*time.Millisecond, emulator.CallPath)
+		setFaults(lost)
+		Eventually(func() []box.UnreachableService { return unreachable(boxes[0]) }).WithTimeout(lossBound).ShouldNot(BeEmpty())
+		for range 3 {
+			setFaults([]pathFault{{}})
+			time.Sleep(backFor)
+			setFaults(lost)
+			time.Sleep(spell / 2)
 		}
+		lostAt := time.Now().Add(-spell / 2)
 		attempts := load.stop()
-		expectServed(attempts, lostAt.Add(lossBound), backAt)
-		expectServed(attempts, backAt.Add(returnTime/2), time.Now())
+		expectServed(lost, attempts, lostAt.Add(blindTime), time.Now())
 		expectTruthful(d, attempts)
 	})
 })
 
+// Guards against boxes that take trouble of endpoints for a lost path: their callers would be refused,
+// or wait, though endpoints are back.
+var _ = Describe("a box whose path is sound", func() {
+	DescribeTable("doesn't take itself for cut off when", func(trouble func([]*emulator.Server)) {
+		d := newDeployment()
+		var servers []*emulator.Server
+		for i := range 3 {
+			servers = append(servers, addServer(d, fmt.Sprintf("i-%d", i), emulator.PlainService))
+		}
+		boxes := startReadyBoxes(d, 2)
+		load := startLoad(boxes, 20*time.Millisecond, emulator.CallPath)
+		time.Sleep(time.Second)
+		trouble(servers)
+		for range 30 {
+			for _, b := range boxes {
+				Expect(b.get("/status")).NotTo(ContainSubstring(`"unreachable":`))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		expectTruthful(d, load.stop())
+	},
+		Entry("requests break all connections", func(all []*emulator.Server) {
+			for _, s := range all {
+				s.SetFault(emulator.Reset, 20)
+			}
+		}),
+		Entry("requests get no answer", func(all []*emulator.Server) {
+			for _, s := range all {
+				s.SetFault(emulator.NoAnswer, 20)
+			}
+		}),
+		Entry("endpoints turn all requests away", func(all []*emulator.Server) {
+			for _, s := range all {
+				s.SetFault(emulator.Shed, -1)
+			}
+		}),
+		Entry("all endpoints are silent for a second", func(all []*emulator.Server) {
+			for _, s := range all {
+				s.FallSilent(time.Second)
+			}
+		}),
+	)
+})
+
 // Guards against requests that are lost, held or run twice on their way through a second box.
 var _ = Describe("requests that a box forwards", func() {
 	const settleTime = 2 * time.Second // until the boxes know each other
--- a/engine/crash_prober.go
+++ b/engine/crash_prober.go
@@ -45,6 +45,12 @@
 	PortSilent           PortState = "silent"
 )
 
+// Port states that only a status check finds, at ports that are otherwise open.
+const (
+	PortBreaksRequests PortState = "closes connections with a request"
+	PortUnanswered     PortState = "doesn't answer requests"
+)
+
 // CrashProber finds out whether endpoints have crashed. Requests that fail at an endpoint
 // at the same time share one probe.
 type CrashProber struct {
@@ -123,19 +129,28 @@
 	defer cancel()
 	c, err := dial(ctx, address)
 	if err != nil {
-		q.state = PortRefused
-		if TimedOut(err) {
-			q.state = PortSilent
-		}
+		q.state = stateOfDialError(err)
 		return
 	}
 	defer c.Close()
+	q.state = stateOfIdleConn(c)
+}
+
+// stateOfIdleConn returns the state of the port to which a new connection was opened.
+func stateOfIdleConn(c net.Conn) PortState {
 	_ = c.SetReadDeadline(time.Now().Add(minOpenTime))
-	_, err = c.Read(make([]byte, 1))
-	q.state = PortOpen
-	if err != nil && !TimedOut(err) {
-		q.state = PortDropsConnections
+	if _, err := c.Read(make([]byte, 1)); err != nil && !TimedOut(err) {
+		return PortDropsConnections
+	}
+	return PortOpen
+}
+
+// stateOfDialError returns the state of a port to which a connection attempt failed.
+func stateOfDialError(err error) PortState {
+	if TimedOut(err) {
+		return PortSilent
 	}
+	return PortRefused
 }
 
 // Err returns the error of a connection attempt to a port that isn't open, or nil.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -13,6 +13,7 @@
 // counters are the gateway's metrics.
 type counters struct {
 	openedConnections *metrics.Counter
+	statusChecks      *metrics.Counter // sent to endpoints that may be unreachable
 	refusedRetries    *metrics.Counter
 	continuedStreams  *metrics.Counter
 	strayAnswers      *metrics.Counter
@@ -29,6 +30,7 @@
 func newCounters() *counters {
 	return &counters{
 		openedConnections: metrics.GetOrCreateCounter("dillsaddle_endpoint_connections_opened_total"),
+		statusChecks:      metrics.GetOrCreateCounter("dillsaddle_endpoint_status_checks_total"),
 		refusedRetries:    metrics.GetOrCreateCounter("dillsaddle_retry_budget_refusals_total"),
 		continuedStreams:  metrics.GetOrCreateCounter("dillsaddle_streams_continued_total"),
 		strayAnswers:      metrics.GetOrCreateCounter("dillsaddle_stray_answers_total"),
--- a/gateway/endpoint_conn.go
+++ b/gateway/endpoint_conn.go
@@ -75,6 +75,9 @@
 	}
 }
 
+// hasReadHead reports whether any byte was read for the last readHead.
+func (conn *endpointConn) hasReadHead() bool { return conn.limit.left < maxHeadBytes }
+
 // Write writes to the connection and counts the bytes written.
 func (conn *endpointConn) Write(p []byte) (int, error) {
 	n, err := conn.Conn.Write(p)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,7 +14,6 @@
 
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/engine"
-	"dillsaddle.example/dillsaddle/fleet"
 )
 
 const (
@@ -55,10 +54,7 @@
 		p.recordConnectFailure(err)
 		p.gateway.sendGate.release(p.endpoint)
 		p.gateway.balancer.Failed(time.Now(), p.endpoint.ID, true)
-		p.gateway.onPlaced(fleet.Placement{
-			Endpoint:      p.endpoint.ID,
-			AnswerOverdue: true,
-		})
+		p.gateway.announceOverdue(p.endpoint)
 		p.logDecision("endpoint unreachable", zap.String("endpoint", p.endpoint.ID), zap.Error(err))
 		if terminalEvent := p.terminalEvent(); terminalEvent != nil || copyName == "" || !p.chooseBoxForCopy(time.Now(), copyName) {
 			return endOr(terminalEvent, core.CallUnsent{})
@@ -133,10 +129,11 @@
 	}
 	if err := p.readResponseHead(a); err != nil {
 		a.close()
+		p.recordHeadFailure(conn, err)
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's head failed", err, core.CallBroken{})
 	}
-	p.gateway.reachability.recordAnswer(p.service.Name)
+	p.overdueTimer.hasHead.Store(true)
 	if a.headers.NotRun {
 		return p.handleNotRun(a)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -90,6 +90,7 @@
 	a.head.Header.Del(headerForwardOutcome)
 	if outcome == forwardAnswered {
 		p.gateway.forwarder.recordServed(time.Now(), p.service.Name)
+		p.gateway.reachability.recordServedElsewhere(time.Now(), p.service.Name, p.placedAt)
 	}
 	if outcome == forwardAnswered && isEventStream(a.head) {
 		return p.passForwardedStream(a, timer)
--- a/gateway/forward_choice.go
+++ b/gateway/forward_choice.go
@@ -116,7 +116,8 @@
 	p.copyName = ""
 	cutOff := p.gateway.reachability.cutOffFor(now, p.service.Name)
 	listed := len(p.view.Serving(p.service.Name))
-	if listed == 0 || (cutOff == 0 && p.failedConnects < min(maxFailedConnects, listed)) {
+	isTrial := p.gateway.reachability.isInDoubt(p.service.Name)
+	if listed == 0 || (cutOff == 0 && !isTrial && p.failedConnects < min(maxFailedConnects, listed)) {
 		return false
 	}
 	box, ok := p.forwardingBox(now)
@@ -216,10 +217,11 @@
 }
 
 // isHopeless reports whether no attempt to serve the request is left: the box has long been cut off
-// from its service, and no other box takes it.
+// from its service, and no other box takes it. Endpoints that accept connections may still answer.
 func (p *proxiedRequest) isHopeless(now time.Time) bool {
 	if p.isForwarded() {
 		return p.failedConnects >= maxFailedConnects
 	}
-	return p.gateway.reachability.cutOffFor(now, p.service.Name) >= refuseUnreachableAfter
+	r := p.gateway.reachability
+	return r.cutOffFor(now, p.service.Name) >= refuseUnreachableAfter && !r.acceptsConnections(p.service.Name)
 }
--- a/gateway/overdue_timer.go
+++ b/gateway/overdue_timer.go
@@ -2,12 +2,12 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dillsaddle.example/dillsaddle/core"
-	"dillsaddle.example/dillsaddle/fleet"
 )
 
 const (
@@ -58,7 +58,8 @@
 	proxiedRequest    *proxiedRequest
 	run               run
 	endpointConn      *endpointConn
-	mayRetryElsewhere bool // the request may be sent to another endpoint
+	mayRetryElsewhere bool        // the request may be sent to another endpoint
+	hasHead           atomic.Bool // the head of the answer was read
 	timer             *time.Timer
 	stopped           bool // used by the request's goroutine only
 }
@@ -109,10 +110,10 @@
 		zap.Bool("leaves", mayRetryElsewhere),
 	)
 	g.balancer.Failed(now, o.run.endpoint.ID, false)
-	g.onPlaced(fleet.Placement{
-		Endpoint:      o.run.endpoint.ID,
-		AnswerOverdue: true,
-	})
+	if !o.hasHead.Load() {
+		g.recordUnanswered(o.run.endpoint, core.FailedSilent)
+	}
+	g.announceOverdue(o.run.endpoint)
 	// A crash that leaves the connection open shows in no other way, and the caller may
 	// leave before the request's deadline.
 	go p.checkEndpoint(o.run)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dillsaddle.example/dillsaddle/core"
+	"dillsaddle.example/dillsaddle/routing"
 )
 
 // Protocol translates between HTTP headers and their meaning.
@@ -20,6 +21,8 @@
 	Forwarded(h http.Header, timeLeft time.Duration, lastEvent string)
 	// Answer decodes the status and headers of an endpoint's answer.
 	Answer(status int, h http.Header) Answer
+	// StatusPath returns the path of a status check at a service's endpoints, or "" if they have none.
+	StatusPath(s *routing.Service) string
 }
 
 // Inbound holds the contents of a caller's headers.
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -14,6 +16,7 @@
 
 	"dillsaddle.example/dillsaddle/core"
 	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/fleet"
 	"dillsaddle.example/dillsaddle/routing"
 )
 
@@ -60,14 +63,12 @@
 	}
 }
 
-// recordFailure records a failed attempt to connect to one of a service's listed endpoints. It
-// reports whether a probe is needed now.
-func (r *reachability) recordFailure(now time.Time, e routing.Endpoint, listed int, err error) bool {
-	cause := connectFailureOf(err)
-	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_endpoint_connects_failed_total{service=%q,cause=%q}", e.Service, cause)).Inc()
+// recordFailure records a send that failed at one of a service's listed endpoints before any byte of
+// its answer. It reports whether a probe is needed now.
+func (r *reachability) recordFailure(now time.Time, e routing.Endpoint, listed int, kind core.SendFailure) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.RecordFailure(now, e.Service, e.ID, listed)
+	return r.state.RecordFailure(now, e.Service, e.ID, listed, kind)
 }
 
 // announce calls onChange. The caller holds mu.
@@ -79,38 +80,54 @@
 	r.onChange(cutOff)
 }
 
-// recordAnswer records that an endpoint answered. That one accepted a connection shows little: a
-// device on a broken path may do so and then reset it.
-func (r *reachability) recordAnswer(service string) {
+// recordAnswer records that an endpoint answered, if only in part.
+func (r *reachability) recordAnswer(now time.Time, e routing.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.RecordAnswer(service)
+	r.apply(e.Service, r.state.RecordAnswer(now, e.Service), probeResult{answered: e.ID})
+}
+
+// recordServedElsewhere records that another box served a request that this one forwarded to it.
+func (r *reachability) recordServedElsewhere(now time.Time, service string, forwardedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(service, r.state.RecordServedElsewhere(now, service, forwardedAt), probeResult{state: engine.PortUnanswered})
 }
 
 // recordProbe records the results of a probe and reports whether the box is cut off from the
 // service from now on.
-func (r *reachability) recordProbe(now time.Time, service string, listed int, result probeResult) bool {
+func (r *reachability) recordProbe(now time.Time, service string, result probeResult) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	change := r.state.RecordProbe(now, service, result.reached != "")
+	change := r.state.RecordProbe(now, service, result.outcome())
+	r.apply(service, change, result)
+	return change.IsCutOff
+}
+
+// apply logs a change and informs the other boxes of it. The caller holds mu.
+func (r *reachability) apply(service string, change core.ReachabilityChange, result probeResult) {
 	switch {
+	case change.IsInDoubt:
+		r.log.Warn("endpoints of a service accept connections and don't answer this box; requests are tried at other boxes",
+			zap.String("service", service),
+			zap.Strings("probed", result.failed),
+		)
 	case change.IsCutOff:
-		r.logCutOff(service, listed, result)
+		r.logCutOff(service, result)
 		r.announce()
 	case change.Lasted > 0:
-		r.log.Info("service reachable again", zap.String("service", service), zap.String("endpoint", result.reached), zap.Duration("unreachable_for", change.Lasted))
+		r.log.Info("service reachable again", zap.String("service", service), zap.String("endpoint", result.answered), zap.Duration("unreachable_for", change.Lasted))
 		r.announce()
 	}
-	return change.IsCutOff
 }
 
 // logCutOff logs that the box is cut off from a service. The caller holds mu.
-func (r *reachability) logCutOff(service string, listed int, result probeResult) {
+func (r *reachability) logCutOff(service string, result probeResult) {
 	for _, u := range r.state.Unreachable() {
 		if u.Service == service {
-			r.log.Warn("service unreachable: no endpoint accepts connections from this box; requests go to other boxes",
+			r.log.Warn("service unreachable: no endpoint answers this box; requests go to other boxes",
 				zap.String("service", service),
-				zap.Int("listed", listed),
+				zap.Int("listed", result.listed),
 				zap.Strings("endpoints", u.Endpoints[:min(len(u.Endpoints), maxLoggedEndpoints)]),
 				zap.Strings("probed", result.failed),
 				zap.String("port", string(result.state)),
@@ -133,6 +150,29 @@
 	return r.state.IsSuspect(service)
 }
 
+// isInDoubt reports whether other boxes should be tried for a service's requests, since its endpoints
+// don't answer this one.
+func (r *reachability) isInDoubt(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.IsInDoubt(service)
+}
+
+// mayBePath reports whether failures at a service's endpoints may be those of the path, so that other
+// boxes should not hear of them.
+func (r *reachability) mayBePath(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.IsSuspect(service) || r.state.IsInDoubt(service)
+}
+
+// acceptsConnections reports whether the box is cut off from endpoints that may be at fault themselves.
+func (r *reachability) acceptsConnections(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.AcceptsConnections(service)
+}
+
 func (r *reachability) dueProbes(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -146,8 +186,8 @@
 	return g.reachability.state.Unreachable()
 }
 
-// The endpoints that a probe connects to: more to find out whether the box is cut off than to find
-// out whether it still is, which is repeated.
+// The endpoints that a probe checks: more to find out whether the box is cut off than to find out
+// whether it still is, which is repeated.
 const (
 	firstProbeSize = 8
 	probeSize      = 3
@@ -155,9 +195,22 @@
 
 // probeResult is the result of a probe.
 type probeResult struct {
-	reached string           // an endpoint that accepted a connection, or empty
-	failed  []string         // those that did not
-	state   engine.PortState // of the last of these
+	listed   int              // endpoints of the service
+	answered string           // an endpoint that answered, or empty
+	failed   []string         // those that did not
+	state    engine.PortState // of the one of these that got furthest
+}
+
+func (r probeResult) outcome() core.ProbeResult {
+	switch {
+	case r.answered != "":
+		return core.ProbeAnswered
+	case r.state == engine.PortUnanswered:
+		return core.ProbeSilent
+	case r.state == engine.PortBreaksRequests:
+		return core.ProbeBroken
+	}
+	return core.ProbeUnreachable
 }
 
 // probeUnreachable starts the probes that are due.
@@ -167,7 +220,7 @@
 	}
 }
 
-// probe connects to a random sample of a service's endpoints and records whether any was reached.
+// probe checks a random sample of a service's endpoints and records whether any answered.
 func (g *Gateway) probe(service string, size int) {
 	listed := slices.Clone(g.view().Serving(service))
 	rand.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
@@ -175,24 +228,46 @@
 	states := make([]engine.PortState, len(sample))
 	var wait sync.WaitGroup
 	for i, e := range sample {
-		wait.Go(func() { states[i] = engine.ProbePort(g.dial, e.Address) })
+		wait.Go(func() { states[i] = g.checkStatus(e) })
 	}
 	wait.Wait()
-	var result probeResult
+	result := probeResult{listed: len(listed)}
 	for i, e := range sample {
-		if states[i] == engine.PortOpen {
-			result.reached = e.ID
+		state := states[i]
+		if state == engine.PortOpen {
+			result.answered = e.ID
 			continue
 		}
 		result.failed = append(result.failed, e.ID)
-		result.state = states[i]
+		if state == engine.PortUnanswered || result.state == "" || (state == engine.PortBreaksRequests && result.state != engine.PortUnanswered) {
+			result.state = state
+		}
 	}
 	now := time.Now()
-	if g.reachability.recordProbe(now, service, len(listed), result) {
+	if g.reachability.recordProbe(now, service, result) {
 		g.closeIdle(now, service)
 	}
 }
 
+// checkStatus returns the state of an endpoint's port, which is open if the endpoint answered a status
+// check. One that takes no check now, or has none, need only keep a connection.
+func (g *Gateway) checkStatus(e routing.Endpoint) engine.PortState {
+	path := ""
+	if t := g.view().Table; t != nil {
+		if s := t.Service(e.Service); s != nil {
+			path = g.protocol.StatusPath(s)
+		}
+	}
+	now := time.Now()
+	if path == "" || !g.sendGate.beginStatusCheck(now, e) {
+		return engine.ProbePort(g.dial, e.Address)
+	}
+	g.counters.statusChecks.Inc()
+	state, status := engine.CheckStatus(g.dial, e.Address, path)
+	g.sendGate.answered(time.Now(), e, status == http.StatusServiceUnavailable)
+	return state
+}
+
 // closeIdle closes the idle connections to a service's endpoints.
 func (g *Gateway) closeIdle(now time.Time, service string) {
 	v := g.view()
@@ -214,11 +289,48 @@
 
 // recordUnreachable records that an endpoint accepted no connection.
 func (g *Gateway) recordUnreachable(e routing.Endpoint, err error) {
-	if g.reachability.recordFailure(time.Now(), e, len(g.view().Serving(e.Service)), err) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_endpoint_connects_failed_total{service=%q,cause=%q}", e.Service, connectFailureOf(err))).Inc()
+	g.recordSendFailure(e, core.FailedConnect)
+}
+
+// recordUnanswered records that a send to an endpoint ended without a byte of an answer.
+func (g *Gateway) recordUnanswered(e routing.Endpoint, kind core.SendFailure) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_endpoint_sends_unanswered_total{service=%q,cause=%q}", e.Service, kind)).Inc()
+	g.recordSendFailure(e, kind)
+}
+
+func (g *Gateway) recordSendFailure(e routing.Endpoint, kind core.SendFailure) {
+	if g.reachability.recordFailure(time.Now(), e, len(g.view().Serving(e.Service)), kind) {
 		go g.probe(e.Service, firstProbeSize)
 	}
 }
 
+// recordHeadFailure records what a failure to read an answer's head shows about the path: a part of
+// a head shows that it works. A connection that the box closed itself shows nothing.
+func (p *proxiedRequest) recordHeadFailure(conn *endpointConn, err error) {
+	switch {
+	case conn.hasReadHead():
+		p.gateway.reachability.recordAnswer(time.Now(), p.endpoint)
+	case errors.Is(err, net.ErrClosed):
+	case engine.TimedOut(err):
+		p.gateway.recordUnanswered(p.endpoint, core.FailedSilent)
+	default:
+		p.gateway.recordUnanswered(p.endpoint, core.FailedBroken)
+	}
+}
+
+// announceOverdue tells the other boxes that an endpoint's answer is overdue, unless that may be for
+// the path to it.
+func (g *Gateway) announceOverdue(e routing.Endpoint) {
+	if g.reachability.mayBePath(e.Service) {
+		return
+	}
+	g.onPlaced(fleet.Placement{
+		Endpoint:      e.ID,
+		AnswerOverdue: true,
+	})
+}
+
 // pathLossDelay is how long the gateway waits for another box to serve requests for a service
 // whose endpoints accept no connection, before it takes them for crashed.
 const pathLossDelay = 500 * time.Millisecond
--- a/gateway/send_gate.go
+++ b/gateway/send_gate.go
@@ -103,6 +103,12 @@
 	return !g.isBackingOff(now, e) && g.limits.allowLoadQuery(now, e.ID)
 }
 
+// beginStatusCheck spends a send on a status check and reports whether it may be made. If it may,
+// answered must be called for it.
+func (g *sendGate) beginStatusCheck(now time.Time, e routing.Endpoint) bool {
+	return g.allowLoadQuery(now, e) && g.brittle.send(now, e, false)
+}
+
 // nextSendIn returns the time until the first of some endpoints takes a request from this
 // box. It is 0 if one takes a request now, or if this box has no share at any.
 func (g *sendGate) nextSendIn(now time.Time, all []routing.Endpoint) time.Duration {
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -12,6 +12,7 @@
 
 // HandleNotice handles an endpoint's notice in an answer to this box.
 func (g *Gateway) HandleNotice(now time.Time, e routing.Endpoint, n Notice) {
+	g.reachability.recordAnswer(now, e)
 	if n.Limited {
 		g.counters.limitNotices.Inc()
 	}
