gateway: passes on no refusal by an older configuration

Cause: the box that serves a forwarded request looked up key and route before it compared its configuration with that of the forwarding box, and marked the refusal as one that goes for any box. In the logs of the case, configuration 9 forwards and configuration 7 refuses, 2 ms before the box reads 9 from the store.

The versions are compared first; a box that is older waits up to 0.3 s for the newer one and else leaves the request to others. Refusals name the version that decided, and older ones aren't passed on.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,14 +26,15 @@
 	minForwardOverdue = 300 * time.Millisecond
 )
 
-// Headers between two boxes. The last is in each answer to a forwarded request, the others are in
-// such requests.
+// Headers between two boxes. The last two are in answers to forwarded requests, the others are in such
+// requests.
 const (
 	headerForwardedBy       = "Dillsaddle-Forwarded-By"
 	headerForwardedVersion  = "Dillsaddle-Forwarded-Version"  // configuration version of the forwarding box
 	headerForwardedCopy     = "Dillsaddle-Forwarded-Copy"     // name of the copy from which a stream continues
 	headerForwardedEndpoint = "Dillsaddle-Forwarded-Endpoint" // ID of the endpoint with the copy
 	headerForwardOutcome    = "Dillsaddle-Forward-Outcome"
+	headerDecidedByVersion  = "Dillsaddle-Decided-By-Version" // configuration by which a box itself decided on its answer
 )
 
 // forwardOutcome says where an answer to a forwarded request comes from.
@@ -88,6 +89,8 @@
 	}
 	outcome := forwardOutcome(a.head.Header.Get(headerForwardOutcome))
 	a.head.Header.Del(headerForwardOutcome)
+	decidedBy := a.head.Header.Get(headerDecidedByVersion)
+	a.head.Header.Del(headerDecidedByVersion)
 	if outcome == forwardAnswered {
 		p.gateway.forwarder.recordServed(time.Now(), p.service.Name)
 		p.gateway.reachability.recordServedElsewhere(time.Now(), p.service.Name, p.placedAt)
@@ -102,11 +105,12 @@
 	if a.remainder == nil {
 		a.release(p, true)
 	}
-	return p.forwardedEvent(a, outcome)
+	return p.forwardedEvent(a, outcome, decidedBy)
 }
 
-// forwardedEvent returns the event of a box's answer other than a stream.
-func (p *proxiedRequest) forwardedEvent(a *answer, outcome forwardOutcome) core.Event {
+// forwardedEvent returns the event of a box's answer other than a stream; decidedBy is the version of
+// the configuration that decided on it if the answer is the box's own.
+func (p *proxiedRequest) forwardedEvent(a *answer, outcome forwardOutcome, decidedBy string) core.Event {
 	switch outcome {
 	case forwardUnserved:
 		p.gateway.forwarder.exclude(time.Now(), p.forwardTo.Box, p.service.Name, shortForwardExclusion)
@@ -119,6 +123,10 @@
 	case forwardUnknown:
 		return p.forwardEnded("the box doesn't know whether the request ran", nil, core.CallBroken{})
 	case forwardNotRun:
+		if p.isDecidedByOlder(a.head.StatusCode, decidedBy) {
+			p.gateway.forwarder.exclude(time.Now(), p.forwardTo.Box, p.service.Name, shortForwardExclusion)
+			return p.forwardEnded("the box refused it by an older configuration", nil, core.CallUnsent{})
+		}
 		return core.CallDeclined{}
 	case forwardAnswered:
 	default:
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -20,13 +23,20 @@
 // otherBox is a box that refuses all requests forwarded to it as not run, for itself.
 type otherBox struct{ address netip.AddrPort }
 
-func startOtherBox() otherBox {
+func startOtherBox() otherBox { return startRefusingBox(http.StatusServiceUnavailable, "1") }
+
+// startRefusingBox starts a box that refuses with a status by a version of the configuration, or doesn't
+// say by which if empty.
+func startRefusingBox(status int, version string) otherBox {
 	l, err := net.Listen("tcp", emulator.AnyAddress())
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Dillsaddle-Forward-Outcome", "not-run")
+		if version != "" {
+			w.Header().Set("Dillsaddle-Decided-By-Version", version)
+		}
 		w.Header().Set("Retry-After", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(status)
 	})}
 	go func() { _ = server.Serve(l) }()
 	DeferCleanup(server.Close)
@@ -73,3 +83,72 @@
 		Expect(o).To(And(HaveField("Status", http.StatusBadGateway), HaveField("Elapsed", BeNumerically("<", callerTimeout))))
 	})
 })
+
+// Guards against answers by an older configuration to requests that the called box knows better about.
+var _ = Describe("two boxes with different configurations", func() {
+	const current = 5
+	startTestbed := func(options ...gateway.Option) *testbed {
+		b := newTestbedWith(true, options...)
+		b.add("i-1", emulator.PlainService)
+		b.deployment.Publish(emulator.NewDocument(current))
+		b.refresh()
+		return b
+	}
+
+	DescribeTable("whose refusals are not passed on if the refusing one's is older",
+		func(status int, version string, want int) {
+			b := startTestbed(gateway.WithForwarding(startRefusingBox(status, version)), gateway.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+				return nil, syscall.ECONNREFUSED
+			}))
+			o := b.call(http.MethodPost, emulator.CallPath, "r", "")
+			Expect(o.Status).To(Equal(want))
+			Expect(b.deployment.Runs()).NotTo(HaveKey("r"))
+		},
+		Entry("older, no such key", http.StatusUnauthorized, "4", http.StatusServiceUnavailable),
+		Entry("older, no such route", http.StatusNotFound, "4", http.StatusServiceUnavailable),
+		Entry("older, a body too large", http.StatusRequestEntityTooLarge, "4", http.StatusServiceUnavailable),
+		Entry("unknown, no such key", http.StatusUnauthorized, "", http.StatusServiceUnavailable),
+		Entry("the same, no such key", http.StatusUnauthorized, "5", http.StatusUnauthorized),
+		Entry("newer, no such key", http.StatusUnauthorized, "6", http.StatusUnauthorized),
+	)
+
+	// forward sends a request to a box as another one does that has a newer configuration.
+	forward := func(b *testbed, path, key string) *http.Response {
+		server := httptest.NewServer(http.HandlerFunc(b.gateway.ServeForwarded))
+		DeferCleanup(server.Close)
+		r, err := http.NewRequest(http.MethodPost, server.URL+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = emulator.Host
+		r.Header.Set("X-Request-Id", "f")
+		r.Header.Set("Api-Key", key)
+		r.Header.Set("Dillsaddle-Forwarded-By", "other")
+		r.Header.Set("Dillsaddle-Forwarded-Version", strconv.Itoa(current+1))
+		answer, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(answer.Body.Close)
+		return answer
+	}
+
+	DescribeTable("of which the older one leaves a forwarded request to others",
+		func(path, key string) {
+			b := startTestbed()
+			answer := forward(b, path, key)
+			Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(answer.Header.Get("Dillsaddle-Forward-Outcome")).To(Equal("unserved"))
+			Expect(b.deployment.Runs()).To(BeEmpty())
+		},
+		Entry("with a key that it doesn't know", emulator.CallPath, "new-key"),
+		Entry("with a route that it doesn't know", "/new-route", emulator.Key),
+		Entry("with a key and a route that it knows", emulator.CallPath, emulator.Key),
+	)
+
+	It("of which the older one serves a forwarded request once it has the newer one", func() {
+		b := startTestbed()
+		time.AfterFunc(100*time.Millisecond, func() {
+			defer GinkgoRecover()
+			b.deployment.Publish(emulator.NewDocument(current + 1))
+			b.refresh()
+		})
+		Expect(forward(b, emulator.CallPath, emulator.Key)).To(HaveField("StatusCode", http.StatusOK))
+	})
+})
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -17,6 +17,14 @@
 	forwardedMemoryDivisor = 6
 )
 
+const (
+	// configurationWait is how long a forwarded request waits until this box has the configuration of
+	// the forwarding one. A box that was frozen usually has it a few milliseconds after it wakes.
+	configurationWait = 300 * time.Millisecond
+	// configurationPoll is the time between two looks at the configuration meanwhile.
+	configurationPoll = 10 * time.Millisecond
+)
+
 // ServeForwarded serves a request that another box received and forwarded, since it is cut off
 // from the service's endpoints.
 func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
@@ -84,31 +92,61 @@
 // isForwarded reports whether another box forwarded the request to this one.
 func (p *proxiedRequest) isForwarded() bool { return p.forwarded != nil }
 
-// unservedReason returns why this box can't serve a forwarded request that another one may serve,
-// or "". A box with an older configuration could undo a change for the forwarding box's callers.
+// unservedReason returns why this box can't serve any forwarded request that another one may serve,
+// or "". By an older configuration it could undo a change for the forwarding box's callers, so the
+// configurations are compared before the request's key and route are looked up.
 func (p *proxiedRequest) unservedReason() string {
 	g := p.gateway
 	switch {
 	case !p.isForwarded():
-		return ""
-	case p.view.ConfigVersion() < p.forwarded.version:
-		return "this box has an older configuration than the forwarding one"
 	case g.stopAt.Load() != nil:
 		return "this box stops"
 	case g.activeForwarded.Load() > g.rules.MemoryBytes/forwardedMemoryDivisor/forwardedMemory:
 		return "this box serves as many forwarded requests as it has memory for"
-	case g.reachability.cutOffFor(time.Now(), p.service.Name) > 0:
-		return "this box reaches no endpoint of the service either"
+	case !p.awaitConfiguration():
+		return "this box has an older configuration than the forwarding one"
 	}
 	return ""
 }
 
+// awaitConfiguration waits until this box has the configuration of the forwarding one or a newer one,
+// and reports whether it has.
+func (p *proxiedRequest) awaitConfiguration() bool {
+	until := time.Now().Add(configurationWait)
+	for p.view.ConfigVersion() < p.forwarded.version {
+		if time.Now().After(until) || p.ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(configurationPoll)
+		p.view = p.gateway.view()
+	}
+	return true
+}
+
+// isCutOffToo reports whether a forwarded request can't be served since this box reaches no endpoint
+// of its service either.
+func (p *proxiedRequest) isCutOffToo() bool {
+	return p.isForwarded() && p.gateway.reachability.cutOffFor(time.Now(), p.service.Name) > 0
+}
+
 // markOutcome marks an answer to a forwarded request that comes from this box and not from an
-// endpoint.
+// endpoint, with the version of the configuration that decided on it.
 func (p *proxiedRequest) markOutcome(outcome forwardOutcome) {
 	if p.isForwarded() {
-		p.writer.Header().Set(headerForwardOutcome, string(outcome))
+		h := p.writer.Header()
+		h.Set(headerForwardOutcome, string(outcome))
+		h.Set(headerDecidedByVersion, strconv.FormatUint(p.resolvedVersion, 10))
+	}
+}
+
+// isDecidedByOlder reports whether another box decided on an answer by an older configuration than
+// this box has by now. A box that doesn't say which may have refused, with a 4xx, what is allowed.
+func (p *proxiedRequest) isDecidedByOlder(status int, decidedBy string) bool {
+	version, err := strconv.ParseUint(decidedBy, 10, 64)
+	if err != nil {
+		return status != http.StatusServiceUnavailable
 	}
+	return version < p.gateway.view().ConfigVersion()
 }
 
 // outcomeOf returns the outcome that a refused call is marked with.
--- a/gateway/proxied_request.go
+++ b/gateway/proxied_request.go
@@ -88,11 +88,15 @@
 func (p *proxiedRequest) serve() {
 	p.inbound = p.gateway.protocol.Inbound(p.request.Header)
 	p.view = p.gateway.view()
+	if reason := p.unservedReason(); reason != "" {
+		p.refuseAs(forwardUnserved, http.StatusServiceUnavailable, reason)
+		return
+	}
 	if !p.resolveRoute() {
 		return
 	}
-	if reason := p.unservedReason(); reason != "" {
-		p.refuseAs(forwardUnserved, http.StatusServiceUnavailable, reason)
+	if p.isCutOffToo() {
+		p.refuseAs(forwardUnserved, http.StatusServiceUnavailable, "this box reaches no endpoint of the service either")
 		return
 	}
 	p.deadline = p.start.Add(p.timeout())
