engine, entry, watch: bound what is buffered of HTTP responses

The rows of engine/completions/worker_test.go ended the test process with 'out of memory' before.

Cause: the HTTP library bounds no heads, and bodies only if told to; an event has any number of lines; a body without a length or chunks is buffered whole even if it is to be streamed; and the rest of a body is read before its connection is closed.

Heads, bodies, events and unframed streams are bounded, also an unpacked document of the platform.

--- a/engine/completions/worker.go
+++ b/engine/completions/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,7 +12,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 
@@ -26,6 +26,17 @@
 // worker for good.
 const maxStreamTime = time.Hour
 
+const (
+	// maxResponseBytes is the size of the largest response to a call.
+	maxResponseBytes = 256 << 10
+	// maxBufferedBytes is how much of a stream is buffered, which is all of one without a length or chunks.
+	maxBufferedBytes = 1 << 20
+	// maxRestBytes is how much may follow what was read of a stream for its connection to be kept.
+	maxRestBytes = 4 << 10
+	// maxErrorBytes is how much of the text of a refusal is read.
+	maxErrorBytes = 64 << 10
+)
+
 // Worker is a client of the completions API.
 type Worker struct {
 	streams *client.Client
@@ -37,7 +48,7 @@
 // New returns a Worker.
 func New() (*Worker, error) {
 	streams, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		engine.WithMaxBuffer(maxBufferedBytes),
 		client.WithDialTimeout(time.Second),
 		client.WithResponseBodyStream(true),
 		client.WithMaxConnsPerHost(maxConnections),
@@ -47,7 +58,7 @@
 		return nil, errors.Wrap(err, "build the stream client")
 	}
 	calls, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		engine.WithMaxResponse(maxResponseBytes),
 		client.WithDialTimeout(time.Second),
 		client.WithClientReadTimeout(2*time.Second),
 		client.WithWriteTimeout(2*time.Second),
@@ -123,7 +134,7 @@
 // been started, so the attempt counts as lost.
 func statusMessage(resp *protocol.Response) engine.Message {
 	status := resp.StatusCode()
-	text := string(resp.Body())
+	text := errorText(resp)
 	if status >= 400 && status < 500 && status != http.StatusRequestTimeout || status == http.StatusServiceUnavailable {
 		return engine.Refused{
 			Status: status,
@@ -133,8 +144,25 @@
 	return engine.Lost{Cause: errors.Errorf("endpoint answered %d", status)}
 }
 
+// errorText returns the beginning of a response's body.
+func errorText(resp *protocol.Response) string {
+	if !resp.IsBodyStream() {
+		return string(resp.Body())
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.BodyStream(), maxErrorBytes))
+	return string(text)
+}
+
+// forceCloser is a stream that can be closed without reading the rest of it.
+type forceCloser interface{ ForceClose() error }
+
 // release closes the response and returns both objects to their pools.
 func release(req *protocol.Request, resp *protocol.Response) {
+	if s, ok := resp.BodyStream().(forceCloser); ok {
+		if _, err := io.CopyN(io.Discard, resp.BodyStream(), maxRestBytes); !errors.Is(err, io.EOF) {
+			_ = s.ForceClose()
+		}
+	}
 	_ = resp.CloseBodyStream()
 	protocol.ReleaseRequest(req)
 	protocol.ReleaseResponse(resp)
--- a/engine/completions/worker_test.go
+++ b/engine/completions/worker_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,7 @@
 
 	"dillsaddle.example/dillsaddle/engine"
 	"dillsaddle.example/dillsaddle/engine/completions"
+	"dillsaddle.example/dillsaddle/platform/emulator"
 	"dillsaddle.example/dillsaddle/standin"
 )
 
@@ -106,3 +108,38 @@
 		Expect(numbers).To(Equal([]int{2, 4, 5}), "3 is dropped, 6 is delayed, 1 is before the requested range")
 	})
 })
+
+// Guards against engines whose bytes without end fill the memory of the process that reads them.
+var _ = Describe("a response of an engine without end", func() {
+	const maxAllocated = 16 << 20
+
+	DescribeTable("ends the attempt",
+		func(text, endless string, want any) {
+			server, err := emulator.NewServer("endless", emulator.AnyAddress())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Crash)
+			server.SetRawAnswer(text, endless)
+			w, err := completions.New()
+			Expect(err).NotTo(HaveOccurred())
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			all := generate(w, netip.MustParseAddrPort(server.Address()), 1)
+			runtime.ReadMemStats(&after)
+			Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", maxAllocated), "bytes")
+			Expect(all[len(all)-1]).To(BeAssignableToTypeOf(want))
+		},
+		Entry("in an event's line", eventHead+"data: ", "x", engine.Lost{}),
+		Entry("in the number of an event's lines", eventHead, "data: x\n", engine.Lost{}),
+		Entry("in a chunked event's line", chunkedHead+"6\r\ndata: \r\n", "4\r\nxxxx\r\n", engine.Lost{}),
+		Entry("in the number of a chunked event's lines", chunkedHead, "8\r\ndata: x\n\r\n", engine.Lost{}),
+		Entry("in the number of its headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n", engine.Lost{}),
+		Entry("in the text of a refusal", "HTTP/1.1 503 Full\r\nContent-Length: 9999999999\r\n\r\n", "x", engine.Refused{}),
+		Entry("in the text of a failure", "HTTP/1.1 500 Failed\r\nConnection: close\r\n\r\n", "x", engine.Lost{}),
+	)
+})
+
+// Heads of responses with events.
+const (
+	eventHead   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	chunkedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
--- a/entry/service_client.go
+++ b/entry/service_client.go
@@ -9,9 +9,10 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/engine"
 )
 
 // serviceClient sends calls to services. Calls that must not be repeated use a new connection
@@ -34,9 +35,12 @@
 // maxServiceConnections limits the connections to one server.
 const maxServiceConnections = 4096
 
+// maxServiceAnswerBytes is the size of the largest answer of a service, which is buffered whole.
+const maxServiceAnswerBytes = 8 << 20
+
 func newServiceClient() (*serviceClient, error) {
 	options := []config.ClientOption{
-		client.WithDialer(standard.NewDialer()),
+		engine.WithMaxResponse(maxServiceAnswerBytes),
 		client.WithDialTimeout(time.Second),
 		client.WithMaxConnsPerHost(maxServiceConnections),
 	}
--- a/events/read.go
+++ b/events/read.go
@@ -1,6 +1,7 @@
 package events
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -13,9 +14,16 @@
 type forceCloser interface{ ForceClose() error }
 
 // Each calls handle for each event until the stream ends, handle returns an error or
-// ctx is done. handle must not retain the event.
+// ctx is done. handle must not retain the event. An event of more than 256 KiB is an error.
 func Each(ctx context.Context, resp *protocol.Response, handle func(*sse.Event) error) error {
-	reader, err := sse.NewReader(resp)
+	stream := &limitedStream{source: resp.BodyStream()}
+	if !resp.IsBodyStream() {
+		stream.source = bytes.NewReader(resp.Body())
+	}
+	var limited protocol.Response
+	limited.Header.SetContentTypeBytes(resp.Header.ContentType())
+	limited.SetBodyStream(stream, resp.Header.ContentLength())
+	reader, err := sse.NewReader(&limited)
 	if err != nil {
 		return errors.Wrap(err, "the response is not an event stream")
 	}
@@ -30,16 +38,17 @@
 		case <-done:
 		}
 	}()
-	err = read(ctx, reader, handle)
+	err = read(ctx, reader, stream, handle)
 	close(done)
 	<-watcherDone
 	return err
 }
 
-func read(ctx context.Context, reader *sse.Reader, handle func(*sse.Event) error) error {
+func read(ctx context.Context, reader *sse.Reader, stream *limitedStream, handle func(*sse.Event) error) error {
 	event := sse.NewEvent()
 	defer event.Release()
 	for ctx.Err() == nil {
+		stream.left = maxEventBytes
 		err := reader.Read(event)
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/watch/platform.go
+++ b/watch/platform.go
@@ -1,18 +1,25 @@
 package watch
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/engine"
 )
 
+// maxDocumentBytes is the size of the largest document of the platform, compressed or not.
+const maxDocumentBytes = 16 << 20
+
 // platform is a client of the platform's configuration service.
 type platform struct {
 	address netip.AddrPort
@@ -21,7 +28,7 @@
 
 func newPlatform(address netip.AddrPort, maxWait time.Duration) (*platform, error) {
 	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		engine.WithMaxResponse(maxDocumentBytes),
 		client.WithDialTimeout(time.Second),
 		client.WithClientReadTimeout(maxWait+2*time.Second),
 	)
@@ -60,8 +67,20 @@
 // decodedBody returns a copy of a response's body, decompressed if necessary.
 func decodedBody(resp *protocol.Response) ([]byte, error) {
 	if string(resp.Header.ContentEncoding()) == "gzip" {
-		body, err := resp.BodyGunzip()
-		return body, errors.Wrap(err, "decompress the platform's response")
+		return gunzip(resp.Body())
 	}
 	return append([]byte(nil), resp.Body()...), nil
 }
+
+// gunzip decompresses a document.
+func gunzip(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress the platform's response")
+	}
+	document, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes+1))
+	if err == nil && len(document) > maxDocumentBytes {
+		err = errors.Errorf("the document is larger than %d bytes", maxDocumentBytes)
+	}
+	return document, errors.Wrap(err, "decompress the platform's response")
+}
