box: bounds the lines of callers' heads

400 callers whose heads have 5,500 short headers each took a box of 128 MB to 230 MB (a trial); the platform ends such a process, with the requests of all callers.

Cause: the HTTP server bounds the bytes of a head, 64 KiB, and a decoded header takes far more than its bytes.

A head has at most 256 lines; a longer one is answered with 400 as soon as the next line is read. The new spec of box/caller_conn_test.go waited for the server's 5 s before, and holds.

--- a/box/caller_conn.go
+++ b/box/caller_conn.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -18,8 +19,14 @@
 	// maxLingerTime and maxLingerBytes bound what is read of a caller that sends after its answer.
 	maxLingerTime  = 2 * time.Second
 	maxLingerBytes = 16 << 20
+	// maxHeadLines is the number of lines of the longest head of a request. A decoded header takes
+	// far more memory than its bytes, which the HTTP server limits.
+	maxHeadLines = 256
 )
 
+// errHeadTooLong reports a head of more than maxHeadLines lines, which the HTTP server answers with 400.
+var errHeadTooLong = errors.Errorf("the head of a request has more than %d lines", maxHeadLines)
+
 // callerConn is a caller's connection. It tracks whether bytes of a request were read that
 // has no answer yet. The HTTP server's own state doesn't tell: it counts a connection as idle
 // until the head of a request is parsed. Only the goroutine that reads a connection closes it.
@@ -34,6 +41,7 @@
 	callerLeft bool      // the caller closed or reset the connection
 	readAhead  bool      // the first byte of the next request was read
 	isServed   bool      // the head of the current request was read to its end
+	headLines  int       // lines that were read of it, and perhaps of what follows it
 	isClosed   bool
 	isNew      bool // no answer was written yet
 	isClosing  bool // the idle time is to end with the connection
@@ -44,13 +52,33 @@
 // Read reads from the connection.
 func (c *callerConn) Read(into []byte) (int, error) {
 	for {
+		if c.isHeadTooLong() {
+			return 0, errHeadTooLong
+		}
 		n, err := c.TCPConn.Read(into)
+		c.countHeadLines(into[:n])
 		if !c.handleRead(n, len(into), err) {
 			return n, err
 		}
 	}
 }
 
+// isHeadTooLong reports whether more lines were read of a head that hasn't ended than it may have.
+func (c *callerConn) isHeadTooLong() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.isServed && c.headLines > maxHeadLines
+}
+
+// countHeadLines counts the lines in what was read of a head.
+func (c *callerConn) countHeadLines(read []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isServed {
+		c.headLines += bytes.Count(read, []byte{'\n'})
+	}
+}
+
 // handleRead records the result of a read into a buffer, and reports whether to read again.
 func (c *callerConn) handleRead(n, buffer int, err error) bool {
 	c.mu.Lock()
@@ -150,6 +178,7 @@
 	c.isNew = false
 	c.isAnswered = false
 	c.isServed = false
+	c.headLines = 0
 	c.since = time.Now()
 }
 
--- a/box/caller_conn_test.go
+++ b/box/caller_conn_test.go
@@ -29,4 +29,21 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(o.Status).To(Equal(http.StatusRequestEntityTooLarge))
 	})
+
+	// Guards against callers whose heads of many headers fill a box's memory.
+	It("is closed with 400 if the head of its request has too many lines", func() {
+		d := newDeployment()
+		addServer(d, "i-plain", emulator.PlainService)
+		b := startReadyBoxes(d, 1)[0]
+		requestLine, rest, _ := strings.Cut(emulator.RequestText("long-1", ""), "\r\n")
+		c := connectRaw(b)
+		for range 2 { // the second request reuses the connection
+			sendRaw(c, requestLine+"\r\n"+strings.Repeat("A: b\r\n", 200)+rest)
+			Expect(c.ReadAnswer()).To(HaveField("Status", http.StatusOK))
+		}
+		sendRaw(c, requestLine+"\r\n"+strings.Repeat("A: b\r\n", 2000))
+		sentAt := time.Now()
+		Expect(c.ReadAnswer()).To(HaveField("Status", http.StatusBadRequest))
+		Expect(time.Since(sentAt)).To(BeNumerically("<", time.Second))
+	})
 })
