--- a/fleet/state.go
+++ b/fleet/state.go
@@ -151,7 +151,7 @@
 	defer s.mu.Unlock()
 	if s.storeDown {
 		s.storeDown = false
-		s.resumeGracePeriod(now)
+		s.beginGracePeriod(now)
 	}
 }
 
--- a/fleet/state_removals.go
+++ b/fleet/state_removals.go
@@ -133,27 +133,14 @@
 // were missing before.
 func (s *State) beginGracePeriod(now time.Time) {
 	s.storeUpAt = now
-	s.extendGracePeriods(now, func(time.Time) bool { return true })
-}
-
-// resumeGracePeriod starts the grace period after this box reached the store again. Periods that still
-// run began when another box had reached it, and end at the same time at all boxes: the store may never
-// have been away, and the server may have left.
-func (s *State) resumeGracePeriod(now time.Time) {
-	s.storeUpAt = now
-	s.extendGracePeriods(now, func(until time.Time) bool { return !now.Before(until) })
-}
-
-// extendGracePeriods lets the grace periods for which extend returns true of their ends last from now on.
-func (s *State) extendGracePeriods(now time.Time, extend func(until time.Time) bool) {
 	until := now.Add(missingGracePeriod)
 	for _, e := range s.entries {
-		if e.isMissing() && e.missingUntil.Before(until) && extend(e.missingUntil) {
+		if e.isMissing() && e.missingUntil.Before(until) {
 			e.missingUntil = until
 		}
 	}
 	for zone, z := range s.missingZones {
-		if z.until.Before(until) && extend(z.until) {
+		if z.until.Before(until) {
 			z.until = until
 			s.missingZones[zone] = z
 		}
