--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -201,6 +201,12 @@
 	state    engine.PortState // of the one of these that got furthest
 }
 
+// progress orders the states of ports by how far a status check without an answer got.
+var progress = map[engine.PortState]int{
+	engine.PortBreaksRequests: 1,
+	engine.PortUnanswered:     2,
+}
+
 func (r probeResult) outcome() core.ProbeResult {
 	switch {
 	case r.answered != "":
@@ -239,7 +245,7 @@
 			continue
 		}
 		result.failed = append(result.failed, e.ID)
-		if state == engine.PortUnanswered || result.state == "" || (state == engine.PortBreaksRequests && result.state != engine.PortUnanswered) {
+		if result.state == "" || progress[state] > progress[result.state] {
 			result.state = state
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 		Entry("a request crashes every engine, behind proxies that make crashes look like resets", 1001),
 		Entry("entries lapse while the store is down or their servers don't reach it, and boxes never use the servers again", 8000),
 		Entry("boxes stopped and reloaded in series drop requests that they have read", 9005),
+		Entry("runs are moved off a leaving engine with fewer sends left than they need to go on", 9004),
 		Entry("connections to servers hang until deadlines have passed, and streams that are continued then look whole", 8001),
 	)
 })
