--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -120,7 +120,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		r.Host = emulator.Host
 		r.Header.Set("X-Request-Id", "f")
-		r.Header.Set("Api-Key", key)
+		r.Header.Set(emulator.KeyHeader, key)
 		r.Header.Set("Dillsaddle-Forwarded-By", "other")
 		r.Header.Set("Dillsaddle-Forwarded-Version", strconv.Itoa(current+1))
 		answer, err := http.DefaultClient.Do(r)
