gateway: an open port is no answer of an endpoint that takes no status check now

Endpoints that asked the box to back off, or whose limit is used up, take no check; their open ports counted as answered, as before. Such a probe is a silent one now, so that requests are tried at another box. By reading; no test failed before.

--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -255,8 +255,8 @@
 	}
 }
 
-// checkStatus returns the state of an endpoint's port, which is open if the endpoint answered a status
-// check. One that takes no check now, or has none, need only keep a connection.
+// checkStatus returns the state of an endpoint's port, which is open only if the endpoint answered a
+// status check, or has none. The port of one that takes no check now tells nothing if it is open.
 func (g *Gateway) checkStatus(e routing.Endpoint) engine.PortState {
 	path := ""
 	if t := g.view().Table; t != nil {
@@ -264,10 +264,15 @@
 			path = g.protocol.StatusPath(s)
 		}
 	}
-	now := time.Now()
-	if path == "" || !g.sendGate.beginStatusCheck(now, e) {
+	if path == "" {
 		return engine.ProbePort(g.dial, e.Address)
 	}
+	if !g.sendGate.beginStatusCheck(time.Now(), e) {
+		if state := engine.ProbePort(g.dial, e.Address); state != engine.PortOpen {
+			return state
+		}
+		return engine.PortUnanswered
+	}
 	g.counters.statusChecks.Inc()
 	state, status := engine.CheckStatus(g.dial, e.Address, path)
 	g.sendGate.answered(time.Now(), e, status == http.StatusServiceUnavailable)
