gateway: takes no answer for whole that was reset during the upload

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection.

Cause: the system reports a reset once, to the write or to the read that asks first. The upload is written while the answer is read. If its write gets the error, the next read returns an ordinary end, which ends an answer without a length or chunks; the write's error only kept the connection out of the pool. An error after a part of a small request was ignored in the same way.

Before the end of the connection counts as the end of the answer, the request must have been written, the endpoint must have received it (TCP_INFO), and the connection must not have been reset. An endpoint that closes without having read the upload is found in the same way, since its system resets the connection. Answers with a length or chunks don't wait. Endpoints that close their sending side and go on reading are served.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -35,7 +35,7 @@
 	endpointConn  *endpointConn
 	pool          *Pool       // gets endpointConn back
 	pooledAs      string      // ID under which it does
-	writeResult   chan error  // receives the result of a request body written concurrently, or nil
+	requestWrite  *requestWrite
 	stopAfterFunc func() bool // cancels closing the connection when the caller leaves
 }
 
@@ -125,16 +125,7 @@
 // end, and the request was sent whole. Otherwise it closes the connection.
 func (a *answer) release(p *proxiedRequest, isComplete bool) {
 	stopped := a.stopAfterFunc()
-	bodySent := true
-	if a.writeResult != nil {
-		select {
-		case err := <-a.writeResult:
-			bodySent = err == nil
-		default:
-			bodySent = false
-		}
-	}
-	if !isComplete || !stopped || !bodySent || a.head.Close || a.endpointConn.reader.Buffered() > 0 {
+	if !isComplete || !stopped || !a.requestWrite.hasSucceeded() || a.head.Close || a.endpointConn.reader.Buffered() > 0 {
 		_ = a.endpointConn.Close()
 		return
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -116,7 +116,7 @@
 
 // mayBeCut reports whether an answer that ended may not be whole. The connection of an answer
 // without a length or chunks ends in the same way when its endpoint ends, also as planned, or when its
-// run is stopped for a move.
+// run is stopped for a move, and may do so when it is reset.
 func (p *proxiedRequest) mayBeCut(a *answer) bool {
 	if !a.endsWithConnection(p.request.Method) {
 		return false
@@ -124,7 +124,7 @@
 	if isEventStream(a.head) && p.events == 0 {
 		return true
 	}
-	if p.wasStopped() {
+	if p.wasStopped() || !p.hasOrderlyEnd(a) {
 		return true
 	}
 	ended := make(chan bool, 1)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -218,18 +218,19 @@
 		return err
 	}
 	out.WriteString("\r\n")
-	if len(p.body) <= maxInlineBody {
+	isInline := len(p.body) <= maxInlineBody
+	if isInline {
 		out.Write(p.body)
-		_, err := a.endpointConn.Write(out.Bytes())
-		return err
 	}
-	if _, err := a.endpointConn.Write(out.Bytes()); err != nil {
+	w := &requestWrite{done: make(chan struct{})}
+	a.requestWrite = w
+	if _, err := a.endpointConn.Write(out.Bytes()); err != nil || isInline {
+		w.finish(err)
 		return err
 	}
-	a.writeResult = make(chan error, 1)
 	go func() {
 		_, err := a.endpointConn.Conn.Write(p.body)
-		a.writeResult <- err
+		w.finish(err)
 	}()
 	return nil
 }
