engine, gateway: takes no response with an invalid status for an answer

Likewise statuses 099 and 101 and an interim response with a body; 600 and 999 were passed on with the endpoint's signature.

Cause: net/http reads any three digits as a status, and the gateway took all statuses below 200 for interim responses and read the next head behind them.

All are failed sends now, tried at another endpoint if the request may be repeated, else answered with 502. The status 000 without an inner head was a 502 before.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -33,8 +33,8 @@
 	body          []byte
 	remainder     io.Reader // the part of the body that is not in body yet, or nil
 	endpointConn  *endpointConn
-	pool          *Pool       // gets endpointConn back
-	pooledAs      string      // ID under which it does
+	pool          *Pool  // gets endpointConn back
+	pooledAs      string // ID under which it does
 	requestWrite  *requestWrite
 	stopAfterFunc func() bool // cancels closing the connection when the caller leaves
 }
--- a/gateway/endpoint_conn.go
+++ b/gateway/endpoint_conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"dillsaddle.example/dillsaddle/engine"
 )
 
 // readBufferBytes is the buffer for the head of an endpoint's answer; larger reads of the body
@@ -96,12 +98,7 @@
 		conn.limit.isReading = false
 		conn.limit.reserve = nil
 	}()
-	for {
-		head, err := http.ReadResponse(conn.reader, r)
-		if err != nil || head.StatusCode >= http.StatusOK {
-			return head, err
-		}
-	}
+	return engine.ReadHead(conn.reader, r)
 }
 
 // hasReadHead reports whether any byte was read for the last readHead.
