engine, gateway: takes no response with an invalid field name for an answer

With a blank after 'Content-Length' or 'Transfer-Encoding' the body was not the endpoint's: longer than its length, or with the chunks' sizes in it.

Cause: net/http keeps names with blanks as they are, so that they name no framing. A line that begins with a blank continues the value before it; one in the form of a field was appended to the signature.

Control bytes, tabs and separators in names, empty names and NUL bytes in values were 502 before.

CheckHead takes only tokens for names, and ReadHead looks for lines in the form of a field behind a blank, for which it keeps the text of the head while it is read. RFC 9112 lets a gateway answer such heads with 502.

--- a/engine/response_head.go
+++ b/engine/response_head.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeadFault is what is wrong with the head of a response.
@@ -14,6 +18,7 @@
 	BadStatus  HeadFault = "status outside 100 to 599"
 	BadUpgrade HeadFault = "change of protocols that was not requested"
 	BadInterim HeadFault = "interim response with a body"
+	BadField   HeadFault = "field whose name has a character that names can't have"
 )
 
 // HeadError reports a response whose head isn't valid in HTTP/1.1. What follows it on its connection
@@ -56,9 +61,38 @@
 	case IsInterim(head) && namesBody(head):
 		return BadInterim
 	}
+	for name := range head.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return BadField
+		}
+	}
 	return ""
 }
 
+// checkText returns a *HeadError if the text of a head has faults that net/http doesn't show.
+func checkText(text []byte, head *http.Response) error {
+	for line := range bytes.Lines(text) {
+		if isFieldAfterBlank(line) {
+			return &HeadError{
+				Fault:  BadField,
+				Status: head.StatusCode,
+			}
+		}
+	}
+	return nil
+}
+
+// isFieldAfterBlank reports whether a line begins with a blank and has the form of a field. By its blank
+// it continues the value of the line before, which would change that field.
+func isFieldAfterBlank(line []byte) bool {
+	if len(line) == 0 || (line[0] != ' ' && line[0] != '\t') {
+		return false
+	}
+	name, _, found := bytes.Cut(line, []byte(":"))
+	name = bytes.TrimSpace(name)
+	return found && (len(name) == 0 || httpguts.ValidHeaderFieldName(string(name)))
+}
+
 // IsInterim reports whether a response precedes the final one.
 func IsInterim(head *http.Response) bool { return head.StatusCode < http.StatusOK }
 
@@ -72,19 +106,75 @@
 	return length != "" && length != "0"
 }
 
+// HeadReader is a buffered reader of a connection that reads the heads of responses.
+type HeadReader struct {
+	*bufio.Reader
+	recorder *recorder
+}
+
+// NewHeadReader returns a HeadReader with a buffer of a size in bytes.
+func NewHeadReader(from io.Reader, size int) *HeadReader {
+	r := &recorder{from: from}
+	return &HeadReader{
+		Reader:   bufio.NewReaderSize(r, size),
+		recorder: r,
+	}
+}
+
 // ReadHead reads the heads of a request's response up to the final one, which it returns. It returns a
 // *HeadError if one isn't valid.
-func ReadHead(from *bufio.Reader, request *http.Request) (*http.Response, error) {
+func (r *HeadReader) ReadHead(request *http.Request) (*http.Response, error) {
+	defer r.recorder.stop()
 	for {
-		head, err := http.ReadResponse(from, request)
+		buffered, _ := r.Peek(r.Buffered())
+		r.recorder.start(buffered)
+		head, err := http.ReadResponse(r.Reader, request)
 		if err != nil {
 			return nil, err
 		}
 		if err := CheckHead(head); err != nil {
 			return nil, err
 		}
+		if err := checkText(r.recorder.textBefore(r.Buffered()), head); err != nil {
+			return nil, err
+		}
 		if !IsInterim(head) {
 			return head, nil
 		}
 	}
 }
+
+// recorder keeps the text of a head while it is read.
+type recorder struct {
+	from        io.Reader
+	isRecording bool
+	text        []byte
+}
+
+// maxKeptTextBytes is the size of the largest buffer that is kept for the next head.
+const maxKeptTextBytes = 4 << 10
+
+// Read implements io.Reader.
+func (r *recorder) Read(into []byte) (int, error) {
+	n, err := r.from.Read(into)
+	if r.isRecording {
+		r.text = append(r.text, into[:n]...)
+	}
+	return n, err
+}
+
+// start begins the record of a head, of which a part may have been read already.
+func (r *recorder) start(buffered []byte) {
+	r.isRecording = true
+	r.text = append(r.text[:0], buffered...)
+}
+
+// textBefore returns what was recorded before the last bytes, of the given number.
+func (r *recorder) textBefore(last int) []byte { return r.text[:len(r.text)-last] }
+
+func (r *recorder) stop() {
+	r.isRecording = false
+	if cap(r.text) > maxKeptTextBytes {
+		r.text = nil
+	}
+}
--- a/gateway/endpoint_conn.go
+++ b/gateway/endpoint_conn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"net"
 	"net/http"
@@ -31,7 +30,7 @@
 // a time.
 type endpointConn struct {
 	net.Conn
-	reader       *bufio.Reader
+	reader       *engine.HeadReader
 	limit        *headLimit // of what reader reads
 	writtenBytes int        // of the current request
 	idle         time.Time  // start of the current idle time
@@ -43,7 +42,7 @@
 	limit := &headLimit{conn: c}
 	return &endpointConn{
 		Conn:   c,
-		reader: bufio.NewReaderSize(limit, readBufferBytes),
+		reader: engine.NewHeadReader(limit, readBufferBytes),
 		limit:  limit,
 		isNew:  true,
 	}
@@ -98,7 +97,7 @@
 		conn.limit.isReading = false
 		conn.limit.reserve = nil
 	}()
-	return engine.ReadHead(conn.reader, r)
+	return conn.reader.ReadHead(r)
 }
 
 // hasReadHead reports whether any byte was read for the last readHead.
--- a/gateway/invalid_answer_test.go
+++ b/gateway/invalid_answer_test.go
@@ -33,6 +33,7 @@
 			Expect(failed).To(BeEmpty())
 		},
 		Entry("because of its status", emulator.CallParts().InvalidStatuses()),
+		Entry("because of a field", emulator.CallParts().InvalidFields()),
 	)
 
 	It("is sent to another endpoint if the request may be repeated", func() {
@@ -63,5 +64,6 @@
 			Expect(failed).To(BeEmpty())
 		},
 		Entry("with its status line", emulator.CallParts().ValidStatuses()),
+		Entry("with its fields", emulator.CallParts().ValidFields()),
 	)
 })
