engine, gateway: takes no response of another version or with faulty framing for an answer

What callers saw: an endpoint's response in HTTP/1.0 with chunks was passed on with the chunks' sizes in its body, and responses of versions 0.9, 2.0 and 3.1 as if they were HTTP/1.1.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, where RFC 9112 calls the framing faulty, and accepts any version of two digits.

--- a/engine/response_head.go
+++ b/engine/response_head.go
@@ -19,6 +19,8 @@
 	BadUpgrade HeadFault = "change of protocols that was not requested"
 	BadInterim HeadFault = "interim response with a body"
 	BadField   HeadFault = "field whose name has a character that names can't have"
+	BadVersion HeadFault = "version other than HTTP/1"
+	BadFraming HeadFault = "transfer encoding in HTTP/1.0"
 )
 
 // HeadError reports a response whose head isn't valid in HTTP/1.1. What follows it on its connection
@@ -41,8 +43,10 @@
 
 // CheckHead returns a *HeadError if the head of a response is one that net/http reads although it isn't
 // valid.
-func CheckHead(head *http.Response) error {
-	fault := findHeadFault(head)
+func CheckHead(head *http.Response) error { return headError(findHeadFault(head), head) }
+
+// headError returns the error of a fault, or nil without one.
+func headError(fault HeadFault, head *http.Response) error {
 	if fault == "" {
 		return nil
 	}
@@ -54,6 +58,8 @@
 
 func findHeadFault(head *http.Response) HeadFault {
 	switch {
+	case head.ProtoMajor != 1:
+		return BadVersion
 	case head.StatusCode < minStatus || head.StatusCode > maxStatus:
 		return BadStatus
 	case head.StatusCode == http.StatusSwitchingProtocols:
@@ -69,19 +75,21 @@
 	return ""
 }
 
-// checkText returns a *HeadError if the text of a head has faults that net/http doesn't show.
-func checkText(text []byte, head *http.Response) error {
+// findTextFault returns a fault in the text of a head that net/http doesn't show.
+func findTextFault(text []byte, head *http.Response) HeadFault {
 	for line := range bytes.Lines(text) {
 		if isFieldAfterBlank(line) {
-			return &HeadError{
-				Fault:  BadField,
-				Status: head.StatusCode,
-			}
+			return BadField
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); !head.ProtoAtLeast(1, 1) && bytes.EqualFold(name, transferEncoding) {
+			return BadFraming // net/http ignores it
 		}
 	}
-	return nil
+	return ""
 }
 
+var transferEncoding = []byte("Transfer-Encoding")
+
 // isFieldAfterBlank reports whether a line begins with a blank and has the form of a field. By its blank
 // it continues the value of the line before, which would change that field.
 func isFieldAfterBlank(line []byte) bool {
@@ -135,7 +143,7 @@
 		if err := CheckHead(head); err != nil {
 			return nil, err
 		}
-		if err := checkText(r.recorder.textBefore(r.Buffered()), head); err != nil {
+		if err := headError(findTextFault(r.recorder.textBefore(r.Buffered()), head), head); err != nil {
 			return nil, err
 		}
 		if !IsInterim(head) {
--- a/gateway/invalid_answer_test.go
+++ b/gateway/invalid_answer_test.go
@@ -34,6 +34,7 @@
 		},
 		Entry("because of its status", emulator.CallParts().InvalidStatuses()),
 		Entry("because of a field", emulator.CallParts().InvalidFields()),
+		Entry("because of its version or framing", emulator.CallParts().InvalidFraming()),
 	)
 
 	It("is sent to another endpoint if the request may be repeated", func() {
@@ -65,5 +66,6 @@
 		},
 		Entry("with its status line", emulator.CallParts().ValidStatuses()),
 		Entry("with its fields", emulator.CallParts().ValidFields()),
+		Entry("with its version and framing", emulator.CallParts().ValidFraming()),
 	)
 })
