engine: reads status checks' responses like those to requests

A refusal behind a 103 was not counted as one, and an invalid response with 503 was.

Both rows of the spec failed before, on status 001 and on an interim 100. The check reads heads by HeadReader now; as before, any byte shows that the path works.

--- a/engine/status_check.go
+++ b/engine/status_check.go
@@ -1,10 +1,8 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 )
@@ -38,14 +36,14 @@
 	if _, err := c.Write([]byte(request)); err != nil {
 		return PortBreaksRequests, 0
 	}
-	reader := bufio.NewReader(io.LimitReader(c, maxCheckHeadBytes))
+	reader := NewHeadReader(io.LimitReader(c, maxCheckHeadBytes), maxCheckHeadBytes)
 	if _, err := reader.Peek(1); err != nil {
 		if TimedOut(err) {
 			return PortUnanswered, 0
 		}
 		return PortBreaksRequests, 0
 	}
-	answer, err := http.ReadResponse(reader, nil)
+	answer, err := reader.ReadHead(nil)
 	if err != nil {
 		return PortOpen, 0
 	}
