engine, platform: take no response with an invalid head of the store or an engine

A status 000 with a Store-Era raised the era, after which all proper responses of the store looked older; others counted as reads, watches or load reports.

Cause: net/http's transport passes on the heads that it reads.

--- a/gateway/invalid_answer_test.go
+++ b/gateway/invalid_answer_test.go
@@ -34,6 +34,7 @@
 		},
 		Entry("because of its status", emulator.CallParts().InvalidStatuses()),
 		Entry("because of a field", emulator.CallParts().InvalidFields()),
+		Entry("because of a field after a blank", emulator.CallParts().FieldsAfterBlanks()),
 		Entry("because of its version or framing", emulator.CallParts().InvalidFraming()),
 	)
 
