engine: checks the heads of responses that entries, schedulers and watches read

A 102 or 103 was the final response.

Its connections read the whole head after each request now, parse it with net/http and check it like the gateway, before the library sees it. Interim responses are taken off.

--- /dev/null
+++ b/engine/checked_conn_test.go
@@ -0,0 +1,61 @@
+package engine_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dillsaddle.example/dillsaddle/engine"
+	"dillsaddle.example/dillsaddle/platform/emulator"
+)
+
+// Guards against what the HTTP library takes for responses.
+var _ = Describe("a client that checks responses", func() {
+	const timeout = 300 * time.Millisecond
+	parts := emulator.AnswerParts{Body: "found"}
+	var server *emulator.Server
+	BeforeEach(func() {
+		var err error
+		server, err = emulator.NewServer("raw", emulator.AnyAddress())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Crash)
+	})
+	post := func(body string) (*protocol.Response, error) {
+		c, err := client.NewClient(engine.WithMaxResponse(1<<20), client.WithClientReadTimeout(timeout), client.WithKeepAlive(false))
+		Expect(err).NotTo(HaveOccurred())
+		var response protocol.Response
+		request := protocol.NewRequest(http.MethodPost, "http://"+server.Address()+"/", strings.NewReader(body))
+		return &response, c.Do(context.Background(), request, &response)
+	}
+
+	It("returns no response that isn't valid in HTTP/1.1", func() {
+		var accepted []string
+		for _, r := range slices.Concat(parts.InvalidStatuses(), parts.InvalidFields(), parts.FieldsAfterBlanks(), parts.InvalidFraming()) {
+			server.SetRawAnswer(r.Text, "")
+			if response, err := post(""); err == nil {
+				accepted = append(accepted, r.What+": "+string(response.Body()))
+			}
+		}
+		Expect(accepted).To(ConsistOf("chunks that end within the trailer: found"))
+	})
+
+	It("returns the response if it is unusual in HTTP/1.1", func() {
+		var failed []string
+		for _, r := range slices.Concat(parts.ValidStatuses(), parts.ValidFields(), parts.ValidFraming()) {
+			server.SetRawAnswer(r.Text, "")
+			response, err := post("")
+			if err != nil || response.StatusCode() != http.StatusOK || string(response.Body()) != parts.Body {
+				failed = append(failed, r.What)
+			}
+		}
+		// The library doesn't read these.
+		Expect(failed).To(ConsistOf("two spaces before the status", "a value in two lines", "several chunks, with extensions and a trailer"))
+	})
+})
--- a/engine/response_limit.go
+++ b/engine/response_limit.go
@@ -21,14 +21,14 @@
 func WithMaxResponse(bodyBytes int) config.ClientOption {
 	return config.ClientOption{F: func(o *config.ClientOptions) {
 		o.MaxResponseBodySize = bodyBytes
-		o.Dialer = newLimitedDialer(bodyBytes)
+		o.Dialer = newDialerWithLimit(bodyBytes)
 	}}
 }
 
 // WithMaxBuffer limits what an HTTP client that reads bodies as streams buffers of them in bytes, and
 // of their heads. The library buffers a body without a length or chunks as a whole.
 func WithMaxBuffer(bytes int) config.ClientOption {
-	return config.ClientOption{F: func(o *config.ClientOptions) { o.Dialer = newLimitedDialer(bytes) }}
+	return config.ClientOption{F: func(o *config.ClientOptions) { o.Dialer = newDialerWithLimit(bytes) }}
 }
 
 // limitedDialer opens connections that buffer a limited number of bytes.
@@ -37,10 +37,13 @@
 	max int
 }
 
-func newLimitedDialer(bodyBytes int) limitedDialer {
-	return limitedDialer{
-		Dialer: standard.NewDialer(),
-		max:    bodyBytes + maxHTTPHeadBytes,
+// newDialerWithLimit returns a dialer of limited connections whose responses are checked.
+func newDialerWithLimit(bodyBytes int) network.Dialer {
+	return checkedDialer{
+		Dialer: limitedDialer{
+			Dialer: standard.NewDialer(),
+			max:    bodyBytes + maxHTTPHeadBytes,
+		},
 	}
 }
 
