gateway: takes no unframed answer of another box for whole

Cause: whether an answer may be cut was not asked for those of boxes. Boxes frame all their answers, so that one without framing is none of theirs. Heads are read like those of endpoints.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -87,6 +87,10 @@
 		a.close()
 		return p.forwardFailed("reading the answer's head failed", err, core.CallBroken{})
 	}
+	if a.endsWithConnection(p.request.Method) {
+		a.close()
+		return p.forwardFailed("the answer has neither a length nor chunks, unlike those of boxes", nil, core.CallBroken{})
+	}
 	outcome := forwardOutcome(a.head.Header.Get(headerForwardOutcome))
 	a.head.Header.Del(headerForwardOutcome)
 	decidedBy := a.head.Header.Get(headerDecidedByVersion)
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -84,6 +86,50 @@
 	})
 })
 
+// Guards against taking a part of another box's answer for the whole, or something else for it. Boxes send
+// all answers with a length or in chunks.
+var _ = Describe("an answer of the box to which a request was forwarded", func() {
+	const answered = "Dillsaddle-Forward-Outcome: answered\r\n"
+	parts := emulator.CallParts()
+	parts.Fields += answered
+	// forward sends a request with an upload to a box with a raw answer, after it has read a part of it.
+	forward := func(path, text string, readFirst int64, end emulator.ConnEnd) emulator.Outcome {
+		box, err := emulator.NewServer("box", emulator.AnyAddress())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(box.Crash)
+		box.SetEarlyAnswer(text, readFirst, end)
+		b := newTestbedWith(true, gateway.WithForwarding(otherBox{address: netip.MustParseAddrPort(box.Address())}), gateway.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			return nil, syscall.ECONNREFUSED
+		}))
+		b.add("i-1", emulator.PlainService)
+		b.add("e-1", emulator.ModelService)
+		return b.call(http.MethodPost, path, "f01", strings.Repeat("x", 1000<<10))
+	}
+
+	DescribeTable("never looks whole if it ends with its connection",
+		func(path, text string, readFirst int64, end emulator.ConnEnd) {
+			o := forward(path, text, readFirst, end)
+			Expect(o.IsComplete && o.Status == http.StatusOK).To(BeFalse(), "status %d, body %.60q, %d events", o.Status, o.Body, o.Events)
+		},
+		Entry("in order", emulator.CallPath, emulator.SuccessHead+answered+"\r\nanswer", int64(-1), emulator.EndClose),
+		Entry("by a reset during the upload", emulator.CallPath, emulator.SuccessHead+answered+"\r\nanswer", int64(0), emulator.EndReset),
+		Entry("in order, within its rest, which is streamed", emulator.CallPath, emulator.SuccessHead+answered+"\r\n"+strings.Repeat("x", 500_000), int64(-1), emulator.EndClose),
+		Entry("in order, after an event", emulator.StreamPath, streamHead+answered+"\r\n"+firstEvent, int64(-1), emulator.EndClose),
+		Entry("by a reset during the upload, after an event", emulator.StreamPath, streamHead+answered+"\r\n"+firstEvent, int64(0), emulator.EndReset),
+	)
+
+	It("isn't passed on if its head is invalid", func() {
+		for _, answer := range slices.Concat(parts.InvalidStatuses(), parts.FieldsAfterBlanks()) {
+			Expect(forward(emulator.CallPath, answer.Text, -1, emulator.EndClose).Status).To(Equal(http.StatusBadGateway), answer.What)
+		}
+	})
+
+	It("is passed on if it is whole", func() {
+		o := forward(emulator.CallPath, lengthHead[:len(lengthHead)-2]+answered+"\r\nanswer to $ID", -1, emulator.EndClose)
+		Expect(o).To(And(HaveField("Status", http.StatusOK), HaveField("Fault", BeEmpty())))
+	})
+})
+
 // Guards against answers by an older configuration to requests that the called box knows better about.
 var _ = Describe("two boxes with different configurations", func() {
 	const current = 5
