gateway: counts answers that are not passed on as whole

dillsaddle_endpoint_answers_faulty_total tells them by service and by what is at fault: head, body, the end of an unframed answer, or content. The reason was in the log only ('send failed'), and is with each head that isn't valid in HTTP/1.1. The spec of invalid answers checks for a line each, and that their connections are closed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -95,6 +95,7 @@
 func (p *proxiedRequest) readAnswer(a *answer) core.Event {
 	if err := p.bufferAnswer(a); err != nil {
 		a.close()
+		p.countFaultyAnswer(faultyBody, err)
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's body failed", err, core.CallBroken{})
 	}
@@ -103,6 +104,7 @@
 	}
 	if p.mayBeCut(a) {
 		a.close()
+		p.countFaultyAnswer(faultyEnd, nil)
 		p.awaitEndpointCheck()
 		return p.failed(reasonMayBeCut, io.ErrUnexpectedEOF, core.CallBroken{})
 	}
@@ -176,6 +178,7 @@
 		_, err = io.Copy(p.writer, a.remainder)
 	}
 	if err == nil && p.mayBeCut(a) {
+		p.countFaultyAnswer(faultyEnd, nil)
 		err = errors.Wrap(io.ErrUnexpectedEOF, reasonMayBeCut)
 	}
 	a.release(p, err == nil)
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -51,6 +51,22 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf("dillsaddle_request_seconds{route=%q}", route)).Update(took.Seconds())
 }
 
+// answerFault is the part of an endpoint's answer for which it was not passed on as whole.
+type answerFault string
+
+// The parts.
+const (
+	faultyHead    answerFault = "head"    // it was cut, isn't valid in HTTP/1.1 or is too large
+	faultyBody    answerFault = "body"    // it was cut or isn't framed properly
+	faultyEnd     answerFault = "end"     // it ended with its connection, which may have cut it
+	faultyContent answerFault = "content" // it isn't signed, is encoded, or refuses without the not-run mark
+)
+
+// countFaultyAnswer counts an answer of a service's endpoint that was not passed on as whole.
+func (c *counters) countFaultyAnswer(service string, fault answerFault) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("dillsaddle_endpoint_answers_faulty_total{service=%q,fault=%q}", service, fault)).Inc()
+}
+
 // observePauses counts the prompts sent to an engine during a stream there, by the engine's
 // pace relative to the service's median, and whether the stream had a pause beyond its target.
 func (c *counters) observePauses(class admission.PaceClass, known bool, exposures int, missed bool) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -130,6 +131,9 @@
 	if err := p.readResponseHead(a); err != nil {
 		a.close()
 		p.recordHeadFailure(conn, err)
+		if conn.hasReadHead() {
+			p.countFaultyAnswer(faultyHead, err)
+		}
 		p.awaitEndpointCheck()
 		return p.failed("reading the answer's head failed", err, core.CallBroken{})
 	}
@@ -140,6 +144,7 @@
 	p.observeLoad(a.headers.Load)
 	if invalidReason := a.invalidReason(); invalidReason != "" {
 		a.close()
+		p.countFaultyAnswer(faultyContent, nil)
 		return p.failed(invalidReason, nil, core.CallBroken{})
 	}
 	if isEventStream(a.head) {
@@ -166,6 +171,14 @@
 	return endOr(terminalEvent, ev)
 }
 
+// countFaultyAnswer counts an answer that is not passed on as whole, for an error or nil, unless this box
+// stopped reading it.
+func (p *proxiedRequest) countFaultyAnswer(fault answerFault, err error) {
+	if p.terminalEvent() == nil && !errors.Is(err, net.ErrClosed) && !engine.TimedOut(err) {
+		p.gateway.counters.countFaultyAnswer(p.service.Name, fault)
+	}
+}
+
 // endOr returns the event that ends the request if there is one, otherwise ev. The events of the
 // deadline and of the box's end say whether nothing was sent, or the caller would not be told that the
 // request has not run.
--- a/gateway/invalid_answer_test.go
+++ b/gateway/invalid_answer_test.go
@@ -23,7 +23,7 @@
 	DescribeTable("is a failed send",
 		func(list []emulator.RawAnswer) {
 			b := newTestbed()
-			b.add("i-1", emulator.PlainService)
+			s := b.add("i-1", emulator.PlainService)
 			var failed []string
 			for n, answer := range list {
 				if o := callWith(b, emulator.CallPath, fmt.Sprintf("a%02d", n), answer); o.Status != http.StatusBadGateway || o.Signature != "" {
@@ -31,6 +31,8 @@
 				}
 			}
 			Expect(failed).To(BeEmpty())
+			Expect(b.log.FilterMessage("send failed").Len()).To(Equal(len(list)))
+			Eventually(s.OpenConnections).Should(BeZero())
 		},
 		Entry("because of its status", emulator.CallParts().InvalidStatuses()),
 		Entry("because of a field", emulator.CallParts().InvalidFields()),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,14 +108,16 @@
 	for {
 		e, err := p.readEvent(events)
 		watchdog.reset()
-		if errors.Is(err, io.EOF) && p.mayBeCut(a) {
-			err = io.ErrUnexpectedEOF
-		}
+		fault := faultyBody
 		if errors.Is(err, io.EOF) {
-			return p.complete(a)
+			if !p.mayBeCut(a) {
+				return p.complete(a)
+			}
+			err, fault = io.ErrUnexpectedEOF, faultyEnd
 		}
 		if err != nil {
 			a.close()
+			p.countFaultyAnswer(fault, err)
 			return p.handleBreak(err)
 		}
 		p.overdueTimer.stop()
