gateway: takes no success for signed whose signature isn't passed on

Answers are decoded from the fields that are passed on now, so that this one counts as unsigned. (net/http drops a Connection that also says close; the signature is passed on then.)

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -256,7 +256,7 @@
 		if err != nil {
 			return err
 		}
-		headers := p.gateway.protocol.Answer(head.StatusCode, head.Header)
+		headers := p.gateway.protocol.Answer(head.StatusCode, endToEndHeaders(head.Header))
 		p.gateway.HandleNotice(time.Now(), p.endpoint, headers.Notice)
 		isOwn := headers.ID == p.inbound.ID || (headers.ID == "" && a.endpointConn.isNew && strayAnswers == 0)
 		if isOwn {
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -53,6 +53,11 @@
 		Entry("a refusal without the not-run mark", emulator.RanButRefused),
 	)
 
+	It("is answered with 502 after a success whose signature ends at the box", func() {
+		s.SetRawAnswer(lengthHead[:len(lengthHead)-2]+"Connection: X-Response-Signature\r\n\r\nanswer to $ID", "")
+		Expect(post("n01")).To(And(HaveField("Status", http.StatusBadGateway), HaveField("Signature", BeEmpty())))
+	})
+
 	It("is answered with 503 and Retry-After when the only endpoint refuses it", func() {
 		s.SetFault(emulator.Shed, -1)
 		o := post("d1")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -136,7 +136,7 @@
 	default:
 		return p.forwardFailed("the box doesn't serve forwarded requests", nil, core.CallUnsent{})
 	}
-	a.headers = p.gateway.protocol.Answer(a.head.StatusCode, a.head.Header)
+	a.headers = p.gateway.protocol.Answer(a.head.StatusCode, endToEndHeaders(a.head.Header))
 	if reason := a.invalidReason(); reason != "" {
 		_ = a.endpointConn.Close()
 		return p.forwardEnded(reason, nil, core.CallBroken{})
