--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -33,10 +33,10 @@
 	body          []byte
 	remainder     io.Reader // the part of the body that is not in body yet, or nil
 	endpointConn  *endpointConn
-	pool          *Pool  // gets endpointConn back
-	pooledAs      string // ID under which it does
-	requestWrite  *requestWrite
-	stopAfterFunc func() bool // cancels closing the connection when the caller leaves
+	pool          *Pool         // gets endpointConn back
+	pooledAs      string        // ID under which it does
+	requestWrite  *requestWrite // the writing of the request
+	stopAfterFunc func() bool   // cancels closing the connection when the caller leaves
 }
 
 // invalidReason returns why an answer must not be passed on, or "". Refusals without the
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -54,7 +54,7 @@
 	)
 
 	It("is answered with 502 after a success whose signature ends at the box", func() {
-		s.SetRawAnswer(lengthHead[:len(lengthHead)-2]+"Connection: X-Response-Signature\r\n\r\nanswer to $ID", "")
+		s.SetRawAnswer(lengthHead[:len(lengthHead)-2]+"Connection: "+emulator.SignatureHeader+"\r\n\r\nanswer to $ID", "")
 		Expect(post("n01")).To(And(HaveField("Status", http.StatusBadGateway), HaveField("Signature", BeEmpty())))
 	})
 
