engine, wire: refuses handshakes between boxes whose heads are invalid

The WebSocket library leaves heads to net/http. None is accepted now; CheckedTransport takes a 101 where a client asks for it.

--- a/engine/checked_transport.go
+++ b/engine/checked_transport.go
@@ -11,7 +11,10 @@
 
 // CheckedTransport is an HTTP transport that returns only responses with valid heads. It returns a
 // *HeadError for others and closes their connections.
-type CheckedTransport struct{ *http.Transport }
+type CheckedTransport struct {
+	*http.Transport
+	Upgrades bool // its requests ask for a change of protocols
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t CheckedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -25,7 +28,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(response); err != nil {
+	fault := findHeadFault(response)
+	if fault == BadUpgrade && t.Upgrades {
+		fault = ""
+	}
+	if err := headError(fault, response); err != nil {
 		_ = conn.Close() // one without a body would be used again
 		_ = response.Body.Close()
 		return nil, err
--- a/engine/response_head.go
+++ b/engine/response_head.go
@@ -62,8 +62,6 @@
 		return BadVersion
 	case head.StatusCode < minStatus || head.StatusCode > maxStatus:
 		return BadStatus
-	case head.StatusCode == http.StatusSwitchingProtocols:
-		return BadUpgrade
 	case IsInterim(head) && namesBody(head):
 		return BadInterim
 	}
@@ -72,6 +70,9 @@
 			return BadField
 		}
 	}
+	if head.StatusCode == http.StatusSwitchingProtocols {
+		return BadUpgrade
+	}
 	return ""
 }
 
--- a/wire/network.go
+++ b/wire/network.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"dillsaddle.example/dillsaddle/engine"
 )
 
 // Network dials and accepts connections between processes.
@@ -37,16 +39,19 @@
 // newHTTPClient returns an HTTP client that dials over the given network.
 func newHTTPClient(n Network) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				to, err := netip.ParseAddrPort(address)
-				if err != nil {
-					return nil, err
-				}
-				return n.Dial(ctx, to)
+		Transport: engine.CheckedTransport{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+					to, err := netip.ParseAddrPort(address)
+					if err != nil {
+						return nil, err
+					}
+					return n.Dial(ctx, to)
+				},
+				IdleConnTimeout:        unusedConnTimeout,
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
-			IdleConnTimeout:        unusedConnTimeout,
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			Upgrades: true,
 		},
 	}
 }
